--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,1 @@
+//! The commands, one file each.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! Lists the commands and dispatches to them.
+
+fn main() {}
--- /dev/null
+++ b/src/model/class.rs
@@ -0,0 +1,25 @@
+use serde::{Deserialize, Serialize};
+
+/// How long a request may wait.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum Class {
+    /// A person is waiting for the answer.
+    #[display("urgent")]
+    Urgent,
+    /// May wait, but must finish exactly once.
+    #[display("patient")]
+    Patient,
+}
--- /dev/null
+++ b/src/model/mod.rs
@@ -0,0 +1,34 @@
+//! The objects of the world this program manages: instances in racks and
+//! availability zones, the pools they belong to, the services the pools carry,
+//! and the rows of weights and limits that operators keep current.
+//!
+//! Everything here is plain data shared by all parts; nothing here decides.
+
+mod budget;
+mod capacity;
+mod class;
+mod demand;
+mod duty;
+mod instance;
+mod names;
+mod outcome;
+mod pool;
+mod refusal;
+mod row;
+mod service;
+
+pub use budget::{Budget, Survive};
+pub use capacity::Capacity;
+pub use class::Class;
+pub use demand::Demand;
+pub use duty::{Absence, Duty};
+pub use instance::Instance;
+pub use names::{
+    ChangeId, EntryName, InstanceName, PoolName, RackName, RequestKey, ServiceName, TeamName,
+    WaveName, ZoneName,
+};
+pub use outcome::Outcome;
+pub use pool::Pool;
+pub use refusal::RefusalReason;
+pub use row::{Row, RowKey, VersionedRow};
+pub use service::Service;
