--- /dev/null
+++ b/src/consensus/input.rs
@@ -0,0 +1,37 @@
+use crate::model::EntryName;
+
+use super::Message;
+
+/// Everything that can happen to a replica.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// Time passed.
+    Tick,
+    /// A peer sent a message.
+    Message {
+        /// The peer.
+        from: EntryName,
+        /// What it sent.
+        message: Message,
+    },
+    /// This process wants the command in the log. A replica that does not lead
+    /// forwards it. There is no answer: the proposer watches what is applied and
+    /// proposes again after a timeout; the state tells repeated commands apart.
+    Propose {
+        /// The command's bytes.
+        command: Vec<u8>,
+    },
+    /// The disk finished the write with this token, synced.
+    Persisted {
+        /// From [`super::Action::Persist`].
+        token: u64,
+    },
+    /// The state's snapshot up to and with `index`, asked for by
+    /// [`super::Action::TakeSnapshot`].
+    SnapshotTaken {
+        /// The last applied index in it.
+        index: u64,
+        /// The state's bytes.
+        data: Vec<u8>,
+    },
+}
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -14,6 +14,7 @@
 mod outcome;
 mod pool;
 mod refusal;
+mod report;
 mod row;
 mod service;
 
@@ -30,5 +31,6 @@
 pub use outcome::Outcome;
 pub use pool::Pool;
 pub use refusal::RefusalReason;
+pub use report::{Standing, UpstreamReport};
 pub use row::{Row, RowKey, VersionedRow};
 pub use service::Service;
