Serve the whole path thinly: three entry instances, one row, one answer

The log is one fixed leader in memory and the dispatcher the naive one: both are placeholders behind the agreed interfaces.

--- /dev/null
+++ b/src/codec.rs
@@ -0,0 +1,43 @@
+//! One way of turning values into bytes and back, for peers and disk.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Largest value that is read: above any frame, snapshot chunk or command, and
+/// small enough that a corrupt length cannot exhaust the memory.
+pub const LIMIT_BYTES: usize = 16 * 1024 * 1024;
+
+/// Bytes that are not a value of the wanted type.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[display("bytes cannot be read as {wanted}: {cause}")]
+pub struct CodecError {
+    wanted: &'static str,
+    cause: String,
+}
+
+/// A value's bytes.
+pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    bincode::serde::encode_to_vec(value, bincode::config::standard())
+        .expect("plain data without unsized sequences always encodes")
+}
+
+/// The value in these bytes, all of which must belong to it.
+///
+/// # Errors
+/// The bytes are cut short, of another type, too many, or claim a size above
+/// [`LIMIT_BYTES`].
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
+    let wanted = std::any::type_name::<T>();
+    let conf = bincode::config::standard().with_limit::<LIMIT_BYTES>();
+    match bincode::serde::decode_from_slice(bytes, conf) {
+        Ok((value, used)) if used == bytes.len() => Ok(value),
+        Ok((_, used)) => Err(CodecError {
+            wanted,
+            cause: format!("{} bytes too many", bytes.len() - used),
+        }),
+        Err(err) => Err(CodecError {
+            wanted,
+            cause: err.to_string(),
+        }),
+    }
+}
--- /dev/null
+++ b/src/http/limits.rs
@@ -0,0 +1,29 @@
+use std::time::Duration;
+
+/// Bounds on what one listener takes in.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Connections at once; further ones wait in the kernel's queue.
+    pub connections: usize,
+    /// Bytes of a request's head.
+    pub head_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Time for a request's head to come, also on an idle connection; a
+    /// connection that went silent is closed after it.
+    pub head_timeout: Duration,
+    /// Time for a request's body to come.
+    pub body_timeout: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 4096,
+            head_bytes: 16 * 1024,
+            body_bytes: 1024 * 1024,
+            head_timeout: Duration::from_secs(15),
+            body_timeout: Duration::from_secs(10),
+        }
+    }
+}
--- /dev/null
+++ b/src/http/server.rs
@@ -0,0 +1,148 @@
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::TcpListener;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::StatusCode;
+use http::request::Parts;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming as Body;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+use tokio::sync::{Semaphore, watch};
+use tokio::time::timeout;
+
+use super::Limits;
+use super::reply::{Reply, text};
+
+/// A whole request.
+#[derive(Debug)]
+pub struct Incoming {
+    /// Its head.
+    pub head: Parts,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl Incoming {
+    /// A header's text, if it is there and is text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// What answers requests. The future is dropped when the peer goes away first.
+pub type Handler =
+    Arc<dyn Fn(Incoming) -> Pin<Box<dyn Future<Output = Reply> + Send>> + Send + Sync>;
+
+/// One listener and its handler.
+pub struct HttpServer {
+    /// For logs.
+    pub name: &'static str,
+    /// Where it listens.
+    pub listener: TcpListener,
+    /// What it lets in.
+    pub limits: Limits,
+    /// What answers.
+    pub handler: Handler,
+}
+
+impl HttpServer {
+    /// Serves until `stop` turns true, then takes no more connections, lets open
+    /// requests end and returns.
+    pub async fn run(self, mut stop: watch::Receiver<bool>) {
+        let Ok(listener) = self
+            .listener
+            .set_nonblocking(true)
+            .and_then(|()| tokio::net::TcpListener::from_std(self.listener))
+        else {
+            tracing::error!("http: the {} listener cannot be used", self.name);
+            return;
+        };
+        let room = Arc::new(Semaphore::new(self.limits.connections));
+        let mut open = tokio::task::JoinSet::new();
+        loop {
+            let permit = tokio::select! {
+                permit = Arc::clone(&room).acquire_owned() => permit,
+                _ = stop.wait_for(|stop| *stop) => break,
+            };
+            let Ok(permit) = permit else { break };
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = stop.wait_for(|stop| *stop) => break,
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    let handler = Arc::clone(&self.handler);
+                    let (limits, stop) = (self.limits, stop.clone());
+                    open.spawn(async move {
+                        connection(stream, limits, handler, stop).await;
+                        drop(permit);
+                    });
+                }
+                Err(err) => {
+                    // Out of descriptors, most likely: going on at once would spin.
+                    tracing::warn!("http: accept on {} failed: {err}", self.name);
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+            while open.try_join_next().is_some() {}
+        }
+        drop(listener);
+        while open.join_next().await.is_some() {}
+    }
+}
+
+async fn connection(
+    stream: TcpStream,
+    limits: Limits,
+    handler: Handler,
+    mut stop: watch::Receiver<bool>,
+) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request: http::Request<Body>| {
+        let handler = Arc::clone(&handler);
+        async move { Ok::<_, Infallible>(answer(request, limits, handler).await) }
+    });
+    let conn = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_timeout)
+        .max_buf_size(limits.head_bytes.max(8192))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut conn = std::pin::pin!(conn);
+    tokio::select! {
+        _ = conn.as_mut() => return,
+        _ = stop.wait_for(|stop| *stop) => {}
+    }
+    // An idle connection is closed, one with a request open ends after its
+    // answer, which says `Connection: close`.
+    conn.as_mut().graceful_shutdown();
+    let _ = conn.await;
+}
+
+async fn answer(request: http::Request<Body>, limits: Limits, handler: Handler) -> Reply {
+    let (head, body) = request.into_parts();
+    let body = Limited::new(body, limits.body_bytes).collect();
+    match timeout(limits.body_timeout, body).await {
+        Ok(Ok(body)) => {
+            let body = body.to_bytes();
+            handler(Incoming { head, body }).await
+        }
+        Ok(Err(_)) => text(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            format!(
+                "body: cut short or over {} bytes: send a whole, smaller one\n",
+                limits.body_bytes
+            ),
+        ),
+        Err(_) => text(
+            StatusCode::REQUEST_TIMEOUT,
+            "body: did not come in time: send it again\n",
+        ),
+    }
+}
--- /dev/null
+++ b/src/http/upstreams.rs
@@ -0,0 +1,86 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use http::{Method, StatusCode};
+use tokio::sync::oneshot;
+
+use super::callers::EventSink;
+use super::reply::{Reply, json, text};
+use super::{Handler, Incoming};
+use crate::entry::{CallId, Event};
+use crate::model::UpstreamReport;
+use crate::upstream_api::AnnounceReply;
+
+/// The upstreams' edge: announcements in, orders out.
+pub struct Upstreams {
+    events: EventSink,
+    next_id: AtomicU64,
+    waiting: Mutex<BTreeMap<CallId, oneshot::Sender<AnnounceReply>>>,
+}
+
+impl Upstreams {
+    /// An edge that hands its events to `events`.
+    pub fn new(events: EventSink) -> Arc<Self> {
+        Arc::new(Self {
+            events,
+            next_id: AtomicU64::new(1),
+            waiting: Mutex::default(),
+        })
+    }
+
+    /// Passes the answer to an announcement on.
+    pub fn answer(&self, id: CallId, reply: AnnounceReply) {
+        if let Some(waiting) = self.lock().remove(&id) {
+            let _ = waiting.send(reply);
+        }
+    }
+
+    /// The handler for the upstreams' listener.
+    pub fn handler(self: &Arc<Self>) -> Handler {
+        let edge = Arc::clone(self);
+        Arc::new(move |incoming| {
+            let edge = Arc::clone(&edge);
+            Box::pin(async move { edge.handle(incoming).await })
+        })
+    }
+
+    async fn handle(&self, incoming: Incoming) -> Reply {
+        if incoming.head.method != Method::POST || incoming.head.uri.path() != "/announce" {
+            let line = "path: not served here: POST /announce\n";
+            return text(StatusCode::NOT_FOUND, line);
+        }
+        let report = match parse_report(&incoming.body) {
+            Ok(report) => report,
+            Err(message) => return text(StatusCode::BAD_REQUEST, format!("{message}\n")),
+        };
+        let id = CallId(self.next_id.fetch_add(1, Ordering::Relaxed));
+        let (tx, rx) = oneshot::channel();
+        self.lock().insert(id, tx);
+        (self.events)(Event::Announced { id, report });
+        match rx.await {
+            Ok(reply) => json(StatusCode::OK, &serde_json::json!(reply)),
+            Err(_) => text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<CallId, oneshot::Sender<AnnounceReply>>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn parse_report(body: &[u8]) -> Result<UpstreamReport, String> {
+    let report: UpstreamReport = serde_json::from_slice(body)
+        .map_err(|err| format!("announcement: {err}: send the report as documented"))?;
+    if report.address.parse::<SocketAddr>().is_err() {
+        return Err(format!(
+            "address: {:?} is not IP:port: send the address that takes requests",
+            report.address
+        ));
+    }
+    if report.capacity.slots == 0 {
+        return Err("capacity.slots: 0: an upstream needs at least 1".into());
+    }
+    Ok(report)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,8 +6,14 @@
 //! (`entry`) that feeds one to the other.
 
 pub mod cmd;
+pub mod codec;
+pub mod config;
 pub mod consensus;
+pub mod entry;
+pub mod http;
+pub mod link;
 pub mod load;
 pub mod maintenance;
 pub mod model;
 pub mod state;
+pub mod upstream_api;
