Count every absence of the fleet in apply, once, against its pool's budget

Cause: the fleet took any change; two operators or two leaders could both spend the same spare instance. Each voluntary absence is now checked where the log serialises it, on tallies that a change costs a logarithm to keep.

--- /dev/null
+++ b/src/maintenance/cause.rs
@@ -0,0 +1,65 @@
+use serde::{Deserialize, Serialize};
+
+use crate::model::{Absence, Duty, Instance};
+
+/// Why an instance does not serve, for the budget's arithmetic.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, derive_more::Display,
+)]
+pub enum Cause {
+    /// It failed.
+    #[display("failed")]
+    Failed,
+    /// An operator drained it.
+    #[display("drained")]
+    Operator,
+    /// A wave reboots it.
+    #[display("rebooting")]
+    Reboot,
+    /// A wave replaces it.
+    #[display("being replaced")]
+    Replace,
+    /// It moves to another pool.
+    #[display("moving away")]
+    Move,
+    /// It is set aside.
+    #[display("set aside")]
+    SetAside,
+    /// Repair works on it.
+    #[display("in repair")]
+    Repair,
+}
+
+impl Cause {
+    /// Every cause, in the order of the arithmetic.
+    pub const ALL: [Self; 7] = [
+        Self::Failed,
+        Self::Operator,
+        Self::Reboot,
+        Self::Replace,
+        Self::Move,
+        Self::SetAside,
+        Self::Repair,
+    ];
+
+    /// The one cause an instance counts under, none while it serves. What was
+    /// decided comes before the failure, so that an instance which fails while
+    /// it drains is not counted twice.
+    pub fn of(instance: &Instance, failed: bool) -> Option<Self> {
+        match &instance.duty {
+            Duty::Serving => failed.then_some(Self::Failed),
+            Duty::Draining { absence } | Duty::Away { absence } => Some(Self::of_absence(absence)),
+        }
+    }
+
+    fn of_absence(absence: &Absence) -> Self {
+        match absence {
+            Absence::Operator => Self::Operator,
+            Absence::Reboot { .. } => Self::Reboot,
+            Absence::Replace { .. } => Self::Replace,
+            Absence::Move { .. } => Self::Move,
+            Absence::SetAside { .. } => Self::SetAside,
+            Absence::Repair => Self::Repair,
+        }
+    }
+}
--- a/src/maintenance/fleet.rs
+++ b/src/maintenance/fleet.rs
@@ -2,16 +2,32 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::model::{Duty, Instance, InstanceName, Pool, PoolName, ServiceName};
+use crate::model::{Duty, Instance, InstanceName, Pool, PoolName, ServiceName, WaveName};
 
-use super::{FleetCommand, FleetRefusal};
+use super::{BudgetUse, FleetCommand, FleetRefusal, Record, Tally, Trail, Wave};
 
-/// Pools and instances as every process agrees on them.
+mod absences;
+mod membership;
+mod moves;
+mod waves;
+
+/// Pools, instances, moves and waves as every process agrees on them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fleet {
     pools: BTreeMap<PoolName, Pool>,
     instances: BTreeMap<InstanceName, Instance>,
     failed: BTreeSet<InstanceName>,
+    carriers: BTreeMap<ServiceName, PoolName>,
+    tallies: BTreeMap<PoolName, Tally>,
+    /// Instances that do not have the duty to serve.
+    absent: BTreeSet<InstanceName>,
+    /// Instances lent, and the pool each goes back to.
+    loans: BTreeMap<InstanceName, PoolName>,
+    waves: BTreeMap<WaveName, Wave>,
+    /// Pools whose budget does not hold.
+    broken: BTreeSet<PoolName>,
+    records: BTreeMap<InstanceName, Record>,
+    pool_trails: BTreeMap<PoolName, Trail>,
 }
 
 impl Fleet {
@@ -19,43 +35,56 @@
     ///
     /// # Errors
     /// The reason why the command was refused; the fleet is unchanged.
-    pub fn apply(&mut self, _at_unix_ms: u64, command: &FleetCommand) -> Result<(), FleetRefusal> {
+    pub fn apply(&mut self, at_unix_ms: u64, command: &FleetCommand) -> Result<(), FleetRefusal> {
         match command {
-            FleetCommand::PutPool { pool } => {
-                self.pools.insert(pool.name.clone(), pool.clone());
-            }
+            FleetCommand::PutPool { pool } => self.put_pool(at_unix_ms, pool),
+            FleetCommand::RemovePool { pool } => self.remove_pool(pool),
             FleetCommand::Join {
                 instance,
                 zone,
                 rack,
                 pool,
-            } => {
-                if !self.pools.contains_key(pool) {
-                    return Err(FleetRefusal::UnknownPool(pool.clone()));
-                }
-                self.instances
-                    .entry(instance.clone())
-                    .or_insert_with(|| Instance {
-                        name: instance.clone(),
-                        zone: zone.clone(),
-                        rack: rack.clone(),
-                        pool: pool.clone(),
-                        epoch: 1,
-                        duty: Duty::Serving,
-                    });
+            } => self.join(at_unix_ms, instance, zone, rack, pool),
+            FleetCommand::Leave { instance } => self.leave(at_unix_ms, instance),
+            FleetCommand::Health { instance, failed } => self.health(at_unix_ms, instance, *failed),
+            FleetCommand::Drain { instance } => self.drain(at_unix_ms, instance),
+            FleetCommand::Undrain { instance } => self.undrain(at_unix_ms, instance),
+            FleetCommand::StartMove { instance, to } => self.start_move(at_unix_ms, instance, to),
+            FleetCommand::Lend {
+                instance,
+                to,
+                reason,
+            } => self.lend(at_unix_ms, instance, to, reason),
+            FleetCommand::FinishMove { instance, epoch } => {
+                self.finish_move(at_unix_ms, instance, *epoch)
+            }
+            FleetCommand::AbortMove { instance, reason } => {
+                self.abort_move(at_unix_ms, instance, reason)
             }
-            FleetCommand::Health { instance, failed } => {
-                if !self.instances.contains_key(instance) {
-                    return Err(FleetRefusal::UnknownInstance(instance.clone()));
-                }
-                if *failed {
-                    self.failed.insert(instance.clone());
-                } else {
-                    self.failed.remove(instance);
-                }
+            FleetCommand::StartWave { spec } => self.start_wave(at_unix_ms, spec),
+            FleetCommand::StopWave { wave } => self.stop_wave(at_unix_ms, wave),
+            FleetCommand::BeginAbsence { wave, instance } => {
+                self.begin_absence(at_unix_ms, wave, instance)
+            }
+            FleetCommand::PutOff { instance, reason } => self.put_off(at_unix_ms, instance, reason),
+            FleetCommand::MarkAway {
+                instance,
+                epoch,
+                incarnation,
+            } => self.mark_away(at_unix_ms, instance, *epoch, *incarnation),
+            FleetCommand::RepairStart {
+                instance,
+                incarnation,
+            } => self.repair_start(at_unix_ms, instance, *incarnation),
+            FleetCommand::Return {
+                instance,
+                incarnation,
+            } => self.return_instance(at_unix_ms, instance, *incarnation),
+            FleetCommand::SetAside { instance, reason } => {
+                self.set_aside(at_unix_ms, instance, reason)
             }
+            FleetCommand::Restore { instance } => self.restore(at_unix_ms, instance),
         }
-        Ok(())
     }
 
     /// Pools by name.
@@ -73,10 +102,177 @@
         self.failed.contains(instance)
     }
 
+    /// Instances that count as failed.
+    pub fn failed(&self) -> &BTreeSet<InstanceName> {
+        &self.failed
+    }
+
+    /// Instances that do not have the duty to serve.
+    pub fn absent(&self) -> &BTreeSet<InstanceName> {
+        &self.absent
+    }
+
+    /// Instances lent, and the pool each goes back to.
+    pub fn loans(&self) -> &BTreeMap<InstanceName, PoolName> {
+        &self.loans
+    }
+
+    /// Pools whose budget does not hold.
+    pub fn broken(&self) -> &BTreeSet<PoolName> {
+        &self.broken
+    }
+
+    /// Waves by name, the last ones that ended included.
+    pub fn waves(&self) -> &BTreeMap<WaveName, Wave> {
+        &self.waves
+    }
+
     /// The pool that carries a service.
     pub fn carrier(&self, service: &ServiceName) -> Option<&Pool> {
-        self.pools
-            .values()
-            .find(|pool| pool.services.iter().any(|s| s.name == *service))
+        self.pools.get(self.carriers.get(service)?)
+    }
+
+    /// The pool that carries each service.
+    pub fn carriers(&self) -> &BTreeMap<ServiceName, PoolName> {
+        &self.carriers
+    }
+
+    /// The arithmetic of a pool's budget.
+    pub fn budget_use(&self, pool: &PoolName) -> Option<BudgetUse> {
+        Some(self.tallies.get(pool)?.budget_use(self.pools.get(pool)?))
+    }
+
+    /// What a pool's instances do.
+    pub fn tally(&self, pool: &PoolName) -> Option<&Tally> {
+        self.tallies.get(pool)
+    }
+
+    /// What is remembered of an instance.
+    pub fn record(&self, instance: &InstanceName) -> Option<&Record> {
+        self.records.get(instance)
+    }
+
+    /// What was decided about an instance.
+    pub fn explain_instance(&self, instance: &InstanceName) -> Option<&Trail> {
+        self.records.get(instance).map(|record| &record.trail)
+    }
+
+    /// What was decided about a pool.
+    pub fn explain_pool(&self, pool: &PoolName) -> Option<&Trail> {
+        self.pool_trails.get(pool)
+    }
+
+    /// What was decided about a wave.
+    pub fn explain_wave(&self, wave: &WaveName) -> Option<&Trail> {
+        self.waves.get(wave).map(|wave| &wave.trail)
+    }
+
+    fn instance(&self, name: &InstanceName) -> Result<&Instance, FleetRefusal> {
+        let found = self.instances.get(name);
+        found.ok_or_else(|| FleetRefusal::UnknownInstance(name.clone()))
+    }
+
+    fn pool(&self, name: &PoolName) -> Result<&Pool, FleetRefusal> {
+        let found = self.pools.get(name);
+        found.ok_or_else(|| FleetRefusal::UnknownPool(name.clone()))
+    }
+
+    /// Refuses a voluntary absence that the pool's budget has no room for. An
+    /// instance that is absent already costs nothing more.
+    fn check_absence(&self, instance: &Instance) -> Result<(), FleetRefusal> {
+        if instance.duty != Duty::Serving || self.is_failed(&instance.name) {
+            return Ok(());
+        }
+        let pool = self.pool(&instance.pool)?;
+        let Some(tally) = self.tallies.get(&instance.pool) else {
+            return Ok(());
+        };
+        if tally.room().holds_without(&instance.rack, &pool.budget) {
+            return Ok(());
+        }
+        let mut room = tally.room().clone();
+        room.remove(&instance.rack);
+        let mut after = tally.budget_use(pool);
+        after.serving = room.serving();
+        after.worst_loss = room.worst_loss(pool.budget.survive);
+        Err(FleetRefusal::Budget { after })
+    }
+
+    /// The one place where an instance changes: counts it out, changes it and
+    /// counts it in again, so that no tally is ever left behind.
+    fn change(
+        &mut self,
+        at_unix_ms: u64,
+        name: &InstanceName,
+        note: &str,
+        f: impl FnOnce(&mut Instance),
+    ) {
+        let failed = self.failed.contains(name);
+        let Some(instance) = self.instances.get_mut(name) else {
+            return;
+        };
+        let old = instance.pool.clone();
+        if let Some(tally) = self.tallies.get_mut(&old) {
+            tally.remove(instance, failed);
+        }
+        f(instance);
+        let new = instance.pool.clone();
+        self.tallies
+            .entry(new.clone())
+            .or_default()
+            .add(instance, failed);
+        if instance.duty == Duty::Serving {
+            self.absent.remove(name);
+        } else {
+            self.absent.insert(name.clone());
+        }
+        let record = self.records.entry(name.clone()).or_default();
+        record.revision += 1;
+        record.since_unix_ms = at_unix_ms;
+        record.trail.note(at_unix_ms, note);
+        self.review(at_unix_ms, &old);
+        if new != old {
+            self.review(at_unix_ms, &new);
+        }
+    }
+
+    /// Gives an instance the duty to serve in `pool` under the next epoch. The
+    /// epoch rises at each return to service, not only at a change of pool: a
+    /// late report from an earlier drain can then not pass for this one's proof.
+    fn serve(&mut self, at_unix_ms: u64, name: &InstanceName, pool: &PoolName, note: &str) {
+        self.change(at_unix_ms, name, note, |instance| {
+            instance.pool = pool.clone();
+            instance.epoch += 1;
+            instance.duty = Duty::Serving;
+        });
+    }
+
+    fn note_instance(&mut self, at_unix_ms: u64, name: &InstanceName, text: &str) {
+        let record = self.records.entry(name.clone()).or_default();
+        record.trail.note(at_unix_ms, text);
+    }
+
+    fn note_pool(&mut self, at_unix_ms: u64, name: &PoolName, text: &str) {
+        let trail = self.pool_trails.entry(name.clone()).or_default();
+        trail.note(at_unix_ms, text);
+    }
+
+    /// Sees whether a pool's budget was broken or became whole.
+    fn review(&mut self, at_unix_ms: u64, name: &PoolName) {
+        let Some(used) = self.budget_use(name) else {
+            self.broken.remove(name);
+            return;
+        };
+        let changed = if used.is_whole() {
+            self.broken.remove(name)
+        } else {
+            self.broken.insert(name.clone())
+        };
+        if changed {
+            self.note_pool(at_unix_ms, name, &used.to_string());
+        }
+        if changed || !self.broken.is_empty() {
+            self.review_waves(at_unix_ms);
+        }
     }
 }
--- /dev/null
+++ b/src/maintenance/fleet/absences.rs
@@ -0,0 +1,198 @@
+//! Absences of single instances: drains, stops, repairs and returns.
+
+use crate::model::{Absence, Duty, Instance, InstanceName};
+
+use super::{Fleet, FleetRefusal};
+
+impl Fleet {
+    pub(super) fn drain(
+        &mut self,
+        at_unix_ms: u64,
+        name: &InstanceName,
+    ) -> Result<(), FleetRefusal> {
+        let instance = self.instance(name)?;
+        if instance.duty != Duty::Serving {
+            return Err(wrong_duty(instance, "wait until it serves"));
+        }
+        self.check_absence(instance)?;
+        let absence = Absence::Operator;
+        self.change(at_unix_ms, name, "drained by an operator", |instance| {
+            instance.duty = Duty::Draining { absence };
+        });
+        Ok(())
+    }
+
+    pub(super) fn undrain(
+        &mut self,
+        at_unix_ms: u64,
+        name: &InstanceName,
+    ) -> Result<(), FleetRefusal> {
+        let instance = self.instance(name)?;
+        let absence = Absence::Operator;
+        if instance.duty != (Duty::Draining { absence }) {
+            return Err(wrong_duty(instance, "no operator drained it"));
+        }
+        let pool = instance.pool.clone();
+        self.serve(at_unix_ms, name, &pool, "undrained by an operator");
+        Ok(())
+    }
+
+    pub(super) fn mark_away(
+        &mut self,
+        at_unix_ms: u64,
+        name: &InstanceName,
+        epoch: u64,
+        incarnation: u64,
+    ) -> Result<(), FleetRefusal> {
+        let instance = self.instance(name)?;
+        let absence = match &instance.duty {
+            Duty::Draining {
+                absence: absence @ (Absence::Reboot { .. } | Absence::Replace { .. }),
+            } => absence.clone(),
+            _ => return Err(wrong_duty(instance, "only a wave's drain ends in a stop")),
+        };
+        if instance.epoch != epoch {
+            return Err(FleetRefusal::Epoch {
+                instance: name.clone(),
+                present: instance.epoch,
+                given: epoch,
+            });
+        }
+        self.change(
+            at_unix_ms,
+            name,
+            "stopped: nothing runs on it",
+            |instance| {
+                instance.duty = Duty::Away { absence };
+            },
+        );
+        self.left(name, incarnation);
+        Ok(())
+    }
+
+    pub(super) fn repair_start(
+        &mut self,
+        at_unix_ms: u64,
+        name: &InstanceName,
+        incarnation: u64,
+    ) -> Result<(), FleetRefusal> {
+        let instance = self.instance(name)?;
+        if instance.duty != Duty::Serving || !self.is_failed(name) {
+            return Err(wrong_duty(instance, "only a failed one is repaired"));
+        }
+        let absence = Absence::Repair;
+        self.change(at_unix_ms, name, "repair started: it failed", |instance| {
+            instance.duty = Duty::Away { absence };
+        });
+        self.left(name, incarnation);
+        if let Some(record) = self.records.get_mut(name) {
+            record.repaired(at_unix_ms);
+        }
+        Ok(())
+    }
+
+    pub(super) fn return_instance(
+        &mut self,
+        at_unix_ms: u64,
+        name: &InstanceName,
+        incarnation: u64,
+    ) -> Result<(), FleetRefusal> {
+        let instance = self.instance(name)?;
+        let absence = match &instance.duty {
+            Duty::Away {
+                absence: Absence::Operator | Absence::SetAside { .. },
+            } => return Err(wrong_duty(instance, "restore it first")),
+            Duty::Away { absence } => absence.clone(),
+            _ => return Err(wrong_duty(instance, "it was not away")),
+        };
+        let left = self.records.get(name).map_or(0, |r| r.left_incarnation);
+        if incarnation <= left {
+            return Err(FleetRefusal::NotRestarted {
+                instance: name.clone(),
+                left,
+                given: incarnation,
+            });
+        }
+        let pool = instance.pool.clone();
+        self.health(at_unix_ms, name, false)?;
+        self.serve(at_unix_ms, name, &pool, "returned");
+        self.returned_in_waves(at_unix_ms, name, &pool, &absence);
+        Ok(())
+    }
+
+    pub(super) fn set_aside(
+        &mut self,
+        at_unix_ms: u64,
+        name: &InstanceName,
+        reason: &str,
+    ) -> Result<(), FleetRefusal> {
+        let instance = self.instance(name)?;
+        self.check_absence(instance)?;
+        let pool = instance.pool.clone();
+        let absence = Absence::SetAside {
+            reason: reason.to_owned(),
+        };
+        let note = format!("set aside: {reason}");
+        self.change(at_unix_ms, name, &note, |instance| {
+            instance.duty = Duty::Away { absence };
+        });
+        self.note_pool(at_unix_ms, &pool, &format!("{name} set aside: {reason}"));
+        self.drop_from_waves(at_unix_ms, name, &pool, reason);
+        Ok(())
+    }
+
+    pub(super) fn restore(
+        &mut self,
+        at_unix_ms: u64,
+        name: &InstanceName,
+    ) -> Result<(), FleetRefusal> {
+        let instance = self.instance(name)?;
+        let aside = matches!(
+            &instance.duty,
+            Duty::Away {
+                absence: Absence::SetAside { .. }
+            }
+        );
+        if !aside {
+            return Err(wrong_duty(instance, "it was not set aside"));
+        }
+        let pool = instance.pool.clone();
+        self.serve(at_unix_ms, name, &pool, "restored by an operator");
+        if let Some(record) = self.records.get_mut(name) {
+            record.repairs_unix_ms.clear();
+        }
+        Ok(())
+    }
+
+    /// Remembers the incarnation that left, never an older one.
+    fn left(&mut self, name: &InstanceName, incarnation: u64) {
+        if let Some(record) = self.records.get_mut(name) {
+            record.left_incarnation = record.left_incarnation.max(incarnation);
+        }
+    }
+}
+
+/// The refusal of a change that does not fit what the instance is doing.
+pub(super) fn wrong_duty(instance: &Instance, remedy: &str) -> FleetRefusal {
+    let duty = match &instance.duty {
+        Duty::Serving => "serving".to_owned(),
+        Duty::Draining { absence } => format!("draining ({})", words(absence)),
+        Duty::Away { absence } => format!("away ({})", words(absence)),
+    };
+    FleetRefusal::WrongDuty {
+        instance: instance.name.clone(),
+        duty,
+        remedy: remedy.to_owned(),
+    }
+}
+
+fn words(absence: &Absence) -> String {
+    match absence {
+        Absence::Operator => "by an operator".to_owned(),
+        Absence::Reboot { wave } => format!("wave {wave} reboots it"),
+        Absence::Replace { wave } => format!("wave {wave} replaces it"),
+        Absence::Move { to } => format!("moves to {to}"),
+        Absence::SetAside { reason } => format!("set aside: {reason}"),
+        Absence::Repair => "in repair".to_owned(),
+    }
+}
--- /dev/null
+++ b/src/maintenance/fleet/moves.rs
@@ -0,0 +1,123 @@
+//! Moves between pools. An instance belongs to its old pool until the move
+//! finishes, so that it is in exactly one pool at any moment.
+
+use crate::model::{Absence, Duty, Instance, InstanceName, PoolName};
+
+use super::absences::wrong_duty;
+use super::{Fleet, FleetRefusal};
+
+impl Fleet {
+    /// The pool an instance moves to.
+    pub fn moving_to(&self, name: &InstanceName) -> Option<&PoolName> {
+        move_target(&self.instances.get(name)?.duty)
+    }
+
+    pub(super) fn start_move(
+        &mut self,
+        at_unix_ms: u64,
+        name: &InstanceName,
+        to: &PoolName,
+    ) -> Result<(), FleetRefusal> {
+        self.check_move(name, to)?;
+        // An operator's move of a lent instance settles where it belongs.
+        self.loans.remove(name);
+        self.drain_to(at_unix_ms, name, to, "move");
+        Ok(())
+    }
+
+    pub(super) fn lend(
+        &mut self,
+        at_unix_ms: u64,
+        name: &InstanceName,
+        to: &PoolName,
+        reason: &str,
+    ) -> Result<(), FleetRefusal> {
+        let home = self.check_move(name, to)?.pool.clone();
+        self.loans.entry(name.clone()).or_insert(home);
+        self.drain_to(at_unix_ms, name, to, reason);
+        Ok(())
+    }
+
+    pub(super) fn finish_move(
+        &mut self,
+        at_unix_ms: u64,
+        name: &InstanceName,
+        epoch: u64,
+    ) -> Result<(), FleetRefusal> {
+        let instance = self.instance(name)?;
+        let Some(to) = move_target(&instance.duty).cloned() else {
+            return Err(wrong_duty(instance, "start a move first"));
+        };
+        if instance.epoch != epoch {
+            return Err(FleetRefusal::Epoch {
+                instance: name.clone(),
+                present: instance.epoch,
+                given: epoch,
+            });
+        }
+        self.pool(&to)?;
+        let from = instance.pool.clone();
+        self.serve(at_unix_ms, name, &to, &format!("moved from {from} to {to}"));
+        if self.loans.get(name) == Some(&to) {
+            self.loans.remove(name);
+        }
+        self.move_in_waves(name, &from, &to);
+        self.review_waves(at_unix_ms);
+        Ok(())
+    }
+
+    pub(super) fn abort_move(
+        &mut self,
+        at_unix_ms: u64,
+        name: &InstanceName,
+        reason: &str,
+    ) -> Result<(), FleetRefusal> {
+        let instance = self.instance(name)?;
+        if move_target(&instance.duty).is_none() {
+            return Err(wrong_duty(instance, "it does not move"));
+        }
+        let pool = instance.pool.clone();
+        if self.loans.get(name) == Some(&pool) {
+            self.loans.remove(name);
+        }
+        self.serve(at_unix_ms, name, &pool, &format!("move undone: {reason}"));
+        Ok(())
+    }
+
+    fn check_move(&self, name: &InstanceName, to: &PoolName) -> Result<&Instance, FleetRefusal> {
+        let instance = self.instance(name)?;
+        self.pool(to)?;
+        if instance.pool == *to {
+            return Err(FleetRefusal::SamePool {
+                instance: name.clone(),
+                pool: to.clone(),
+            });
+        }
+        if instance.duty != Duty::Serving {
+            return Err(wrong_duty(instance, "wait until it serves"));
+        }
+        if self.is_failed(name) {
+            return Err(wrong_duty(instance, "it failed; wait for its repair"));
+        }
+        self.check_absence(instance)?;
+        Ok(instance)
+    }
+
+    fn drain_to(&mut self, at_unix_ms: u64, name: &InstanceName, to: &PoolName, reason: &str) {
+        let absence = Absence::Move { to: to.clone() };
+        let note = format!("drains to move to {to}: {reason}");
+        self.change(at_unix_ms, name, &note, |instance| {
+            instance.duty = Duty::Draining { absence };
+        });
+    }
+}
+
+/// The pool a duty moves its instance to.
+pub(super) fn move_target(duty: &Duty) -> Option<&PoolName> {
+    match duty {
+        Duty::Draining {
+            absence: Absence::Move { to },
+        } => Some(to),
+        Duty::Serving | Duty::Draining { .. } | Duty::Away { .. } => None,
+    }
+}
--- /dev/null
+++ b/src/maintenance/fleet/waves.rs
@@ -0,0 +1,301 @@
+//! Maintenance waves: which instances they still have to visit, which they have
+//! out of service, and whether a broken budget holds them up.
+
+use std::collections::BTreeMap;
+
+use crate::model::{Absence, Duty, InstanceName, PoolName, WaveName};
+
+use super::super::{Trail, WaveSpec, WaveState};
+use super::absences::wrong_duty;
+use super::{Fleet, FleetRefusal, Wave};
+
+/// Waves kept after their end, for `explain`.
+const ENDED_MAX: usize = 32;
+
+/// Times the turn of an instance is put off before the wave leaves it out: a
+/// drain that fails three times, minutes apart, holds work that does not end.
+const PUT_OFF_MAX: u32 = 3;
+
+impl Fleet {
+    pub(super) fn start_wave(
+        &mut self,
+        at_unix_ms: u64,
+        spec: &WaveSpec,
+    ) -> Result<(), FleetRefusal> {
+        if self.waves.contains_key(&spec.name) {
+            return Err(refuse(&spec.name, "that name was used before"));
+        }
+        let mut wave = self.new_wave(at_unix_ms, spec);
+        if wave.pending.is_empty() {
+            return Err(refuse(&spec.name, "no instance is selected"));
+        }
+        let (kind, chosen, count) = (spec.kind, &spec.selection, wave.pending_len());
+        let text = format!("started: {kind} {chosen}, {count} instances");
+        wave.trail.note(at_unix_ms, text);
+        self.waves.insert(spec.name.clone(), wave);
+        self.forget_waves();
+        self.review_waves(at_unix_ms);
+        Ok(())
+    }
+
+    fn new_wave(&self, at_unix_ms: u64, spec: &WaveSpec) -> Wave {
+        let mut wave = Wave {
+            spec: spec.clone(),
+            state: WaveState::Running,
+            started_unix_ms: at_unix_ms,
+            ended_unix_ms: None,
+            pending: BTreeMap::new(),
+            out: BTreeMap::new(),
+            done: 0,
+            left_out: BTreeMap::new(),
+            put_off: BTreeMap::new(),
+            seen_ms: 0,
+            trail: Trail::default(),
+        };
+        for instance in self.instances.values() {
+            if !spec.selection.holds(instance) {
+                continue;
+            }
+            match &instance.duty {
+                Duty::Away {
+                    absence: Absence::SetAside { reason },
+                } => {
+                    wave.left_out.insert(instance.name.clone(), reason.clone());
+                }
+                _ => wave.put(&instance.pool, &instance.name),
+            }
+        }
+        wave
+    }
+
+    pub(super) fn stop_wave(
+        &mut self,
+        at_unix_ms: u64,
+        name: &WaveName,
+    ) -> Result<(), FleetRefusal> {
+        let wave = self.active_wave(name)?;
+        wave.state = WaveState::Stopped;
+        wave.ended_unix_ms = Some(at_unix_ms);
+        wave.pending.clear();
+        wave.trail.note(at_unix_ms, "stopped by an operator");
+        let out: Vec<InstanceName> = wave.out.keys().cloned().collect();
+        for name in out {
+            self.serve_again(at_unix_ms, &name, "its wave was stopped");
+        }
+        Ok(())
+    }
+
+    pub(super) fn begin_absence(
+        &mut self,
+        at_unix_ms: u64,
+        wave: &WaveName,
+        name: &InstanceName,
+    ) -> Result<(), FleetRefusal> {
+        let instance = self.instance(name)?;
+        if instance.duty != Duty::Serving || self.is_failed(name) {
+            return Err(wrong_duty(instance, "wait until it serves"));
+        }
+        let pool = instance.pool.clone();
+        let found = self.waves.get(wave);
+        let found = found.ok_or_else(|| FleetRefusal::UnknownWave(wave.clone()))?;
+        if found.state != WaveState::Running {
+            return Err(refuse(wave, &found.state.to_string()));
+        }
+        let held = found
+            .pending
+            .get(&pool)
+            .is_some_and(|set| set.contains(name));
+        if !held {
+            return Err(refuse(wave, "the instance's turn is not to come"));
+        }
+        self.check_absence(instance)?;
+        let absence = found.absence();
+        if let Some(found) = self.waves.get_mut(wave) {
+            found.take(&pool, name);
+            found.out.insert(name.clone(), at_unix_ms);
+        }
+        let note = format!("drains for wave {wave}");
+        self.change(at_unix_ms, name, &note, |instance| {
+            instance.duty = Duty::Draining { absence };
+        });
+        Ok(())
+    }
+
+    pub(super) fn put_off(
+        &mut self,
+        at_unix_ms: u64,
+        name: &InstanceName,
+        reason: &str,
+    ) -> Result<(), FleetRefusal> {
+        let instance = self.instance(name)?;
+        let wave = match &instance.duty {
+            Duty::Draining { absence } => wave_of(absence).cloned(),
+            _ => None,
+        };
+        let Some(wave) = wave else {
+            return Err(wrong_duty(instance, "no wave drains it"));
+        };
+        let pool = instance.pool.clone();
+        if let Some(wave) = self.waves.get_mut(&wave) {
+            wave.out.remove(name);
+            let times = wave.put_off.entry(name.clone()).or_default();
+            *times += 1;
+            if *times >= PUT_OFF_MAX {
+                let text = format!("put off {times} times: {reason}");
+                wave.trail
+                    .note(at_unix_ms, format!("leaves out {name}, {text}"));
+                wave.left_out.insert(name.clone(), text);
+            } else if wave.is_active() {
+                wave.put(&pool, name);
+            }
+        }
+        self.serve(at_unix_ms, name, &pool, &format!("put off: {reason}"));
+        self.review_waves(at_unix_ms);
+        Ok(())
+    }
+
+    /// An instance came back: from the wave's own absence, or from a repair
+    /// that did what a reboot wave was still to do.
+    pub(super) fn returned_in_waves(
+        &mut self,
+        at_unix_ms: u64,
+        name: &InstanceName,
+        pool: &PoolName,
+        absence: &Absence,
+    ) {
+        for wave in self.waves.values_mut() {
+            wave.came_back(name, at_unix_ms);
+            let restarted = *absence == Absence::Repair;
+            let wanted = matches!(wave.absence(), Absence::Reboot { .. });
+            if restarted && wanted && wave.is_active() && wave.take(pool, name) {
+                wave.done += 1;
+                wave.seen_ms += wave.spec.visit_ms();
+            }
+        }
+        self.review_waves(at_unix_ms);
+    }
+
+    /// An instance is out of reach for good: the waves go on without it.
+    pub(super) fn drop_from_waves(
+        &mut self,
+        at_unix_ms: u64,
+        name: &InstanceName,
+        pool: &PoolName,
+        reason: &str,
+    ) {
+        for wave in self.waves.values_mut() {
+            let held = wave.out.remove(name).is_some() | wave.take(pool, name);
+            if held {
+                wave.left_out.insert(name.clone(), reason.to_owned());
+                wave.trail
+                    .note(at_unix_ms, format!("leaves out {name}: {reason}"));
+            }
+        }
+        self.review_waves(at_unix_ms);
+    }
+
+    /// A pending instance changed pool: it counts against its new pool.
+    pub(super) fn move_in_waves(&mut self, name: &InstanceName, from: &PoolName, to: &PoolName) {
+        for wave in self.waves.values_mut() {
+            if wave.take(from, name) {
+                wave.put(to, name);
+            }
+        }
+    }
+
+    /// Pauses waves that still have to visit a pool whose budget is broken: its
+    /// failures may be the wave's own doing. They resume when it is whole.
+    pub(super) fn review_waves(&mut self, at_unix_ms: u64) {
+        let names: Vec<WaveName> = self.active_waves().cloned().collect();
+        for name in names {
+            let why = self.waves.get(&name).and_then(|wave| self.hold_up(wave));
+            let Some(wave) = self.waves.get_mut(&name) else {
+                continue;
+            };
+            let next = next_state(wave, why);
+            if next == wave.state {
+                continue;
+            }
+            // The arithmetic moves while a wave is paused; only the change
+            // between states is worth a note.
+            if std::mem::discriminant(&next) != std::mem::discriminant(&wave.state) {
+                wave.trail.note(at_unix_ms, next.to_string());
+            }
+            if next == WaveState::Done {
+                wave.ended_unix_ms = Some(at_unix_ms);
+            }
+            wave.state = next;
+        }
+    }
+
+    fn active_waves(&self) -> impl Iterator<Item = &WaveName> {
+        let active = |(_, wave): &(&WaveName, &Wave)| wave.is_active();
+        self.waves.iter().filter(active).map(|(name, _)| name)
+    }
+
+    fn hold_up(&self, wave: &Wave) -> Option<String> {
+        let broken = |pool: &&PoolName| wave.pending.contains_key(*pool);
+        let pool = self.broken.iter().find(broken)?;
+        Some(self.budget_use(pool)?.to_string())
+    }
+
+    fn serve_again(&mut self, at_unix_ms: u64, name: &InstanceName, note: &str) {
+        let Some(instance) = self.instances.get(name) else {
+            return;
+        };
+        if !matches!(instance.duty, Duty::Draining { .. }) {
+            return;
+        }
+        let pool = instance.pool.clone();
+        for wave in self.waves.values_mut() {
+            wave.out.remove(name);
+        }
+        self.serve(at_unix_ms, name, &pool, note);
+    }
+
+    fn active_wave(&mut self, name: &WaveName) -> Result<&mut Wave, FleetRefusal> {
+        let found = self.waves.get_mut(name);
+        let found = found.ok_or_else(|| FleetRefusal::UnknownWave(name.clone()))?;
+        if found.is_active() {
+            Ok(found)
+        } else {
+            Err(refuse(name, &found.state.to_string()))
+        }
+    }
+
+    fn forget_waves(&mut self) {
+        let ended = |wave: &&Wave| !wave.is_active() && wave.out.is_empty();
+        let count = self.waves.values().filter(ended).count();
+        if count <= ENDED_MAX {
+            return;
+        }
+        let oldest = self.waves.values().filter(ended);
+        let oldest = oldest.min_by_key(|wave| (wave.ended_unix_ms, &wave.spec.name));
+        let oldest = oldest.map(|wave| wave.spec.name.clone());
+        if let Some(name) = oldest {
+            self.waves.remove(&name);
+        }
+    }
+}
+
+fn next_state(wave: &Wave, why: Option<String>) -> WaveState {
+    match why {
+        Some(why) => WaveState::Paused { why },
+        None if wave.pending.is_empty() && wave.out.is_empty() => WaveState::Done,
+        None => WaveState::Running,
+    }
+}
+
+fn wave_of(absence: &Absence) -> Option<&WaveName> {
+    match absence {
+        Absence::Reboot { wave } | Absence::Replace { wave } => Some(wave),
+        _ => None,
+    }
+}
+
+fn refuse(wave: &WaveName, why: &str) -> FleetRefusal {
+    FleetRefusal::Wave {
+        wave: wave.clone(),
+        why: why.to_owned(),
+    }
+}
--- a/src/maintenance/mod.rs
+++ b/src/maintenance/mod.rs
@@ -1,11 +1,33 @@
 //! Pools, availability budgets, moves, maintenance waves and repair.
 //!
 //! [`Fleet`] is replicated: it changes only by applying a [`FleetCommand`], in
-//! the same order on every process. The leader's controller reads it beside what
-//! the upstreams report and proposes the next commands.
+//! the same order on every process. Every voluntary absence is checked there, so
+//! that two operators, or an old and a new leader, cannot both spend the same
+//! spare instance. The leader's controller reads the fleet beside what the
+//! upstreams report and proposes the next commands.
 
+mod budget_use;
+mod cause;
 mod command;
 mod fleet;
+mod record;
+mod refusal;
+mod room;
+mod tally;
+mod trail;
+mod wave;
+mod wave_spec;
+mod wave_weights;
 
-pub use command::{FleetCommand, FleetRefusal};
+pub use budget_use::BudgetUse;
+pub use cause::Cause;
+pub use command::FleetCommand;
 pub use fleet::Fleet;
+pub use record::Record;
+pub use refusal::FleetRefusal;
+pub use room::Room;
+pub use tally::Tally;
+pub use trail::{Note, Trail};
+pub use wave::{Wave, WaveState};
+pub use wave_spec::{Selection, WaveKind, WaveSpec};
+pub use wave_weights::WaveWeights;
--- /dev/null
+++ b/src/maintenance/room.rs
@@ -0,0 +1,116 @@
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::{Budget, RackName, Survive};
+
+/// How many instances of a pool serve, by rack.
+///
+/// Each question costs a logarithm at most, so that a change in a fleet of
+/// 21,000 instances does not recount a pool.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Room {
+    serving: u32,
+    by_rack: BTreeMap<RackName, u32>,
+    racks_by_size: BTreeMap<u32, u32>,
+}
+
+impl Room {
+    /// One more instance of `rack` serves.
+    pub fn add(&mut self, rack: &RackName) {
+        let size = self.rack(rack);
+        self.resize(rack, size, size + 1);
+        self.serving += 1;
+    }
+
+    /// One instance of `rack` serves no more; nothing if none did.
+    pub fn remove(&mut self, rack: &RackName) {
+        let size = self.rack(rack);
+        if size > 0 {
+            self.resize(rack, size, size - 1);
+            self.serving -= 1;
+        }
+    }
+
+    /// Instances that serve.
+    pub fn serving(&self) -> u32 {
+        self.serving
+    }
+
+    /// Racks with an instance that serves.
+    pub fn racks(&self) -> u32 {
+        u32::try_from(self.by_rack.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Instances that serve in `rack`.
+    pub fn rack(&self, rack: &RackName) -> u32 {
+        self.by_rack.get(rack).copied().unwrap_or(0)
+    }
+
+    /// Instances lost with the worst failure domain still to come.
+    pub fn worst_loss(&self, survive: Survive) -> u32 {
+        match survive {
+            Survive::None => 0,
+            Survive::Instance => self.serving.min(1),
+            Survive::Rack => self.racks_by_size.keys().next_back().copied().unwrap_or(0),
+        }
+    }
+
+    /// Whether the budget holds, the worst loss still to come included.
+    pub fn holds(&self, budget: &Budget) -> bool {
+        self.serving - self.worst_loss(budget.survive) >= budget.min_available
+    }
+
+    /// Whether the budget would hold without one instance of `rack`.
+    pub fn holds_without(&self, rack: &RackName, budget: &Budget) -> bool {
+        let serving = self.serving.saturating_sub(1);
+        let worst = match budget.survive {
+            Survive::None => 0,
+            Survive::Instance => serving.min(1),
+            Survive::Rack => self.worst_rack_without(rack),
+        };
+        serving - worst >= budget.min_available
+    }
+
+    /// Instances that could be absent at once, at most: an upper bound, met
+    /// when the racks are of one size.
+    pub fn width_bound(&self, budget: &Budget) -> u32 {
+        let racks = self.racks().max(1);
+        let fits = |left: u32| {
+            let worst = match budget.survive {
+                Survive::None => 0,
+                Survive::Instance => left.min(1),
+                Survive::Rack => left.div_ceil(racks),
+            };
+            left - worst >= budget.min_available
+        };
+        let least = (budget.min_available..=self.serving).find(|left| fits(*left));
+        least.map_or(0, |left| self.serving - left)
+    }
+
+    fn worst_rack_without(&self, rack: &RackName) -> u32 {
+        let worst = self.worst_loss(Survive::Rack);
+        let alone = self.racks_by_size.get(&worst) == Some(&1);
+        if alone && self.rack(rack) == worst {
+            worst.saturating_sub(1)
+        } else {
+            worst
+        }
+    }
+
+    fn resize(&mut self, rack: &RackName, old: u32, new: u32) {
+        if old > 0 {
+            let racks = self.racks_by_size.entry(old).or_default();
+            *racks -= 1;
+            if *racks == 0 {
+                self.racks_by_size.remove(&old);
+            }
+        }
+        if new > 0 {
+            *self.racks_by_size.entry(new).or_default() += 1;
+            self.by_rack.insert(rack.clone(), new);
+        } else {
+            self.by_rack.remove(rack);
+        }
+    }
+}
--- /dev/null
+++ b/src/maintenance/tally.rs
@@ -0,0 +1,63 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::{Instance, InstanceName, Pool};
+
+use super::{BudgetUse, Cause, Room};
+
+/// What a pool's instances do, kept up to date with each change.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tally {
+    members: BTreeSet<InstanceName>,
+    absent: BTreeMap<Cause, u32>,
+    room: Room,
+}
+
+impl Tally {
+    /// Counts an instance in.
+    pub fn add(&mut self, instance: &Instance, failed: bool) {
+        self.members.insert(instance.name.clone());
+        match Cause::of(instance, failed) {
+            Some(cause) => *self.absent.entry(cause).or_default() += 1,
+            None => self.room.add(&instance.rack),
+        }
+    }
+
+    /// Counts an instance out, as it was counted in.
+    pub fn remove(&mut self, instance: &Instance, failed: bool) {
+        self.members.remove(&instance.name);
+        let Some(cause) = Cause::of(instance, failed) else {
+            self.room.remove(&instance.rack);
+            return;
+        };
+        let count = self.absent.entry(cause).or_default();
+        *count = count.saturating_sub(1);
+        if *count == 0 {
+            self.absent.remove(&cause);
+        }
+    }
+
+    /// The pool's instances.
+    pub fn members(&self) -> &BTreeSet<InstanceName> {
+        &self.members
+    }
+
+    /// What serves, by rack.
+    pub fn room(&self) -> &Room {
+        &self.room
+    }
+
+    /// The arithmetic against the pool's budget.
+    pub fn budget_use(&self, pool: &Pool) -> BudgetUse {
+        BudgetUse {
+            pool: pool.name.clone(),
+            members: u32::try_from(self.members.len()).unwrap_or(u32::MAX),
+            serving: self.room.serving(),
+            absent: self.absent.clone(),
+            survive: pool.budget.survive,
+            worst_loss: self.room.worst_loss(pool.budget.survive),
+            needed: pool.budget.min_available,
+        }
+    }
+}
