--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,3 +1,14 @@
 //! The commands, one file each.
 
+pub mod client;
+pub mod drain;
+mod exit;
+pub mod explain;
+pub mod move_instance;
+pub mod pool;
 pub mod serve;
+pub mod status;
+pub mod table;
+pub mod wave;
+
+pub use exit::Exit;
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use super::JobView;
 use crate::model::{Class, Outcome, RequestKey, ServiceName, TeamName};
 
 /// One call at the callers' edge, from its arrival to its answer.
@@ -37,6 +38,8 @@
         /// The job's id.
         job: String,
     },
+    /// What is known of a patient job.
+    Job(JobView),
     /// A field of the call is wrong: which, and what to do.
     BadRequest(String),
 }
--- a/src/entry/effect.rs
+++ b/src/entry/effect.rs
@@ -3,7 +3,8 @@
 use crate::load::{AttemptId, RequestId};
 use crate::model::{Class, EntryName, InstanceName, PoolName, RequestKey, ServiceName};
 
-use super::{CallAnswer, CallId, OperatorAnswer, OperatorId, PeerFrame};
+use super::{CallAnswer, CallId, Health, OperatorAnswer, OperatorId, PeerFrame};
+use crate::consensus::Record;
 use crate::upstream_api::AnnounceReply;
 
 /// What an entry instance wants done.
@@ -39,6 +40,17 @@
         /// The frame.
         frame: PeerFrame,
     },
+    /// Write to the data folder and sync, then say so.
+    Persist {
+        /// Comes back with [`super::Event::Persisted`].
+        token: u64,
+        /// What to write.
+        records: Vec<Record>,
+    },
+    /// Tell the balancer how this entry instance is.
+    Health(Health),
+    /// Take no more connections from callers.
+    CloseCallers,
     /// The planned stop is complete: nothing is in flight any more.
     Stopped,
 }
@@ -70,6 +82,8 @@
     pub key: Option<RequestKey>,
     /// The fencing number of a patient job's attempt.
     pub fence: Option<u64>,
+    /// The checkpoint from which a patient job's attempt goes on.
+    pub checkpoint: Option<Vec<u8>>,
     /// Longest time to the whole answer, in milliseconds.
     pub timeout_ms: u64,
     /// The caller's body.
--- a/src/entry/event.rs
+++ b/src/entry/event.rs
@@ -20,6 +20,20 @@
         /// The call.
         id: CallId,
     },
+    /// A caller asks what became of a patient job.
+    JobQuery {
+        /// Given by the edge.
+        id: CallId,
+        /// The job's id.
+        job: String,
+    },
+    /// A caller wants a patient job no more.
+    JobCancel {
+        /// Given by the edge.
+        id: CallId,
+        /// The job's id.
+        job: String,
+    },
     /// An upstream announced itself; its answer goes out under the same id.
     Announced {
         /// Given by the edge.
@@ -71,6 +85,11 @@
         /// The whole body.
         body: Vec<u8>,
     },
+    /// It was stopped on request; the next attempt may go on from here.
+    Checkpoint {
+        /// What the upstream handed out.
+        data: Vec<u8>,
+    },
     /// It certainly did not run.
     Refused(AttemptRefusal),
     /// Bytes may have reached the upstream and no whole answer came.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,20 +8,28 @@
 //! run without a network.
 
 mod call;
+mod counts;
 mod directory;
 mod driver;
 mod effect;
 mod event;
+mod job_view;
 mod node;
+mod open;
 mod operator;
 mod peer;
+mod peer_state;
 mod proposals;
+mod status;
 
 pub use call::{Call, CallAnswer, CallId};
-pub use directory::Directory;
-pub use driver::{Driver, DriverError, Listeners};
+pub use counts::Counts;
+pub use directory::{Directory, Known};
+pub use driver::{Driver, DriverError, DriverSettings, Listeners};
 pub use effect::{Effect, Sending};
 pub use event::{AttemptEnd, Event};
+pub use job_view::JobView;
 pub use node::{Node, NodeSettings};
-pub use operator::{OperatorAnswer, OperatorId, OperatorRequest};
+pub use operator::{OperatorAnswer, OperatorId, OperatorRequest, Subject};
 pub use peer::{Gossip, PeerFrame, PeerMessage};
+pub use status::{EntryStatus, Health, PeerStatus, PoolStatus};
--- /dev/null
+++ b/src/entry/node/upstreams.rs
@@ -0,0 +1,130 @@
+//! Upstreams: what they announce, and what they are told.
+
+use crate::load::Input;
+use crate::maintenance::FleetCommand;
+use crate::model::{Absence, Duty, Instance, Standing, UpstreamReport};
+use crate::state::Change;
+use crate::upstream_api::{AnnounceReply, Order};
+
+use super::super::{CallId, Effect};
+use super::{Node, Purpose, SYSTEM_PATIENCE_MS};
+
+impl Node {
+    pub(super) fn announced(
+        &mut self,
+        now_ms: u64,
+        id: CallId,
+        report: &UpstreamReport,
+        out: &mut Vec<Effect>,
+    ) {
+        self.hear(now_ms, report, now_ms, true, out);
+        let instance = self
+            .state
+            .fleet()
+            .instances()
+            .get(&report.instance)
+            .cloned();
+        self.introduce(now_ms, report, instance.is_some(), out);
+        let reply = AnnounceReply {
+            lease_ms: self.settings.upstream_lease_ms,
+            refresh_ms: self.settings.refresh_ms,
+            pool: instance.as_ref().map(|i| i.pool.clone()),
+            pool_epoch: instance.as_ref().map_or(0, |i| i.epoch),
+            order: instance.as_ref().map_or(Order::Serve, order_for),
+        };
+        out.push(Effect::AnswerAnnounce { id, reply });
+    }
+
+    /// Brings a new upstream, or a changed capacity, into the replicated state.
+    fn introduce(
+        &mut self,
+        now_ms: u64,
+        report: &UpstreamReport,
+        known: bool,
+        out: &mut Vec<Effect>,
+    ) {
+        if report.standing != Standing::Serving || self.is_introducing(now_ms, report) {
+            return;
+        }
+        if !known {
+            let command = FleetCommand::Join {
+                instance: report.instance.clone(),
+                zone: report.zone.clone(),
+                rack: report.rack.clone(),
+                pool: report.pool.clone(),
+            };
+            self.change_fleet(now_ms, command, out);
+        } else if self.state.capacities().get(&report.instance) != Some(&report.capacity) {
+            let change = Change::Capacity {
+                instance: report.instance.clone(),
+                capacity: report.capacity,
+            };
+            self.open_proposal(now_ms, change, Purpose::System, SYSTEM_PATIENCE_MS, out);
+        }
+    }
+
+    /// Whether it was proposed a moment ago: every entry instance of the zone
+    /// hears the upstream every second, and each proposal costs a place in the
+    /// log.
+    fn is_introducing(&mut self, now_ms: u64, report: &UpstreamReport) -> bool {
+        let again_ms = now_ms + SYSTEM_PATIENCE_MS;
+        match self.introduced.get_mut(&report.instance) {
+            Some(until_ms) if *until_ms > now_ms => true,
+            Some(until_ms) => {
+                *until_ms = again_ms;
+                false
+            }
+            None => {
+                self.introduced.insert(report.instance.clone(), again_ms);
+                false
+            }
+        }
+    }
+
+    /// Takes in a report, heard directly or through a peer.
+    pub(super) fn hear(
+        &mut self,
+        now_ms: u64,
+        report: &UpstreamReport,
+        heard_ms: u64,
+        direct: bool,
+        out: &mut Vec<Effect>,
+    ) {
+        if !self.directory.hear(report, heard_ms, direct) {
+            return;
+        }
+        let input = Input::Report {
+            report,
+            lease_until_ms: heard_ms + self.settings.upstream_lease_ms,
+        };
+        self.load(now_ms, input, out);
+    }
+
+    pub(super) fn change_fleet(
+        &mut self,
+        now_ms: u64,
+        command: FleetCommand,
+        out: &mut Vec<Effect>,
+    ) {
+        let change = Change::Fleet {
+            change: None,
+            by: self.settings.me.to_string(),
+            command,
+        };
+        self.open_proposal(now_ms, change, Purpose::System, SYSTEM_PATIENCE_MS, out);
+    }
+}
+
+/// What an instance is to do, read off the replicated state alone, so that every
+/// entry instance gives the same order.
+fn order_for(instance: &Instance) -> Order {
+    match &instance.duty {
+        Duty::Serving => Order::Serve,
+        Duty::Draining { .. } => Order::Drain,
+        Duty::Away { absence } => match absence {
+            Absence::Reboot { .. } | Absence::Repair => Order::Reboot,
+            Absence::Replace { .. } => Order::Replace,
+            Absence::Operator | Absence::Move { .. } | Absence::SetAside { .. } => Order::Drain,
+        },
+    }
+}
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -25,6 +25,11 @@
     Log(Message),
     /// Of upstreams and load.
     Gossip(Gossip),
+    /// The receiver's operator change at this index is in force at the sender.
+    InForce {
+        /// The index.
+        index: u64,
+    },
 }
 
 /// What an entry instance has heard from upstreams itself, and its own load.
--- a/src/entry/proposals.rs
+++ b/src/entry/proposals.rs
@@ -61,6 +61,16 @@
         due
     }
 
+    /// Number of open proposals.
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Whether none is open.
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
     /// Proposals whose patience has ended, with their purpose.
     pub fn given_up(&mut self, now_ms: u64) -> Vec<(Change, P)> {
         let over: Vec<u64> = self
--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -1,12 +1,11 @@
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 
 use http::{Method, StatusCode};
-use tokio::sync::oneshot;
 
 use super::reply::{Reply, json, set, text};
-use super::{Handler, Incoming};
-use crate::entry::{Call, CallAnswer, CallId, Event};
+use super::waiting::Waiting;
+use super::{Handler, HealthBoard, Incoming};
+use crate::entry::{Call, CallAnswer, CallId, Event, JobView};
 use crate::model::{Class, Outcome, RefusalReason, RequestKey, ServiceName, TeamName};
 
 /// Deadline of a call that names none.
@@ -22,25 +21,23 @@
 /// The callers' edge: turns HTTP calls into events and answers back into HTTP.
 pub struct Callers {
     events: EventSink,
-    next_id: AtomicU64,
-    waiting: std::sync::Mutex<std::collections::BTreeMap<CallId, oneshot::Sender<CallAnswer>>>,
+    health: Arc<HealthBoard>,
+    waiting: Waiting<CallAnswer>,
 }
 
 impl Callers {
     /// An edge that hands its events to `events`.
-    pub fn new(events: EventSink) -> Arc<Self> {
+    pub fn new(events: EventSink, health: Arc<HealthBoard>) -> Arc<Self> {
         Arc::new(Self {
             events,
-            next_id: AtomicU64::new(1),
-            waiting: std::sync::Mutex::default(),
+            health,
+            waiting: Waiting::default(),
         })
     }
 
     /// Passes an answer on to the caller that waits for it, if it still does.
     pub fn answer(&self, id: CallId, answer: CallAnswer) {
-        if let Some(waiting) = self.lock().remove(&id) {
-            let _ = waiting.send(answer);
-        }
+        self.waiting.answer(id.0, answer);
     }
 
     /// The handler for the callers' listener.
@@ -48,55 +45,57 @@
         let edge = Arc::clone(self);
         Arc::new(move |incoming| {
             let edge = Arc::clone(&edge);
-            Box::pin(async move { edge.handle(incoming).await })
+            Box::pin(async move {
+                let mut reply = edge.handle(incoming).await;
+                if edge.health.is_draining() {
+                    set(&mut reply, "connection", "close");
+                }
+                reply
+            })
         })
     }
 
     async fn handle(&self, incoming: Incoming) -> Reply {
         let path = incoming.head.uri.path();
-        match (&incoming.head.method, path.strip_prefix("/call/")) {
-            (&Method::POST, Some(service)) => match parse_call(service, &incoming) {
-                Ok(call) => self.call(call).await,
+        let method = &incoming.head.method;
+        if (method, path) == (&Method::GET, "/health") {
+            return self.health.reply();
+        }
+        let job = path.strip_prefix("/job/").map(str::to_owned);
+        match (method, path.strip_prefix("/call/"), job) {
+            (&Method::POST, Some(service), _) => match parse_call(service, &incoming) {
+                Ok(call) => self.ask(|id| Event::Call { id, call }).await,
                 Err(message) => bad_request(&message),
             },
-            (&Method::GET, None) if path == "/health" => text(StatusCode::OK, "ready\n"),
+            (&Method::GET, _, Some(job)) => self.ask(|id| Event::JobQuery { id, job }).await,
+            (&Method::DELETE, _, Some(job)) => self.ask(|id| Event::JobCancel { id, job }).await,
             _ => text(
                 StatusCode::NOT_FOUND,
-                "path: not served here: POST /call/SERVICE or GET /health\n",
+                "path: not served here: POST /call/SERVICE, GET or DELETE /job/ID, GET /health\n",
             ),
         }
     }
 
-    async fn call(&self, call: Call) -> Reply {
-        let id = CallId(self.next_id.fetch_add(1, Ordering::Relaxed));
-        let (tx, rx) = oneshot::channel();
-        self.lock().insert(id, tx);
-        let mut watch = GoneGuard {
+    async fn ask(&self, event: impl FnOnce(CallId) -> Event) -> Reply {
+        let (id, answer) = self.waiting.open();
+        let id = CallId(id);
+        let mut guard = GoneGuard {
             edge: self,
             id,
             armed: true,
         };
-        if !(self.events)(Event::Call { id, call }) {
-            watch.armed = false;
+        if !(self.events)(event(id)) {
+            guard.armed = false;
             return outcome_reply(&stopping());
         }
-        let answer = rx.await;
-        watch.armed = false;
+        let answer = answer.await;
+        guard.armed = false;
         match answer {
             Ok(answer) => answer_reply(&answer),
             // The node ended with the call open: it may have been sent on.
             Err(_) => outcome_reply(&Outcome::Unknown),
         }
     }
-
-    fn lock(
-        &self,
-    ) -> std::sync::MutexGuard<'_, std::collections::BTreeMap<CallId, oneshot::Sender<CallAnswer>>>
-    {
-        self.waiting
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
-    }
 }
 
 /// Tells the node when the caller's connection ends before its answer.
@@ -109,7 +108,7 @@
 impl Drop for GoneGuard<'_> {
     fn drop(&mut self) {
         if self.armed {
-            self.edge.lock().remove(&self.id);
+            self.edge.waiting.forget(self.id.0);
             (self.edge.events)(Event::CallerGone { id: self.id });
         }
     }
@@ -205,6 +204,7 @@
     match answer {
         CallAnswer::Outcome(outcome) => outcome_reply(outcome),
         CallAnswer::BadRequest(message) => bad_request(message),
+        CallAnswer::Job(view) => job_reply(view),
         CallAnswer::Accepted { job } => {
             let mut reply = json(StatusCode::ACCEPTED, &serde_json::json!({ "job": job }));
             set(&mut reply, "rg-outcome", "accepted");
@@ -214,6 +214,29 @@
     }
 }
 
+fn job_reply(view: &JobView) -> Reply {
+    let open = |state: &str| {
+        let mut reply = json(StatusCode::ACCEPTED, &serde_json::json!({ "state": state }));
+        set(&mut reply, "rg-outcome", "accepted");
+        set(&mut reply, "retry-after", "1");
+        reply
+    };
+    match view {
+        JobView::Waiting => open("waiting"),
+        JobView::Running => open("running"),
+        JobView::Ended(outcome) => outcome_reply(outcome),
+        JobView::Over => text(
+            StatusCode::CONFLICT,
+            "job: it has ended: ask for its outcome\n",
+        ),
+        JobView::NotFound => text(
+            StatusCode::NOT_FOUND,
+            "job: not known here, or no longer kept: ask again in a second, or another \
+             entry instance\n",
+        ),
+    }
+}
+
 fn outcome_reply(outcome: &Outcome) -> Reply {
     match outcome {
         Outcome::Done { status, body } => {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -5,14 +5,18 @@
 //! bytes, body bytes, and the time each may take.
 
 mod callers;
+mod health;
 mod limits;
+mod metrics;
 mod operators;
 mod outgoing;
 mod reply;
 mod server;
 mod upstreams;
+mod waiting;
 
 pub use callers::Callers;
+pub use health::HealthBoard;
 pub use limits::Limits;
 pub use operators::{OperatorKeys, Operators};
 pub use outgoing::{Outgoing, OutgoingError};
--- a/src/http/operators.rs
+++ b/src/http/operators.rs
@@ -1,17 +1,16 @@
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 
 use http::{Method, StatusCode};
+use serde::de::DeserializeOwned;
 use subtle::ConstantTimeEq;
-use tokio::sync::oneshot;
 
 use super::callers::EventSink;
-use super::reply::{Reply, json, text};
-use super::{Handler, Incoming};
-use crate::entry::{Event, OperatorAnswer, OperatorId, OperatorRequest};
-use crate::model::{ChangeId, Pool};
-use crate::state::RowChange;
+use super::reply::{Reply, json, text, with_type};
+use super::waiting::Waiting;
+use super::{Handler, HealthBoard, Incoming, metrics};
+use crate::entry::{Event, OperatorAnswer, OperatorId, OperatorRequest, Subject};
+use crate::model::ChangeId;
 
 /// Operators' names and tokens.
 #[derive(Clone, Default)]
@@ -41,26 +40,24 @@
 pub struct Operators {
     events: EventSink,
     keys: OperatorKeys,
-    next_id: AtomicU64,
-    waiting: Mutex<BTreeMap<OperatorId, oneshot::Sender<OperatorAnswer>>>,
+    health: Arc<HealthBoard>,
+    waiting: Waiting<OperatorAnswer>,
 }
 
 impl Operators {
     /// An edge that hands its events to `events`.
-    pub fn new(events: EventSink, keys: OperatorKeys) -> Arc<Self> {
+    pub fn new(events: EventSink, keys: OperatorKeys, health: Arc<HealthBoard>) -> Arc<Self> {
         Arc::new(Self {
             events,
             keys,
-            next_id: AtomicU64::new(1),
-            waiting: Mutex::default(),
+            health,
+            waiting: Waiting::default(),
         })
     }
 
     /// Passes an answer on to the operator.
     pub fn answer(&self, id: OperatorId, answer: OperatorAnswer) {
-        if let Some(waiting) = self.lock().remove(&id) {
-            let _ = waiting.send(answer);
-        }
+        self.waiting.answer(id.0, answer);
     }
 
     /// The handler for the operators' listener.
@@ -73,6 +70,12 @@
     }
 
     async fn handle(&self, incoming: Incoming) -> Reply {
+        // A balancer and a collector of metrics have no token.
+        match (&incoming.head.method, incoming.head.uri.path()) {
+            (&Method::GET, "/health") => return self.health.reply(),
+            (&Method::GET, "/metrics") => return self.ask(OperatorRequest::Metrics).await,
+            _ => {}
+        }
         let token = incoming
             .header("authorization")
             .and_then(|value| value.strip_prefix("Bearer "));
@@ -82,19 +85,25 @@
             return text(StatusCode::UNAUTHORIZED, line);
         };
         match parse(operator, &incoming) {
-            Ok(Some(request)) => self.ask(request).await,
+            Ok(Some(request)) => {
+                tracing::info!("operator: {operator} asks {}", incoming.head.uri.path());
+                self.ask(request).await
+            }
             Ok(None) => text(StatusCode::NOT_FOUND, "path: not served here\n"),
             Err(message) => text(StatusCode::BAD_REQUEST, format!("{message}\n")),
         }
     }
 
     async fn ask(&self, request: OperatorRequest) -> Reply {
-        let id = OperatorId(self.next_id.fetch_add(1, Ordering::Relaxed));
-        let (tx, rx) = oneshot::channel();
-        self.lock().insert(id, tx);
+        let (id, answer) = self.waiting.open();
+        let id = OperatorId(id);
         (self.events)(Event::Operator { id, request });
-        match rx.await {
+        match answer.await {
             Ok(OperatorAnswer::Ok(value)) => json(StatusCode::OK, &value),
+            Ok(OperatorAnswer::Sheet(sheet)) => {
+                with_type(StatusCode::OK, "text/csv; charset=utf-8", sheet.into())
+            }
+            Ok(OperatorAnswer::Metrics(status)) => metrics::reply(&status),
             Ok(OperatorAnswer::Refused(value)) => json(StatusCode::CONFLICT, &value),
             Ok(OperatorAnswer::Unknown(line)) => {
                 text(StatusCode::GATEWAY_TIMEOUT, format!("{line}\n"))
@@ -102,10 +111,6 @@
             Err(_) => text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
         }
     }
-
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<OperatorId, oneshot::Sender<OperatorAnswer>>> {
-        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 fn parse(operator: &str, incoming: &Incoming) -> Result<Option<OperatorRequest>, String> {
@@ -113,23 +118,60 @@
     let request = match (&incoming.head.method, path) {
         (&Method::GET, "/status") => OperatorRequest::Status,
         (&Method::GET, "/table") => OperatorRequest::Table,
-        (&Method::PUT, "/table") => OperatorRequest::PutRows {
+        (&Method::GET, "/pools") => OperatorRequest::Pools,
+        (&Method::GET, "/waves") => OperatorRequest::Waves,
+        (&Method::POST, "/table/check") => OperatorRequest::CheckTable {
+            sheet: incoming.body.to_vec(),
+        },
+        (&Method::POST, "/table") => OperatorRequest::PutTable {
             change: change_id(incoming)?,
             operator: operator.to_owned(),
-            rows: serde_json::from_slice::<Vec<RowChange>>(&incoming.body)
-                .map_err(|err| format!("body: {err}: send rows as documented"))?,
+            sheet: incoming.body.to_vec(),
+            confirm_jump: confirm_jump(incoming)?,
+        },
+        (&Method::POST, "/waves/plan") => OperatorRequest::PlanWave {
+            spec: body_as(incoming, "a wave")?,
         },
-        (&Method::PUT, "/pool") => OperatorRequest::PutPool {
+        (&Method::POST, "/fleet") => OperatorRequest::Fleet {
             change: change_id(incoming)?,
             operator: operator.to_owned(),
-            pool: serde_json::from_slice::<Pool>(&incoming.body)
-                .map_err(|err| format!("body: {err}: send a pool as documented"))?,
+            command: body_as(incoming, "a change of the fleet")?,
         },
+        (&Method::GET, _) => return Ok(explain(path)),
         _ => return Ok(None),
     };
     Ok(Some(request))
 }
 
+fn explain(path: &str) -> Option<OperatorRequest> {
+    let (kind, name) = path.strip_prefix("/explain/")?.split_once('/')?;
+    let name = name.to_owned();
+    let subject = match kind {
+        "request" => Subject::Request(name),
+        "instance" => Subject::Instance(name),
+        "pool" => Subject::Pool(name),
+        "wave" => Subject::Wave(name),
+        "row" => Subject::Row(name),
+        _ => return None,
+    };
+    Some(OperatorRequest::Explain(subject))
+}
+
+fn body_as<T: DeserializeOwned>(incoming: &Incoming, wanted: &str) -> Result<T, String> {
+    serde_json::from_slice(&incoming.body)
+        .map_err(|err| format!("body: {err}: send {wanted} as documented"))
+}
+
+fn confirm_jump(incoming: &Incoming) -> Result<bool, String> {
+    match incoming.header("rg-confirm-jump") {
+        None | Some("false") => Ok(false),
+        Some("true") => Ok(true),
+        Some(other) => Err(format!(
+            "rg-confirm-jump: {other:?} is neither true nor false: send one of them or none"
+        )),
+    }
+}
+
 fn change_id(incoming: &Incoming) -> Result<ChangeId, String> {
     incoming
         .header("rg-change-id")
--- a/src/http/outgoing.rs
+++ b/src/http/outgoing.rs
@@ -126,6 +126,12 @@
     if let Some(key) = &sending.key {
         request = request.header(api::KEY, key.as_str());
     }
+    if let Some(checkpoint) = &sending.checkpoint {
+        request = request.header(
+            api::CHECKPOINT,
+            String::from_utf8_lossy(checkpoint).as_ref(),
+        );
+    }
     if let Some(fence) = sending.fence {
         request = request.header(api::FENCE, fence.to_string());
     }
@@ -140,6 +146,12 @@
     if let Some(refusal) = refused.and_then(|value| refusal_of(value.as_bytes())) {
         return AttemptEnd::Refused(refusal);
     }
+    if response.status() == http::StatusCode::ACCEPTED
+        && let Some(checkpoint) = response.headers().get(api::CHECKPOINT)
+    {
+        let data = checkpoint.as_bytes().to_vec();
+        return AttemptEnd::Checkpoint { data };
+    }
     // A body that ends with its connection cannot be told from one cut short.
     let bounded = response
         .headers()
--- a/src/http/upstreams.rs
+++ b/src/http/upstreams.rs
@@ -1,13 +1,11 @@
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 
 use http::{Method, StatusCode};
-use tokio::sync::oneshot;
 
 use super::callers::EventSink;
 use super::reply::{Reply, json, text};
+use super::waiting::Waiting;
 use super::{Handler, Incoming};
 use crate::entry::{CallId, Event};
 use crate::model::UpstreamReport;
@@ -16,8 +14,7 @@
 /// The upstreams' edge: announcements in, orders out.
 pub struct Upstreams {
     events: EventSink,
-    next_id: AtomicU64,
-    waiting: Mutex<BTreeMap<CallId, oneshot::Sender<AnnounceReply>>>,
+    waiting: Waiting<AnnounceReply>,
 }
 
 impl Upstreams {
@@ -25,16 +22,13 @@
     pub fn new(events: EventSink) -> Arc<Self> {
         Arc::new(Self {
             events,
-            next_id: AtomicU64::new(1),
-            waiting: Mutex::default(),
+            waiting: Waiting::default(),
         })
     }
 
     /// Passes the answer to an announcement on.
     pub fn answer(&self, id: CallId, reply: AnnounceReply) {
-        if let Some(waiting) = self.lock().remove(&id) {
-            let _ = waiting.send(reply);
-        }
+        self.waiting.answer(id.0, reply);
     }
 
     /// The handler for the upstreams' listener.
@@ -55,19 +49,14 @@
             Ok(report) => report,
             Err(message) => return text(StatusCode::BAD_REQUEST, format!("{message}\n")),
         };
-        let id = CallId(self.next_id.fetch_add(1, Ordering::Relaxed));
-        let (tx, rx) = oneshot::channel();
-        self.lock().insert(id, tx);
+        let (id, answer) = self.waiting.open();
+        let id = CallId(id);
         (self.events)(Event::Announced { id, report });
-        match rx.await {
+        match answer.await {
             Ok(reply) => json(StatusCode::OK, &serde_json::json!(reply)),
             Err(_) => text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
         }
     }
-
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<CallId, oneshot::Sender<AnnounceReply>>> {
-        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 fn parse_report(body: &[u8]) -> Result<UpstreamReport, String> {
--- a/src/upstream_api.rs
+++ b/src/upstream_api.rs
@@ -29,6 +29,8 @@
 pub const IDEMPOTENT: &str = "rg-idempotent";
 /// Fencing number of a patient job's attempt.
 pub const FENCE: &str = "rg-fence";
+/// Where an attempt may go on, as an upstream handed it out.
+pub const CHECKPOINT: &str = "rg-checkpoint";
 /// Set by an upstream that refuses before starting: `busy`, `leaving` or
 /// `stale-epoch`. Only this header says that a request did not start.
 pub const REFUSED: &str = "rg-refused";
