Hold rows, claims and patient jobs in the replicated state

Cause: the state applied rows unchecked and knew neither claims nor jobs, so a resent change, a doubled proposal or a lost entry instance went unnoticed.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,8 +6,10 @@
 //! (`entry`) that feeds one to the other.
 
 pub mod cmd;
+pub mod config;
 pub mod consensus;
 pub mod load;
 pub mod maintenance;
 pub mod model;
 pub mod state;
+pub mod table;
--- a/src/model/duty.rs
+++ b/src/model/duty.rs
@@ -6,7 +6,7 @@
 ///
 /// Liveness is not part of it: a serving instance may have failed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", tag = "kind")]
+#[serde(rename_all = "kebab-case")]
 pub enum Duty {
     /// Takes requests of its pool.
     Serving,
@@ -24,7 +24,7 @@
 
 /// Why an instance is absent from its pool by decision.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", tag = "cause")]
+#[serde(rename_all = "kebab-case")]
 pub enum Absence {
     /// An operator drained it.
     Operator,
--- a/src/model/outcome.rs
+++ b/src/model/outcome.rs
@@ -4,7 +4,7 @@
 
 /// What a caller is told about its request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", tag = "outcome")]
+#[serde(rename_all = "kebab-case")]
 pub enum Outcome {
     /// Ran once; the answer is whole.
     Done {
--- a/src/model/row.rs
+++ b/src/model/row.rs
@@ -4,7 +4,7 @@
 
 /// Which row of the table.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", tag = "kind")]
+#[serde(rename_all = "kebab-case")]
 pub enum RowKey {
     /// Weight and limits of a service in an availability zone.
     Service {
--- a/src/state/command.rs
+++ b/src/state/command.rs
@@ -1,7 +1,13 @@
 use serde::{Deserialize, Serialize};
 
+use crate::load::RequestId;
 use crate::maintenance::FleetCommand;
-use crate::model::{ChangeId, EntryName, Row, RowKey};
+use crate::model::{
+    Capacity, ChangeId, EntryName, InstanceName, RefusalReason, RequestKey, Row, RowKey,
+    ServiceName, TeamName, ZoneName,
+};
+
+use super::{Fence, Fingerprint, JobId};
 
 /// Tells one proposal from all others, so that its proposer finds its reply.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -36,6 +42,8 @@
         operator: String,
         /// The rows.
         rows: Vec<RowChange>,
+        /// Whether the operator has confirmed jumps and removals.
+        confirm_jump: bool,
     },
     /// A change of pools, instances or waves.
     Fleet {
@@ -46,6 +54,121 @@
         /// The change.
         command: FleetCommand,
     },
+    /// What an instance of the fleet says it can carry; limits are checked
+    /// against it.
+    Capacity {
+        /// The instance.
+        instance: InstanceName,
+        /// What it carries.
+        capacity: Capacity,
+    },
+    /// The proposer is up, in this availability zone.
+    EntrySeen {
+        /// The proposer's availability zone.
+        zone: ZoneName,
+    },
+    /// An entry instance is gone, so what it had in flight is settled.
+    EntryLost {
+        /// The entry instance.
+        entry: EntryName,
+        /// The start that is over; a newer one is left alone.
+        incarnation: u64,
+    },
+    /// Asks for the right to run the request of a key, at most once.
+    Claim {
+        /// The key, see [`super::scoped_key`].
+        key: RequestKey,
+        /// What is asked for.
+        fingerprint: Fingerprint,
+        /// The request inside the proposer.
+        request: RequestId,
+    },
+    /// The claimed request ran, with this answer.
+    ClaimAnswer {
+        /// The key.
+        key: RequestKey,
+        /// The fence that was granted.
+        fence: Fence,
+        /// HTTP status.
+        status: u16,
+        /// The whole body.
+        body: Vec<u8>,
+    },
+    /// The claimed request certainly did not run.
+    ClaimRelease {
+        /// The key.
+        key: RequestKey,
+        /// The fence that was granted.
+        fence: Fence,
+    },
+    /// Nobody knows whether the claimed request ran.
+    ClaimUnknown {
+        /// The key.
+        key: RequestKey,
+        /// The fence that was granted.
+        fence: Fence,
+    },
+    /// Takes a patient job in; it is durable once this is committed.
+    JobAccept(NewJob),
+    /// Gives a ready job to an entry instance.
+    JobAssign {
+        /// The job.
+        job: JobId,
+        /// Its present fence.
+        fence: Fence,
+        /// The entry instance that is to run it.
+        owner: EntryName,
+        /// The owner's start.
+        incarnation: u64,
+    },
+    /// Where the next attempt may go on.
+    JobCheckpoint {
+        /// The job.
+        job: JobId,
+        /// The attempt's fence.
+        fence: Fence,
+        /// What the upstream handed out.
+        data: Vec<u8>,
+    },
+    /// The attempt finished.
+    JobDone {
+        /// The job.
+        job: JobId,
+        /// The attempt's fence.
+        fence: Fence,
+        /// HTTP status.
+        status: u16,
+        /// The whole body.
+        body: Vec<u8>,
+    },
+    /// The attempt certainly did not run.
+    JobNotRun {
+        /// The job.
+        job: JobId,
+        /// The attempt's fence.
+        fence: Fence,
+    },
+    /// Nobody knows whether the attempt ran.
+    JobLost {
+        /// The job.
+        job: JobId,
+        /// The attempt's fence.
+        fence: Fence,
+    },
+    /// The job can never run.
+    JobRefused {
+        /// The job.
+        job: JobId,
+        /// Its present fence.
+        fence: Fence,
+        /// Why.
+        reason: RefusalReason,
+    },
+    /// The caller wants it no more; heeded before an attempt starts.
+    JobCancel {
+        /// The job.
+        job: JobId,
+    },
 }
 
 /// One row as an operator wants it.
@@ -58,3 +181,24 @@
     /// The row wanted, none to remove it.
     pub row: Option<Row>,
 }
+
+/// A patient job as it arrives.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewJob {
+    /// Its id, chosen by the entry instance that took it.
+    pub job: JobId,
+    /// The caller's key, see [`super::scoped_key`].
+    pub key: RequestKey,
+    /// What is asked for.
+    pub fingerprint: Fingerprint,
+    /// The service.
+    pub service: ServiceName,
+    /// Whose quota it counts against.
+    pub team: TeamName,
+    /// Who sent it.
+    pub caller: String,
+    /// Whether it may run twice.
+    pub idempotent: bool,
+    /// The request's body.
+    pub body: Vec<u8>,
+}
--- /dev/null
+++ b/src/state/fingerprint.rs
@@ -0,0 +1,49 @@
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::model::{RequestKey, ServiceName, TeamName};
+
+/// Digest of what a request asks for and who asks.
+///
+/// The same key with another fingerprint is another request. Without the
+/// caller in it, two callers that both number their requests from 1 could be
+/// given each other's answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint([u8; 32]);
+
+impl Fingerprint {
+    /// The fingerprint of a request's service, team, caller and body.
+    pub fn of(service: &ServiceName, team: &TeamName, caller: &str, body: &[u8]) -> Self {
+        let mut hash = Sha256::new();
+        for part in [
+            service.as_str().as_bytes(),
+            team.as_str().as_bytes(),
+            caller.as_bytes(),
+            body,
+        ] {
+            // The length keeps "ab" + "c" apart from "a" + "bc".
+            hash.update((part.len() as u64).to_be_bytes());
+            hash.update(part);
+        }
+        Self(hash.finalize().into())
+    }
+
+    /// The fingerprint of encoded bytes.
+    pub(super) fn of_bytes(bytes: &[u8]) -> Self {
+        Self(Sha256::digest(bytes).into())
+    }
+}
+
+/// The key under which a caller's own key is claimed.
+///
+/// Callers choose keys without knowing of each other; the prefix keeps one
+/// caller's `1` apart from another's.
+pub fn scoped_key(team: &TeamName, caller: &str, key: &str) -> RequestKey {
+    let team = team.as_str();
+    RequestKey::from(format!(
+        "{}:{team}{}:{caller}{key}",
+        team.len(),
+        caller.len()
+    ))
+}
--- /dev/null
+++ b/tests/state/main.rs
@@ -0,0 +1,120 @@
+//! The replicated state: rows, claims, patient jobs and snapshots, against naive
+//! models and under races, resends and losses. Seeds are fixed.
+#![allow(missing_docs, clippy::unwrap_used)]
+
+mod claims;
+mod jobs;
+mod rows;
+mod snapshot;
+
+use rosemarygauge::maintenance::FleetCommand;
+use rosemarygauge::model::*;
+use rosemarygauge::state::*;
+
+pub const T0: u64 = 1_700_000_000_000;
+
+/// A state with its own counter of proposals for each entry instance.
+#[derive(Clone, Default)]
+pub struct Bench {
+    pub state: State,
+    pub sequence: u64,
+}
+
+impl Bench {
+    pub fn command(&mut self, entry: &str, at: u64, change: Change) -> Command {
+        self.sequence += 1;
+        let id = CommandId {
+            entry: entry.into(),
+            incarnation: 1,
+            sequence: self.sequence,
+        };
+        Command {
+            id,
+            at_unix_ms: T0 + at,
+            change,
+        }
+    }
+
+    pub fn run(&mut self, entry: &str, at: u64, change: Change) -> Reply {
+        let command = self.command(entry, at, change);
+        self.state.apply(&command)
+    }
+
+    /// One pool with one service `scoring`, two instances of 8 slots in each of
+    /// the zones `a`, `b`, and a budget of four available instances.
+    pub fn furnished() -> Self {
+        let mut bench = Self::default();
+        let pool = Pool {
+            name: "scoring".into(),
+            budget: Budget {
+                min_available: 4,
+                survive: Survive::None,
+            },
+            services: vec![Service {
+                name: "scoring".into(),
+                class: Class::Urgent,
+                demand: Demand {
+                    cores: 1,
+                    memory_mib: 512,
+                    accelerators: 0,
+                    run_ms: 10,
+                },
+            }],
+        };
+        bench.fleet(FleetCommand::PutPool { pool });
+        for (name, zone) in [("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b")] {
+            let instance: InstanceName = name.into();
+            bench.fleet(FleetCommand::Join {
+                instance: instance.clone(),
+                zone: zone.into(),
+                rack: name.into(),
+                pool: "scoring".into(),
+            });
+            let capacity = Capacity {
+                cores: 16,
+                memory_mib: 65_536,
+                accelerators: 0,
+                slots: 8,
+                connections: 64,
+            };
+            assert_eq!(
+                bench.run("e", 0, Change::Capacity { instance, capacity }),
+                Reply::Accepted
+            );
+        }
+        bench
+    }
+
+    fn fleet(&mut self, command: FleetCommand) {
+        let change = Change::Fleet {
+            change: None,
+            by: "test".into(),
+            command,
+        };
+        assert_eq!(self.run("e", 0, change), Reply::Accepted);
+    }
+}
+
+pub fn service_row(zone: &str, version: u64, weight: u32, limit: u32) -> RowChange {
+    RowChange {
+        key: RowKey::Service {
+            service: "scoring".into(),
+            zone: zone.into(),
+        },
+        expected_version: version,
+        row: Some(Row {
+            weight,
+            limit_in_flight: limit,
+            queue_ms: 500,
+        }),
+    }
+}
+
+pub fn put(id: &str, rows: Vec<RowChange>) -> Change {
+    Change::PutRows {
+        change: id.into(),
+        operator: "samira".into(),
+        rows,
+        confirm_jump: false,
+    }
+}
--- /dev/null
+++ b/tests/state/rows.rs
@@ -0,0 +1,205 @@
+//! Rows: races, resends, versions.
+
+use std::collections::BTreeMap;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rosemarygauge::model::*;
+use rosemarygauge::state::*;
+use rosemarygauge::table::{Column, Fault};
+
+use super::{Bench, put, service_row};
+
+fn version_fault(reply: &Reply) -> Option<(u64, Option<Row>)> {
+    let Reply::Rows(errors) = reply else {
+        return None;
+    };
+    errors.iter().find_map(|e| match &e.fault {
+        Fault::Version { version, row } => Some((*version, row.as_ref().map(|r| r.row))),
+        _ => None,
+    })
+}
+
+// Two operators get the table at version 1 and both change the same row. One
+// change comes first in the log and wins. The other operator is refused and is
+// shown the row that won, instead of overwriting it unseen.
+#[test]
+fn of_two_racing_changes_exactly_one_wins() {
+    let mut bench = Bench::furnished();
+    assert_eq!(
+        bench.run("e", 1, put("c0", vec![service_row("a", 0, 10, 8)])),
+        Reply::Accepted
+    );
+    let mine = bench.run("e", 2, put("c1", vec![service_row("a", 1, 12, 8)]));
+    let theirs = bench.run("f", 2, put("c2", vec![service_row("a", 1, 14, 8)]));
+    assert_eq!(mine, Reply::Accepted);
+    let won = service_row("a", 1, 12, 8).row;
+    assert_eq!(version_fault(&theirs), Some((2, won)));
+    assert_eq!(
+        bench.state.rows().values().next().map(|r| r.version),
+        Some(2)
+    );
+}
+
+// The answer to a change is lost and the operator sends it again, through
+// another entry instance. It was accepted, so it must not be told "refused:
+// version behind"; and the same id must not smuggle in other rows.
+#[test]
+fn a_resent_change_gets_its_first_reply() {
+    let mut bench = Bench::furnished();
+    let rows = vec![service_row("a", 0, 10, 8)];
+    assert_eq!(bench.run("e", 1, put("c1", rows.clone())), Reply::Accepted);
+    let before = bench.state.rows().clone();
+    assert_eq!(bench.run("f", 2, put("c1", rows)), Reply::Accepted);
+    let other = bench.run("f", 3, put("c1", vec![service_row("a", 1, 11, 8)]));
+    assert_eq!(other, Reply::ChangeReused);
+    assert_eq!(bench.state.rows(), &before);
+
+    let wrong = vec![service_row("a", 1, 11, 8), service_row("b", 7, 10, 8)];
+    let refused = bench.run("e", 4, put("c2", wrong.clone()));
+    assert!(version_fault(&refused).is_some());
+    assert_eq!(bench.run("f", 5, put("c2", wrong)), refused);
+    assert_eq!(bench.state.rows(), &before, "all or nothing");
+}
+
+// A row is removed and made again. If its version started at 1 again, an entry
+// instance that still holds the old row would take the new one for older, and
+// an operator with an old sheet would overwrite it.
+#[test]
+fn versions_go_on_across_removal() {
+    let mut bench = Bench::furnished();
+    bench.run("e", 1, put("c1", vec![service_row("a", 0, 10, 8)]));
+    let removal = RowChange {
+        row: None,
+        ..service_row("a", 1, 0, 0)
+    };
+    let unconfirmed = bench.run("e", 2, put("c2", vec![removal.clone()]));
+    assert!(matches!(&unconfirmed, Reply::Rows(e) if e[0].fault == Fault::Removal));
+    let confirmed = Change::PutRows {
+        change: "c3".into(),
+        operator: "samira".into(),
+        rows: vec![removal],
+        confirm_jump: true,
+    };
+    assert_eq!(bench.run("e", 3, confirmed), Reply::Accepted);
+    let anew = bench.run("e", 4, put("c4", vec![service_row("a", 0, 10, 8)]));
+    assert_eq!(version_fault(&anew), Some((2, None)));
+    bench.run("e", 5, put("c5", vec![service_row("a", 2, 10, 8)]));
+    let key = service_row("a", 0, 0, 0).key;
+    assert_eq!(bench.state.rows()[&key].version, 3);
+    let versions: Vec<u64> = bench.state.row_trail(&key).map(|s| s.version).collect();
+    assert_eq!(versions, [1, 2, 3]);
+}
+
+// A seasonal operator types 80 or 0 where 8 was meant, or closes the last zone
+// that takes a service. Accepted, it would take effect on every process within
+// seconds: no limit at all, or no answer to any applicant.
+#[test]
+fn typing_slips_are_refused_with_their_cell() {
+    let mut bench = Bench::furnished();
+    let good = vec![service_row("a", 0, 10, 3), service_row("b", 0, 10, 3)];
+    assert_eq!(bench.run("e", 1, put("c1", good)), Reply::Accepted);
+    let slips = [
+        (service_row("a", 1, 10, 80), Column::Limit, "carry"),
+        (service_row("a", 1, 10, 0), Column::Limit, "refuses every"),
+        (service_row("a", 1, 10, 15), Column::Limit, "becomes"),
+        (service_row("a", 1, 80, 3), Column::Weight, "becomes"),
+        (service_row("a", 1, 0, 3), Column::Weight, "becomes"),
+        (service_row("a", 1, 101, 3), Column::Weight, "at most"),
+        // 3 + 1 is what the budget needs; 1 + 1 is not.
+        (service_row("a", 1, 10, 1), Column::Limit, ""),
+    ];
+    for (n, (row, column, text)) in slips.into_iter().enumerate() {
+        let reply = bench.run("e", 2, put(&format!("s{n}"), vec![row.clone()]));
+        if text.is_empty() {
+            assert_eq!(reply, Reply::Accepted);
+            continue;
+        }
+        let Reply::Rows(errors) = reply else {
+            panic!("{row:?} was accepted")
+        };
+        let hit = |e: &&rosemarygauge::table::CellError| {
+            e.column == column && e.to_string().contains(text) && e.row == 2
+        };
+        assert!(errors.iter().any(|e| hit(&e)), "{row:?}: {errors:?}");
+    }
+    let low = bench.run("e", 3, put("low", vec![service_row("b", 1, 10, 1)]));
+    assert!(matches!(low, Reply::Rows(e) if e[0].fault
+        == Fault::LimitBelowBudget { total: 2, min_available: 4 }));
+    let close = |zone: &str, version| Change::PutRows {
+        change: zone.into(),
+        operator: "samira".into(),
+        rows: vec![service_row(zone, version, 0, 3)],
+        confirm_jump: true,
+    };
+    assert_eq!(bench.run("e", 4, close("a", 2)), Reply::Accepted);
+    let last = bench.run("e", 5, close("b", 1));
+    assert!(matches!(last, Reply::Rows(e) if e[0].fault == Fault::LastOpenZone));
+}
+
+/// The naive model keeps every version of every row for ever.
+#[test]
+fn random_changes_match_the_naive_model() {
+    for seed in 0..60 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut bench = Bench::furnished();
+        let mut history: BTreeMap<RowKey, Vec<Option<Row>>> = BTreeMap::new();
+        let mut first: BTreeMap<String, Reply> = BTreeMap::new();
+        let mut sent: Vec<Change> = Vec::new();
+        for n in 0..80 {
+            if !sent.is_empty() && rng.random_bool(0.2) {
+                let change = sent[rng.random_range(0..sent.len())].clone();
+                let Change::PutRows { change: id, .. } = &change else {
+                    unreachable!()
+                };
+                let expected = first[id.as_str()].clone();
+                assert_eq!(bench.run("f", n, change), expected, "seed {seed}");
+                continue;
+            }
+            let mut rows: Vec<RowChange> = Vec::new();
+            for zone in ["a", "b"] {
+                if rng.random_bool(0.4) {
+                    continue;
+                }
+                let key = service_row(zone, 0, 0, 0).key;
+                let now = history.get(&key).map_or(0, Vec::len) as u64;
+                let version = now.saturating_sub(u64::from(rng.random_bool(0.2)));
+                let mut row = service_row(zone, version, rng.random_range(1..4), 4);
+                if rng.random_bool(0.1) {
+                    row.row = None;
+                }
+                rows.push(row);
+            }
+            let id = format!("c{n}");
+            let change = Change::PutRows {
+                change: id.as_str().into(),
+                operator: "samira".into(),
+                rows: rows.clone(),
+                confirm_jump: true,
+            };
+            sent.push(change.clone());
+            let reply = bench.run("e", n, change);
+            let last = |h: &BTreeMap<RowKey, Vec<Option<Row>>>, key: &RowKey| {
+                h.get(key).and_then(|v| *v.last()?)
+            };
+            let good = rows.iter().all(|r| {
+                r.expected_version == history.get(&r.key).map_or(0, Vec::len) as u64
+                    && (r.row.is_some() || last(&history, &r.key).is_some())
+            });
+            assert_eq!(reply == Reply::Accepted, good, "seed {seed}: {reply:?}");
+            if good {
+                for r in &rows {
+                    if last(&history, &r.key) != r.row {
+                        history.entry(r.key.clone()).or_default().push(r.row);
+                    }
+                }
+            }
+            first.insert(id, reply);
+            for (key, versions) in &history {
+                assert_eq!(bench.state.row_version(key), versions.len() as u64);
+                let live = bench.state.rows().get(key).map(|r| r.row);
+                assert_eq!(live, last(&history, key));
+            }
+        }
+    }
+}
