--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! present time and a typed input and return typed actions), and the driver
 //! (`entry`) that feeds one to the other.
 
+pub mod account;
 pub mod cmd;
 pub mod codec;
 pub mod config;
@@ -15,5 +16,8 @@
 pub mod load;
 pub mod maintenance;
 pub mod model;
+pub mod proxy;
 pub mod state;
+pub mod table;
+pub mod upstream;
 pub mod upstream_api;
