Add the leader's controller, the stop proof and the wave planner

First version, not yet tested: failure detection with damping, drains that end by proof, moves, waves, loans between pools, bounded repair; a planner that plays the same decisions forward, and lower bounds to hold it against.

--- /dev/null
+++ b/src/maintenance/controller/repairs.rs
@@ -0,0 +1,124 @@
+//! Failures found, and failed instances restored or replaced unasked.
+
+use std::collections::BTreeMap;
+
+use crate::model::{Absence, Duty, Instance, InstanceName, Standing, ZoneName};
+
+use super::super::FleetCommand;
+use super::{Controller, Step, names};
+
+impl Controller {
+    pub(super) fn detect(&mut self, step: &mut Step<'_>) {
+        let fleet = step.fleet;
+        for (name, instance) in fleet.instances() {
+            if matches!(instance.duty, Duty::Away { .. }) {
+                continue;
+            }
+            let failed = fleet.is_failed(name);
+            let seen = step.seen(name);
+            let change = self
+                .detector
+                .judge(step.now_ms, &self.settings, name, failed, seen);
+            if let Some(failed) = change {
+                let instance = name.clone();
+                self.propose(step, name, FleetCommand::Health { instance, failed });
+            }
+        }
+    }
+
+    pub(super) fn repair(&mut self, step: &mut Step<'_>) {
+        if step.fleet.failed().is_empty() {
+            return;
+        }
+        let cut_off = cut_off_zones(step);
+        let mut running = self.repairs_running(step);
+        for name in names(step.fleet.failed()) {
+            let Some(instance) = step.fleet.instances().get(&name) else {
+                continue;
+            };
+            if instance.duty != Duty::Serving {
+                continue;
+            }
+            if self.leaves(step, &name) {
+                self.detector.forget(&name);
+                let instance = name.clone();
+                self.propose(step, &name, FleetCommand::Leave { instance });
+                continue;
+            }
+            let early = step.since_ms(&name) < self.settings.repair_after_ms;
+            if early || cut_off.contains(&&instance.zone) {
+                continue;
+            }
+            if self.give_up(step, instance) {
+                continue;
+            }
+            if running < self.settings.repairs_at_once && self.start_repair(step, &name) {
+                running += 1;
+            }
+        }
+    }
+
+    fn repairs_running(&self, step: &Step<'_>) -> u32 {
+        let absence = Absence::Repair;
+        let repair = Duty::Away { absence };
+        let absent = step.fleet.absent().iter();
+        let absent = absent.filter_map(|name| step.fleet.instances().get(name));
+        let count = absent.filter(|instance| instance.duty == repair).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    fn start_repair(&mut self, step: &mut Step<'_>, name: &InstanceName) -> bool {
+        let incarnation = step.seen(name).map_or(0, |s| s.report.incarnation);
+        let command = FleetCommand::RepairStart {
+            instance: name.clone(),
+            incarnation,
+        };
+        self.propose(step, name, command)
+    }
+
+    /// Sets aside an instance that failed again and again after its repairs: it
+    /// would take a share of requests with it each time.
+    fn give_up(&mut self, step: &mut Step<'_>, instance: &Instance) -> bool {
+        let name = &instance.name;
+        let window_ms = self.settings.repair_window_ms;
+        let since = step.observed.unix_ms.saturating_sub(window_ms);
+        let repairs = step
+            .fleet
+            .record(name)
+            .map_or(0, |r| r.repairs_since(since));
+        let max = usize::try_from(self.settings.repairs_max).unwrap_or(usize::MAX);
+        if repairs < max {
+            return false;
+        }
+        let hours = window_ms / 3_600_000;
+        let reason = format!("it failed again after {repairs} repairs within {hours} h");
+        let instance = name.clone();
+        self.propose(step, name, FleetCommand::SetAside { instance, reason });
+        true
+    }
+
+    /// An upstream that said it leaves, and has nothing running or is silent.
+    fn leaves(&self, step: &Step<'_>, name: &InstanceName) -> bool {
+        step.seen(name).is_some_and(|seen| {
+            let fresh = seen.is_fresh(step.now_ms, self.settings.failed_after_ms);
+            seen.report.standing == Standing::Leaving && (seen.report.running == 0 || !fresh)
+        })
+    }
+}
+
+/// Zones of which more than half the instances failed. They are rather cut off
+/// than broken: rebooting them would stop a zone that goes on serving by itself.
+fn cut_off_zones<'a>(step: &Step<'a>) -> Vec<&'a ZoneName> {
+    let mut zones: BTreeMap<&ZoneName, (usize, usize)> = BTreeMap::new();
+    for (name, instance) in step.fleet.instances() {
+        let (all, failed) = zones.entry(&instance.zone).or_default();
+        *all += 1;
+        *failed += usize::from(step.fleet.is_failed(name));
+    }
+    let cut_off = |(_, (all, failed)): &(&ZoneName, (usize, usize))| failed * 2 > *all;
+    zones
+        .into_iter()
+        .filter(cut_off)
+        .map(|(zone, _)| zone)
+        .collect()
+}
--- /dev/null
+++ b/src/maintenance/planner.rs
@@ -0,0 +1,280 @@
+//! Plays a wave forward as the controller would run it, without failures.
+//!
+//! Every pool takes instances out as soon as its budget has room; when a pool is
+//! through, what it can do without may be lent to the pool that is last, if that
+//! is worth the moves. Costs a scan of a pool's racks per visit where its budget
+//! survives a rack, and a logarithm otherwise.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+use crate::model::{Budget, Instance, InstanceName, PoolName};
+
+use super::bounds::{PoolVisits, moves_bound, pooled_bound_ms, rollout_bound_ms};
+use super::pace::{PoolPace, next_loan, next_visit};
+use super::plan::{Figures, Plan, Step, Work};
+use super::{Cause, Fleet, Room, WaveSpec};
+
+/// The plan of a wave on the fleet as it is.
+pub fn plan(fleet: &Fleet, spec: &WaveSpec) -> Plan {
+    let mut planner = Planner::new(fleet, spec);
+    let bounds = planner.visits();
+    planner.run();
+    planner.finish(&bounds)
+}
+
+struct Planner<'a> {
+    fleet: &'a Fleet,
+    spec: &'a WaveSpec,
+    pools: BTreeMap<&'a PoolName, PoolState<'a>>,
+    events: BinaryHeap<Reverse<(u64, usize)>>,
+    /// Pools in which something changed since they were last filled.
+    dirty: BTreeSet<&'a PoolName>,
+    steps: Vec<Step>,
+    away: u32,
+    peak: u32,
+    now_ms: u64,
+    rollout_ms: u64,
+    lent: Vec<u64>,
+}
+
+struct PoolState<'a> {
+    budget: Budget,
+    room: Room,
+    pending: BTreeSet<&'a InstanceName>,
+    /// Instances that serve and were visited or need no visit.
+    idle: BTreeSet<&'a InstanceName>,
+    out: u32,
+    coming: u32,
+}
+
+impl<'a> Planner<'a> {
+    fn new(fleet: &'a Fleet, spec: &'a WaveSpec) -> Self {
+        let mut planner = Self {
+            fleet,
+            spec,
+            pools: BTreeMap::new(),
+            events: BinaryHeap::new(),
+            dirty: BTreeSet::new(),
+            steps: Vec::new(),
+            away: 0,
+            peak: 0,
+            now_ms: 0,
+            rollout_ms: 0,
+            lent: Vec::new(),
+        };
+        for (name, pool) in fleet.pools() {
+            planner.pools.insert(
+                name,
+                PoolState {
+                    budget: pool.budget,
+                    room: fleet
+                        .tally(name)
+                        .map(|t| t.room().clone())
+                        .unwrap_or_default(),
+                    pending: BTreeSet::new(),
+                    idle: BTreeSet::new(),
+                    out: 0,
+                    coming: 0,
+                },
+            );
+            planner.dirty.insert(name);
+        }
+        for instance in fleet.instances().values() {
+            planner.admit(instance);
+        }
+        planner
+    }
+
+    fn admit(&mut self, instance: &'a Instance) {
+        let failed = self.fleet.is_failed(&instance.name);
+        let Some(pool) = self.pools.get_mut(&instance.pool) else {
+            return;
+        };
+        if Cause::of(instance, failed).is_some() {
+            return;
+        }
+        if self.spec.selection.holds(instance) {
+            pool.pending.insert(&instance.name);
+        } else {
+            pool.idle.insert(&instance.name);
+        }
+    }
+
+    fn visits(&self) -> Vec<PoolVisits> {
+        let visits = |pool: &PoolState<'_>| PoolVisits {
+            visits_ms: vec![self.spec.visit_ms(); pool.pending.len()],
+            width: pool.room.width_bound(&pool.budget),
+        };
+        self.pools.values().map(visits).collect()
+    }
+
+    fn run(&mut self) {
+        loop {
+            while let Some(name) = self.dirty.pop_first() {
+                self.fill(name);
+            }
+            while self.lend() {}
+            let Some(Reverse((at_ms, step))) = self.events.pop() else {
+                return;
+            };
+            self.now_ms = at_ms;
+            self.end_step(step);
+        }
+    }
+
+    fn fill(&mut self, name: &'a PoolName) {
+        loop {
+            let fleet = self.fleet;
+            let Some(pool) = self.pools.get_mut(name) else {
+                return;
+            };
+            let candidates = pool
+                .pending
+                .iter()
+                .filter_map(|i| fleet.instances().get(*i));
+            let Some(next) = next_visit(&pool.room, &pool.budget, candidates) else {
+                return;
+            };
+            pool.pending.remove(&next.name);
+            pool.room.remove(&next.rack);
+            pool.out += 1;
+            self.start(next, name, Work::Visit, self.spec.visit_ms());
+        }
+    }
+
+    fn start(&mut self, instance: &Instance, pool: &PoolName, work: Work, takes_ms: u64) {
+        let end_ms = self.now_ms + takes_ms;
+        self.events.push(Reverse((end_ms, self.steps.len())));
+        self.steps.push(Step {
+            start_ms: self.now_ms,
+            end_ms,
+            instance: instance.name.clone(),
+            pool: pool.clone(),
+            work,
+        });
+        self.away += 1;
+        self.peak = self.peak.max(self.away);
+    }
+
+    fn end_step(&mut self, index: usize) {
+        let step = &self.steps[index];
+        let Some(instance) = self.fleet.instances().get(&step.instance) else {
+            return;
+        };
+        let home = match &step.work {
+            Work::Visit => &step.pool,
+            Work::Lend(to) => to,
+        };
+        let Some((name, pool)) = self
+            .pools
+            .get_key_value(home)
+            .map(|(name, _)| (*name, home))
+        else {
+            return;
+        };
+        let visit = step.work == Work::Visit;
+        if let Some(state) = self.pools.get_mut(pool) {
+            state.room.add(&instance.rack);
+            state.idle.insert(&instance.name);
+            if visit {
+                state.out = state.out.saturating_sub(1);
+            } else {
+                state.coming = state.coming.saturating_sub(1);
+            }
+        }
+        if visit {
+            self.away -= 1;
+            self.rollout_ms = self.now_ms;
+        }
+        self.dirty.insert(name);
+    }
+
+    /// Makes the next loan that is worth its cost.
+    fn lend(&mut self) -> bool {
+        let paces: Vec<PoolPace> = self.pools.iter().map(|(name, p)| p.pace(name)).collect();
+        let (visit_ms, drain_ms) = (self.spec.visit_ms(), self.spec.drain_ms);
+        let Some(loan) = next_loan(&paces, &self.spec.weights, visit_ms, drain_ms) else {
+            return false;
+        };
+        let fleet = self.fleet;
+        let Some(donor) = self.pools.get_mut(&loan.from) else {
+            return false;
+        };
+        let idle = donor.idle.iter().filter_map(|i| fleet.instances().get(*i));
+        let Some(next) = next_visit(&donor.room, &donor.budget, idle) else {
+            return false;
+        };
+        donor.idle.remove(&next.name);
+        donor.room.remove(&next.rack);
+        if let Some(borrower) = self.pools.get_mut(&loan.to) {
+            borrower.coming += 1;
+        }
+        self.lent.push(self.now_ms);
+        self.start(next, &loan.from, Work::Lend(loan.to), drain_ms);
+        true
+    }
+
+    fn finish(self, visits: &[PoolVisits]) -> Plan {
+        let work_ms: u64 = visits.iter().flat_map(|v| &v.visits_ms).sum();
+        let done = self.steps.iter().filter(|s| s.work == Work::Visit).count();
+        let done_ms = u64::try_from(done).unwrap_or(u64::MAX) * self.spec.visit_ms();
+        let lent_ms: u64 = self
+            .lent
+            .iter()
+            .map(|at| self.rollout_ms.saturating_sub(*at))
+            .sum();
+        let moves = 2 * u32::try_from(self.lent.len()).unwrap_or(u32::MAX);
+        let pooled_ms = pooled_bound_ms(visits).unwrap_or(0);
+        let bound_ms = if moves == 0 {
+            rollout_bound_ms(visits).unwrap_or(pooled_ms)
+        } else {
+            pooled_ms
+        };
+        let at_once = work_ms.div_ceil(self.rollout_ms.max(1));
+        Plan {
+            wave: self.spec.name.clone(),
+            stuck: self.stuck(),
+            expected: Figures {
+                rollout_ms: self.rollout_ms,
+                moves,
+                buffer_instance_ms: done_ms + lent_ms,
+                buffer_peak: self.peak,
+            },
+            bound: Figures {
+                rollout_ms: bound_ms,
+                moves: moves_bound(visits, self.rollout_ms),
+                buffer_instance_ms: work_ms,
+                buffer_peak: u32::try_from(at_once).unwrap_or(u32::MAX),
+            },
+            latest_ms: self.rollout_ms * u64::from(100 + self.spec.spread_percent) / 100,
+            steps: self.steps,
+        }
+    }
+
+    fn stuck(&self) -> Vec<String> {
+        let left = self
+            .pools
+            .iter()
+            .filter(|(_, pool)| !pool.pending.is_empty());
+        left.filter_map(|(name, pool)| {
+            let used = self.fleet.budget_use(name)?;
+            Some(format!("{} instances left, {used}", pool.pending.len()))
+        })
+        .collect()
+    }
+}
+
+impl PoolState<'_> {
+    fn pace(&self, name: &PoolName) -> PoolPace {
+        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        let more = self.room.width_bound(&self.budget);
+        PoolPace {
+            pool: name.clone(),
+            pending: count(self.pending.len()),
+            out: self.out,
+            width: self.out + more + self.coming,
+            spare: more.min(count(self.idle.len())),
+        }
+    }
+}
