Add the load tool and its closing account

Cause: a promise can only be checked by comparing what callers were told with what was run. Not run against an entry instance yet.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,3 +1,4 @@
 //! The commands, one file each.
 
+pub mod load;
 pub mod upstream;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! present time and a typed input and return typed actions), and the driver
 //! (`entry`) that feeds one to the other.
 
+pub mod account;
 pub mod cmd;
 pub mod consensus;
 pub mod load;
--- a/src/upstream/answer_body.rs
+++ b/src/upstream/answer_body.rs
@@ -1,18 +1,26 @@
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
+use tokio::time::{Sleep, sleep};
 
 use super::CutShort;
 
+/// Pause before a cut: without it the server drops head and half body unsent,
+/// and the other side sees no answer instead of half of one.
+const CUT_PAUSE_MS: u64 = 10;
+
 /// The body of an answer, whole or ended half way.
 #[derive(Debug)]
 pub(super) struct AnswerBody {
     rest: Option<Bytes>,
     whole_bytes: u64,
     cut: CutShort,
+    pause: Option<Pin<Box<Sleep>>>,
 }
 
 impl AnswerBody {
@@ -22,6 +30,7 @@
             whole_bytes: bytes.len() as u64,
             rest: Some(bytes),
             cut,
+            pause: None,
         }
     }
 }
@@ -32,14 +41,19 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        Poll::Ready(match (self.rest.take(), self.cut) {
-            (Some(bytes), CutShort::Never) => Some(Ok(Frame::data(bytes))),
-            (Some(bytes), _) => Some(Ok(Frame::data(bytes.slice(..bytes.len() / 2)))),
-            (None, CutShort::Never) => None,
-            (None, _) => Some(Err(io::Error::other("answer cut short on purpose"))),
-        })
+        if self.cut == CutShort::Never {
+            return Poll::Ready(self.rest.take().map(|bytes| Ok(Frame::data(bytes))));
+        }
+        if let Some(bytes) = self.rest.take() {
+            self.pause = Some(Box::pin(sleep(Duration::from_millis(CUT_PAUSE_MS))));
+            return Poll::Ready(Some(Ok(Frame::data(bytes.slice(..bytes.len() / 2)))));
+        }
+        if let Some(pause) = self.pause.as_mut() {
+            ready!(pause.as_mut().poll(cx));
+        }
+        Poll::Ready(Some(Err(io::Error::other("answer cut short on purpose"))))
     }
 
     fn is_end_stream(&self) -> bool {
