--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -7,9 +7,8 @@
 };
 use crate::upstream::unix_ms;
 
-const ABOUT: &str = "Send open-loop load and account for every request";
-
-const HELP: &str = "\
+/// What `--help` says.
+pub const HELP: &str = "\
 Sends requests at their due moments, whether or not earlier ones were answered,
 to the entry instances in turn, as a balancer would: one that refuses the
 connection is passed over for the next. Latency counts from the due moment.
@@ -32,7 +31,6 @@
 
 /// Arguments of `load`.
 #[derive(Debug, clap::Args)]
-#[command(about = ABOUT, after_long_help = HELP)]
 pub struct Args {
     /// Caller address of an entry instance.
     #[arg(long, required = true, value_name = "ADDR")]
@@ -112,9 +110,9 @@
 /// # Errors
 /// An argument is wrong, a thread could not be started, or a stand-in did not
 /// say what it ran.
-pub fn run(args: Args) -> Result<bool, Error> {
-    let outcome = experiment(&args)?.run()?;
-    let report = report(&args, &outcome)?;
+pub fn run(args: &Args) -> eyre::Result<bool> {
+    let outcome = experiment(args)?.run()?;
+    let report = report(args, &outcome)?;
     if args.json {
         // A report holds only strings and numbers, so it always serialises.
         println!("{}", serde_json::to_string(&report).unwrap_or_default());
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,4 +1,5 @@
 //! The commands, one file each.
 
 pub mod load;
+pub mod serve;
 pub mod upstream;
--- a/src/cmd/upstream.rs
+++ b/src/cmd/upstream.rs
@@ -12,9 +12,8 @@
 
 use crate::upstream::{CutShort, Error, Faults, Host, HostSettings, RunTimes, Spec, unix_ms};
 
-const ABOUT: &str = "Run stand-in upstreams that announce themselves and prove what they ran";
-
-const HELP: &str = "\
+/// What `--help` says.
+pub const HELP: &str = "\
 Runs one or more stand-in instances in this process. Each listens on a port of
 its own, announces itself to the entry instances of its zone, enforces its slots
 and answers every request after its run time with a JSON proof: the SHA-256 of
@@ -40,7 +39,6 @@
 
 /// Arguments of `upstream`.
 #[derive(Debug, clap::Args)]
-#[command(about = ABOUT, after_long_help = HELP)]
 pub struct Args {
     /// CSV with the columns name, zone, rack, pool, cores, memory_mib,
     /// accelerators, slots and connections.
@@ -113,8 +111,8 @@
 ///
 /// # Errors
 /// An argument is wrong, or a port, thread or file could not be had.
-pub fn run(args: Args) -> Result<(), Error> {
-    let settings = settings(&args)?;
+pub fn run(args: &Args) -> eyre::Result<()> {
+    let settings = settings(args)?;
     let leave = Arc::new(Notify::new());
     leave_on_signal(Arc::clone(&leave))?;
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,39 +2,45 @@
 
 use std::process::ExitCode;
 
-use clap::Parser;
+use clap::{Parser, Subcommand};
 use rosemarygauge::cmd;
 
 /// Exit code of a command that could not do its work; 1 means that it did, and
-/// found what it looks for.
+/// found something wrong.
 const FAILED: u8 = 2;
 
 /// Fleet capacity and maintenance manager between callers and upstreams.
-#[derive(Debug, Parser)]
-#[command(version)]
+#[derive(Parser)]
+#[command(version, about)]
 struct Cli {
     #[command(subcommand)]
     command: Command,
 }
 
-#[derive(Debug, clap::Subcommand)]
+#[derive(Subcommand)]
 enum Command {
+    /// Run an entry instance.
+    #[command(long_about = cmd::serve::HELP)]
+    Serve(cmd::serve::Args),
+    /// Send open-loop load and account for every request.
+    #[command(long_about = cmd::load::HELP)]
     Load(Box<cmd::load::Args>),
+    /// Run stand-in upstreams that prove what they ran.
+    #[command(long_about = cmd::upstream::HELP)]
     Upstream(Box<cmd::upstream::Args>),
 }
 
 fn main() -> ExitCode {
     let clean = match Cli::parse().command {
-        Command::Load(args) => cmd::load::run(*args).map_err(|e| e.to_string()),
-        Command::Upstream(args) => cmd::upstream::run(*args)
-            .map(|()| true)
-            .map_err(|e| e.to_string()),
+        Command::Serve(args) => cmd::serve::run(&args).map(|()| true),
+        Command::Load(args) => cmd::load::run(&args),
+        Command::Upstream(args) => cmd::upstream::run(&args).map(|()| true),
     };
     match clean {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
-        Err(e) => {
-            eprintln!("rosemarygauge: {e}");
+        Err(err) => {
+            eprintln!("rosemarygauge: {err:#}");
             ExitCode::from(FAILED)
         }
     }
--- a/src/upstream/announcer.rs
+++ b/src/upstream/announcer.rs
@@ -6,9 +6,9 @@
 
 use ureq::Agent;
 
-use super::AnnounceReply;
 use super::host::unix_ms;
 use super::member::Member;
+use crate::upstream_api::AnnounceReply;
 
 /// Refresh until an entry instance has said otherwise, in milliseconds.
 const FIRST_REFRESH_MS: u64 = 1_000;
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -6,7 +6,6 @@
 //! run is recorded from its start, so that the account of an experiment can be
 //! drawn from what really ran and not from what anybody was told.
 
-mod announce_reply;
 mod announcer;
 mod answer_body;
 mod error;
@@ -22,7 +21,6 @@
 mod spec;
 mod worker;
 
-pub use announce_reply::{AnnounceReply, Order};
 pub use error::Error;
 pub use faults::{CutShort, Faults};
 pub use host::{Host, HostSettings, unix_ms};
--- a/src/upstream/orders.rs
+++ b/src/upstream/orders.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
-use super::{AnnounceReply, Order};
 use crate::model::PoolName;
+use crate::upstream_api::{AnnounceReply, Order};
 
 /// Orders heard from several entry instances, joined into one.
 ///
@@ -40,7 +40,7 @@
     /// Notes what the entry instance at `entry` answered.
     pub fn hear(&mut self, now_ms: u64, entry: &str, reply: &AnnounceReply) {
         let armed = !self.restarted
-            || !reply.order.is_restart()
+            || !is_restart(reply.order)
             || self.heard.get(entry).is_some_and(|heard| heard.armed);
         let heard = Heard {
             until_ms: now_ms.saturating_add(reply.lease_ms),
@@ -51,12 +51,18 @@
     }
 
     /// The pool, its epoch and the order in force, none if nothing fresh was heard.
-    pub fn current(&self, now_ms: u64) -> Option<(&PoolName, u64, Order)> {
+    pub fn current(&self, now_ms: u64) -> Option<(Option<&PoolName>, u64, Order)> {
         self.heard
             .values()
             .filter(|heard| heard.until_ms > now_ms)
-            .map(|heard| (&heard.reply.pool, heard.reply.pool_epoch, heard.order()))
-            .max_by_key(|(_, epoch, order)| (*epoch, *order))
+            .max_by_key(|heard| (heard.reply.pool_epoch, strictness(heard.order())))
+            .map(|heard| {
+                (
+                    heard.reply.pool.as_ref(),
+                    heard.reply.pool_epoch,
+                    heard.order(),
+                )
+            })
     }
 }
 
@@ -68,3 +74,18 @@
         }
     }
 }
+
+/// Whether the instance is to come back with a new incarnation.
+pub fn is_restart(order: Order) -> bool {
+    matches!(order, Order::Reboot | Order::Replace)
+}
+
+fn strictness(order: Order) -> u8 {
+    match order {
+        Order::Serve => 0,
+        Order::Drain => 1,
+        Order::Reboot => 2,
+        Order::Replace => 3,
+        Order::Stop => 4,
+    }
+}
--- a/src/upstream/service.rs
+++ b/src/upstream/service.rs
@@ -14,6 +14,8 @@
 use super::answer_body::AnswerBody;
 use super::host::unix_ms;
 use super::member::{Member, lock};
+use crate::upstream_api as api;
+
 use super::{CutShort, Faults, Host, Refusal, RunEnd, RunRecord};
 
 /// Largest request body read. Far above what the tools send; without a bound
@@ -209,15 +211,15 @@
     Some(RunRecord {
         run: 0,
         instance: member.worker().spec().name.to_string(),
-        incarnation: header(headers, "rg-incarnation")?.parse().ok()?,
-        request: header(headers, "rg-request")?.to_owned(),
-        attempt: header(headers, "rg-attempt")?.parse().ok()?,
-        service: header(headers, "rg-service")?.to_owned(),
-        pool: header(headers, "rg-pool")?.to_owned(),
-        pool_epoch: header(headers, "rg-pool-epoch")?.parse().ok()?,
-        key: header(headers, "rg-key").map(str::to_owned),
-        idempotent: header(headers, "rg-idempotent")?.parse().ok()?,
-        fence: match header(headers, "rg-fence") {
+        incarnation: header(headers, api::INCARNATION)?.parse().ok()?,
+        request: header(headers, api::REQUEST)?.to_owned(),
+        attempt: header(headers, api::ATTEMPT)?.parse().ok()?,
+        service: header(headers, api::SERVICE)?.to_owned(),
+        pool: header(headers, api::POOL)?.to_owned(),
+        pool_epoch: header(headers, api::POOL_EPOCH)?.parse().ok()?,
+        key: header(headers, api::KEY).map(str::to_owned),
+        idempotent: header(headers, api::IDEMPOTENT)?.parse().ok()?,
+        fence: match header(headers, api::FENCE) {
             Some(fence) => Some(fence.parse().ok()?),
             None => None,
         },
@@ -273,7 +275,7 @@
 fn refuse(refusal: Refusal) -> Reply {
     let mut reply = text(StatusCode::SERVICE_UNAVAILABLE, "");
     if let Ok(value) = refusal.to_string().parse() {
-        reply.headers_mut().insert("rg-refused", value);
+        reply.headers_mut().insert(api::REFUSED, value);
     }
     reply
 }
--- a/src/upstream/worker.rs
+++ b/src/upstream/worker.rs
@@ -2,7 +2,9 @@
 
 use crate::model::{PoolName, Standing, UpstreamReport};
 
-use super::{AnnounceReply, Faults, Order, Orders, Refusal, Spec};
+use super::orders::is_restart;
+use super::{Faults, Orders, Refusal, Spec};
+use crate::upstream_api::{AnnounceReply, Order};
 
 /// How long a leaving instance stays reachable after its last request, so that
 /// entry instances that have not heard of it yet are refused and not cut off.
@@ -107,7 +109,7 @@
         let Some((pool, epoch, order)) = self.orders.current(now_ms) else {
             return;
         };
-        if epoch >= self.pool_epoch {
+        if let Some(pool) = pool.filter(|_| epoch >= self.pool_epoch) {
             self.pool = pool.clone();
             self.pool_epoch = epoch;
         }
@@ -144,7 +146,7 @@
             };
         }
         match self.orders.current(now_ms) {
-            Some((_, _, order)) if order.is_restart() => Step::Reboot,
+            Some((_, _, order)) if is_restart(order) => Step::Reboot,
             _ => Step::Stay,
         }
     }
