Add the fault-injecting proxy

Cause: faults between two processes need a place that can be switched while they run. Not tested yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod load;
 pub mod maintenance;
 pub mod model;
+pub mod proxy;
 pub mod state;
 pub mod upstream;
 pub mod upstream_api;
