--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,10 @@
 use clap::{Parser, Subcommand};
 use rosemarygauge::cmd;
 
+/// Exit code of a command that could not do its work; 1 means that it did, and
+/// the answer was a refusal or a fault found.
+const FAILED: u8 = 2;
+
 /// Fleet capacity and maintenance manager between callers and upstreams.
 #[derive(Parser)]
 #[command(version, about)]
@@ -18,17 +22,56 @@
     /// Run an entry instance.
     #[command(long_about = cmd::serve::HELP)]
     Serve(cmd::serve::Args),
+    /// Fetch, check or change the table of weights and limits.
+    #[command(long_about = cmd::table::HELP)]
+    Table(cmd::table::Args),
+    /// List pools and their budgets, or change them.
+    #[command(long_about = cmd::pool::HELP)]
+    Pool(cmd::pool::Args),
+    /// Move an instance to another pool.
+    #[command(long_about = cmd::move_instance::HELP)]
+    Move(cmd::move_instance::Args),
+    /// Take an instance out of service, or let it serve again.
+    #[command(long_about = cmd::drain::HELP)]
+    Drain(cmd::drain::Args),
+    /// Plan, start, stop or look at a maintenance wave.
+    #[command(long_about = cmd::wave::HELP)]
+    Wave(cmd::wave::Args),
+    /// Print how the system is.
+    #[command(long_about = cmd::status::HELP)]
+    Status(cmd::status::Args),
+    /// Print what was decided, when and why.
+    #[command(long_about = cmd::explain::HELP)]
+    Explain(cmd::explain::Args),
+    /// Send open-loop load and account for every request.
+    #[command(long_about = cmd::load::HELP)]
+    Load(Box<cmd::load::Args>),
+    /// Run stand-in upstreams that prove what they ran.
+    #[command(long_about = cmd::upstream::HELP)]
+    Upstream(Box<cmd::upstream::Args>),
 }
 
 fn main() -> ExitCode {
-    let done = match Cli::parse().command {
-        Command::Serve(args) => cmd::serve::run(&args),
-    };
-    match done {
-        Ok(()) => ExitCode::SUCCESS,
+    match run(&Cli::parse().command) {
+        Ok(exit) => exit.into(),
         Err(err) => {
             eprintln!("rosemarygauge: {err:#}");
-            ExitCode::FAILURE
+            ExitCode::from(FAILED)
         }
     }
 }
+
+fn run(command: &Command) -> eyre::Result<cmd::Exit> {
+    match command {
+        Command::Serve(args) => cmd::serve::run(args),
+        Command::Table(args) => cmd::table::run(args),
+        Command::Pool(args) => cmd::pool::run(args),
+        Command::Move(args) => cmd::move_instance::run(args),
+        Command::Drain(args) => cmd::drain::run(args),
+        Command::Wave(args) => cmd::wave::run(args),
+        Command::Status(args) => cmd::status::run(args),
+        Command::Explain(args) => cmd::explain::run(args),
+        Command::Load(args) => cmd::load::run(args),
+        Command::Upstream(args) => cmd::upstream::run(args),
+    }
+}
