--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -2,6 +2,7 @@
 
 use serde::Serialize;
 
+use super::Exit;
 use crate::account::{
     Account, Error, Experiment, Mix, Outcome, Plan, Quantiles, ServiceShare, TeamShare, fetch_runs,
 };
@@ -110,7 +111,7 @@
 /// # Errors
 /// An argument is wrong, a thread could not be started, or a stand-in did not
 /// say what it ran.
-pub fn run(args: &Args) -> eyre::Result<bool> {
+pub fn run(args: &Args) -> eyre::Result<Exit> {
     let outcome = experiment(args)?.run()?;
     let report = report(args, &outcome)?;
     if args.json {
@@ -119,7 +120,11 @@
     } else {
         print(&report);
     }
-    Ok(report.account.is_clean())
+    Ok(if report.account.is_clean() {
+        Exit::Done
+    } else {
+        Exit::Faults
+    })
 }
 
 fn experiment(args: &Args) -> Result<Experiment, Error> {
--- a/src/cmd/upstream.rs
+++ b/src/cmd/upstream.rs
@@ -10,6 +10,7 @@
 use signal_hook::iterator::Signals;
 use tokio::sync::Notify;
 
+use super::Exit;
 use crate::upstream::{CutShort, Error, Faults, Host, HostSettings, RunTimes, Spec, unix_ms};
 
 /// What `--help` says.
@@ -111,7 +112,7 @@
 ///
 /// # Errors
 /// An argument is wrong, or a port, thread or file could not be had.
-pub fn run(args: &Args) -> eyre::Result<()> {
+pub fn run(args: &Args) -> eyre::Result<Exit> {
     let settings = settings(args)?;
     let leave = Arc::new(Notify::new());
     leave_on_signal(Arc::clone(&leave))?;
@@ -125,7 +126,7 @@
         // Whoever started this reads the line; if nobody does, it runs on.
         let _ = writeln!(out, "{line}").and_then(|()| out.flush());
     }))?;
-    Ok(())
+    Ok(Exit::Done)
 }
 
 fn settings(args: &Args) -> Result<HostSettings, Error> {
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -8,8 +8,10 @@
 use tokio::sync::watch;
 
 use super::{Effect, Event, Node, NodeSettings};
+use crate::consensus::Recovered;
 use crate::http::{
-    Callers, HttpServer, Limits, OperatorKeys, Operators, Outgoing, OutgoingError, Upstreams,
+    Callers, HealthBoard, HttpServer, Limits, OperatorKeys, Operators, Outgoing, OutgoingError,
+    Upstreams,
 };
 use crate::link::{LinkError, Links, LinksConfig, PeerKey};
 use crate::model::EntryName;
@@ -47,6 +49,22 @@
     pub peers: TcpListener,
 }
 
+/// Everything an entry instance is started with.
+pub struct DriverSettings {
+    /// For the node.
+    pub node: NodeSettings,
+    /// Where it listens.
+    pub listeners: Listeners,
+    /// Where its peers take links.
+    pub peers: BTreeMap<EntryName, SocketAddr>,
+    /// The key shared with the peers.
+    pub key: PeerKey,
+    /// Operators' tokens.
+    pub keys: OperatorKeys,
+    /// The data folder and what it remembers; none for one without a vote.
+    pub disk: Option<(Disk, Recovered)>,
+}
+
 /// A running entry instance: the node, its clock and its edges.
 pub struct Driver {
     events: Sender<Event>,
@@ -59,20 +77,25 @@
     /// # Errors
     /// A listener or thread cannot be set up.
     pub fn start(
-        settings: NodeSettings,
-        listeners: Listeners,
-        peers: BTreeMap<EntryName, SocketAddr>,
-        key: PeerKey,
-        keys: OperatorKeys,
+        settings: DriverSettings,
     ) -> Result<Self, DriverError> {
+        let DriverSettings {
+            node: settings,
+            listeners,
+            peers,
+            key,
+            keys,
+            disk,
+        } = settings;
         let (tx, rx) = channel();
         let sink = {
             let tx = tx.clone();
             Arc::new(move |event| tx.send(event).is_ok())
         };
-        let callers = Callers::new(sink.clone());
+        let health = Arc::new(HealthBoard::default());
+        let callers = Callers::new(sink.clone(), Arc::clone(&health));
         let upstreams = Upstreams::new(sink.clone());
-        let operators = Operators::new(sink.clone(), keys);
+        let operators = Operators::new(sink.clone(), keys, Arc::clone(&health));
         let outgoing = Outgoing::new(&settings.me, settings.incarnation, sink.clone())?;
         let conf = LinksConfig {
             me: settings.me.clone(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod http;
 pub mod link;
 pub mod load;
+pub mod logs;
 pub mod maintenance;
 pub mod model;
 pub mod proxy;
