Replicate the log by our own agreement among voters with a data folder

Cause: one fixed leader with the log in memory stops when the leader does and forgets everything in a restart.

Ruled out: a name as a voter's identity (an emptied folder would vote for what it forgot); a cluster created by a quorum of empty folders (two lost disks of three would begin an empty one over the third's state); answering before the sync.

--- a/src/consensus/action.rs
+++ b/src/consensus/action.rs
@@ -1,6 +1,6 @@
 use crate::model::EntryName;
 
-use super::{Entry, Message};
+use super::{Entry, Message, Record};
 
 /// What a replica wants done, in this order.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -12,6 +12,15 @@
         /// What to send.
         message: Message,
     },
+    /// Write the records to the data folder in order, sync it, then hand in
+    /// [`super::Input::Persisted`]. At most one is under way at a time; what comes
+    /// up meanwhile goes into the next, so that many changes share one sync.
+    Persist {
+        /// Names this write; counts up.
+        token: u64,
+        /// What to write.
+        records: Vec<Record>,
+    },
     /// Apply committed entries to the state, in order.
     Apply {
         /// The entries.
--- a/src/consensus/input.rs
+++ b/src/consensus/input.rs
@@ -1,11 +1,11 @@
 use crate::model::EntryName;
 
-use super::Message;
+use super::{Message, VoterChange};
 
 /// Everything that can happen to a replica.
 #[derive(Clone, Debug)]
 pub enum Input {
-    /// Time passed.
+    /// Time passed. Due at least a few times per heartbeat.
     Tick,
     /// A peer sent a message.
     Message {
@@ -17,10 +17,17 @@
     /// This process wants the command in the log. A replica that does not lead
     /// forwards it. There is no answer: the proposer watches what is applied and
     /// proposes again after a timeout; the state tells repeated commands apart.
+    /// A command above [`super::COMMAND_LIMIT_BYTES`] or an empty one is dropped.
     Propose {
         /// The command's bytes.
         command: Vec<u8>,
     },
+    /// An operator wants the voters changed. Not answered either: the change is
+    /// done when [`super::Status::voters`] shows it.
+    ChangeVoters {
+        /// The change.
+        change: VoterChange,
+    },
     /// The disk finished the write with this token, synced.
     Persisted {
         /// From [`super::Action::Persist`].
--- a/src/consensus/single.rs
+++ b/src/consensus/single.rs
@@ -6,7 +6,7 @@
 
 use crate::model::EntryName;
 
-use super::{Action, Entry, Input, Message, Role, Status};
+use super::{Action, Beat, Entry, Input, Message, Reply, ReplyOutcome, Role, Stamp, Status};
 
 /// A replica under a fixed leader.
 #[derive(Debug)]
@@ -36,7 +36,9 @@
             Input::Tick => self.tick(),
             Input::Propose { command } => self.propose(command),
             Input::Message { from, message } => self.message(from, message),
-            Input::Persisted { .. } | Input::SnapshotTaken { .. } => Vec::new(),
+            Input::ChangeVoters { .. } | Input::Persisted { .. } | Input::SnapshotTaken { .. } => {
+                Vec::new()
+            }
         }
     }
 
@@ -56,6 +58,7 @@
             fresh: true,
             voters: vec![self.leader.clone()],
             peers_applied: self.applied.clone(),
+            ..Status::default()
         }
     }
 
@@ -83,6 +86,7 @@
             index: self.log.len() as u64 + 1,
             term: 1,
             command,
+            membership: None,
         };
         self.log.push(entry.clone());
         let mut out: Vec<Action> = self.peers.iter().map(|p| self.append_to(p)).collect();
@@ -95,11 +99,11 @@
     fn message(&mut self, from: EntryName, message: Message) -> Vec<Action> {
         match message {
             Message::Forward { command } => self.propose(command),
-            Message::Applied { index } => {
-                self.applied.insert(from, index);
+            Message::Reply(reply) => {
+                self.applied.insert(from, reply.applied_index);
                 Vec::new()
             }
-            Message::Append { entries } => {
+            Message::Append { entries, .. } => {
                 let next = self.log.len() as u64 + 1;
                 let new: Vec<Entry> = entries.into_iter().filter(|e| e.index >= next).collect();
                 if new.first().is_none_or(|e| e.index != next) {
@@ -108,6 +112,12 @@
                 self.log.extend(new.iter().cloned());
                 vec![Action::Apply { entries: new }, self.report()]
             }
+            Message::ForwardChange { .. }
+            | Message::Found { .. }
+            | Message::FoundReply { .. }
+            | Message::Vote(_)
+            | Message::VoteReply { .. }
+            | Message::Chunk { .. } => Vec::new(),
         }
     }
 
@@ -120,17 +130,32 @@
         Action::Send {
             to: peer.clone(),
             message: Message::Append {
+                beat: Beat {
+                    term: 1,
+                    sent_ms: 0,
+                    heard: None,
+                    acked: None,
+                    commit_index: self.log.len() as u64,
+                },
+                prev_index: self.applied_by(peer),
+                prev_term: 1,
                 entries: self.log.iter().skip(from).cloned().collect(),
             },
         }
     }
 
     fn report(&self) -> Action {
+        let index = self.log.len() as u64;
         Action::Send {
             to: self.leader.clone(),
-            message: Message::Applied {
-                index: self.log.len() as u64,
-            },
+            message: Message::Reply(Reply {
+                term: 1,
+                echo_ms: 0,
+                stamp: Stamp { start: 0, at_ms: 0 },
+                incarnation: None,
+                applied_index: index,
+                outcome: ReplyOutcome::Matched { index },
+            }),
         }
     }
 }
--- /dev/null
+++ b/src/consensus/voters.rs
@@ -0,0 +1,83 @@
+//! How the voters change: one at a time, and nobody counts before it caught up.
+//!
+//! With one change at a time any quorum of the old voters meets any of the new.
+//! A change must be committed before the next, and a leader changes nothing
+//! before it has committed an entry of its own term: else two unfinished changes
+//! by two leaders can give two quorums that don't meet, and two leaders.
+//!
+//! Repair is such a change, made by the leader itself: a voter whose data folder
+//! is a new one is counted under the new incarnation as soon as it has caught
+//! up. Until then the lost folder still counts as a voter that is silent, so a
+//! second loss right after finds everything the first one held.
+
+use crate::model::EntryName;
+
+use super::replica::Part;
+use super::{Membership, Replica, VoterChange};
+
+impl Replica {
+    pub(super) fn advance_voters(&mut self, now_ms: u64) {
+        let Part::Leader(leading) = &self.part else {
+            return;
+        };
+        let settled = self.commit_index >= leading.first_index
+            && self.log.membership_index() <= self.commit_index;
+        if !settled {
+            return;
+        }
+        let next = self
+            .next_wanted(now_ms)
+            .or_else(|| self.next_repair(now_ms));
+        if let Some(membership) = next {
+            self.add_entry(Vec::new(), Some(membership));
+        }
+    }
+
+    /// Whether this leader is removed for good.
+    pub(super) fn removed(&self) -> bool {
+        self.log.membership_index() <= self.commit_index && !self.is_voter()
+    }
+
+    /// The first wanted change whose turn it is; drops those that are done or
+    /// can't be.
+    fn next_wanted(&mut self, now_ms: u64) -> Option<Membership> {
+        let membership = self.log.membership().clone();
+        let Part::Leader(leading) = &mut self.part else {
+            return None;
+        };
+        leading.wanted.retain(|change| match change {
+            VoterChange::Add(name) => membership.incarnation(name).is_none(),
+            VoterChange::Remove(name) => {
+                membership.incarnation(name).is_some() && membership.len() > 1
+            }
+        });
+        let wanted = leading.wanted.clone();
+        wanted.iter().find_map(|change| match change {
+            VoterChange::Add(name) => self
+                .caught_up(now_ms, name)
+                .map(|inc| membership.with(name, inc)),
+            VoterChange::Remove(name) => Some(membership.without(name)),
+        })
+    }
+
+    /// The membership with the first lost folder replaced that is made up for.
+    fn next_repair(&self, now_ms: u64) -> Option<Membership> {
+        let membership = self.log.membership();
+        membership.iter().find_map(|(name, old)| {
+            let new = self.caught_up(now_ms, name)?;
+            (new != old).then(|| membership.with(name, new))
+        })
+    }
+
+    /// The incarnation of a peer's data folder, if it is alive and holds all that
+    /// is committed.
+    fn caught_up(&self, now_ms: u64, name: &EntryName) -> Option<u64> {
+        let Part::Leader(leading) = &self.part else {
+            return None;
+        };
+        let peer = leading.peers.get(name)?;
+        let alive_until_ms = peer.echo_ms? + self.settings.election_timeout_ms;
+        let caught_up = now_ms < alive_until_ms && peer.match_index >= self.commit_index;
+        peer.incarnation.filter(|_| caught_up)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod maintenance;
 pub mod model;
 pub mod state;
+//pub mod storage;
