--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -8,7 +8,9 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 
 use crate::config::Settings;
-use crate::entry::{Driver, Listeners};
+use super::Exit;
+use crate::entry::{Driver, DriverSettings, Listeners};
+use crate::logs;
 
 /// What `--help` says.
 pub const HELP: &str = "\
@@ -37,8 +39,9 @@
 ///
 /// # Errors
 /// Wrong settings, or an address that cannot be listened on.
-pub fn run(args: &Args) -> eyre::Result<()> {
+pub fn run(args: &Args) -> eyre::Result<Exit> {
     let conf = Settings::load(&args.settings)?;
+    logs::start(&conf.log);
     let listeners = Listeners {
         callers: listen(&conf.callers)?,
         upstreams: listen(&conf.upstreams)?,
@@ -53,13 +56,14 @@
         "peers": listeners.peers.local_addr()?,
     });
     let mut signals = signal_hook::iterator::Signals::new([SIGINT, SIGTERM])?;
-    let driver = Driver::start(
-        conf.node()?,
+    let driver = Driver::start(DriverSettings {
+        node: conf.node()?,
         listeners,
-        conf.peer_addresses()?,
-        conf.peer_key()?,
-        conf.operator_keys()?,
-    )?;
+        peers: conf.peer_addresses()?,
+        key: conf.peer_key()?,
+        keys: conf.operator_keys()?,
+        disk: None,
+    })?;
     println!("{ready}");
     if signals.forever().next().is_some() {
         tracing::info!("serve: planned stop begins");
@@ -67,7 +71,7 @@
     }
     driver.join();
     tracing::info!("serve: stopped");
-    Ok(())
+    Ok(Exit::Done)
 }
 
 fn listen(address: &str) -> eyre::Result<TcpListener> {
--- a/src/config.rs
+++ b/src/config.rs
@@ -41,6 +41,9 @@
     /// How often an upstream reports.
     #[serde(default = "default_refresh")]
     pub refresh_ms: u64,
+    /// How logs are written.
+    #[serde(default)]
+    pub log: crate::logs::LogSettings,
     #[serde(skip)]
     folder: PathBuf,
 }
@@ -100,6 +103,14 @@
             refresh_ms: self.refresh_ms,
             gossip_ms: 200,
             peer_gone_ms: 2_000,
+            voters: self.members.iter().filter(|m| m.voter).map(|m| m.entry.clone()).collect(),
+            heartbeat_ms: 100,
+            election_timeout_ms: 600,
+            view_lease_ms: 2_000,
+            snapshot_every: 4_096,
+            stop_notice_ms: 500,
+            stop_grace_ms: 20_000,
+            seed: rand::random(),
         })
     }
 
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -62,7 +62,7 @@
     /// Operators' tokens.
     pub keys: OperatorKeys,
     /// The data folder and what it remembers; none for one without a vote.
-    pub disk: Option<(Disk, Recovered)>,
+    pub disk: Option<Recovered>,
 }
 
 /// A running entry instance: the node, its clock and its edges.
@@ -105,6 +105,7 @@
         let links = Links::start(conf, listeners.peers, move |from, frame| {
             sink(Event::Peer { from, frame })
         })?;
+        let recovered = disk.unwrap_or_default();
         let (stop, stopped) = watch::channel(false);
         let servers = [
             ("callers", listeners.callers, callers.handler()),
@@ -124,12 +125,14 @@
             operators,
             outgoing,
             links,
+            health,
+            events: tx.clone(),
             stop,
             http: Some(http),
         };
         let node = std::thread::Builder::new()
             .name("node".into())
-            .spawn(move || run(settings, &rx, edges))?;
+            .spawn(move || run(settings, recovered, &rx, edges))?;
         Ok(Self {
             events: tx,
             node: Some(node),
@@ -156,6 +159,8 @@
     operators: Arc<Operators>,
     outgoing: Outgoing,
     links: Links,
+    health: Arc<HealthBoard>,
+    events: Sender<Event>,
     stop: watch::Sender<bool>,
     http: Option<JoinHandle<()>>,
 }
@@ -168,6 +173,9 @@
             Effect::AnswerAnnounce { id, reply } => self.upstreams.answer(id, reply),
             Effect::AnswerOperator { id, answer } => self.operators.answer(id, answer),
             Effect::Send(sending) => self.outgoing.send(sending),
+            Effect::Persist { token, .. } => drop(self.events.send(Event::Persisted { token })),
+            Effect::Health(health) => self.health.show(health),
+            Effect::CloseCallers => {}
             Effect::Peer { to, frame } => self.links.send(&to, &frame),
             Effect::Stopped => return true,
         }
@@ -196,13 +204,13 @@
     Ok(thread)
 }
 
-fn run(settings: NodeSettings, events: &Receiver<Event>, mut edges: Edges) {
+fn run(settings: NodeSettings, recovered: Recovered, events: &Receiver<Event>, mut edges: Edges) {
     let start = Instant::now();
     let since_ms = || u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX);
     let unix_ms = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
-    let mut node = Node::new(settings, unix_ms, since_ms());
+    let mut node = Node::new(settings, recovered, unix_ms, since_ms());
     let mut next_tick = start;
     loop {
         let wait = next_tick.saturating_duration_since(Instant::now());
--- a/src/entry/node/leader.rs
+++ b/src/entry/node/leader.rs
@@ -1,11 +1,12 @@
 //! What only the leader does: settle entry instances that are gone, give out
 //! patient jobs, and run the controller of the fleet.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::consensus::Role;
 use crate::maintenance::{Controller, ControllerAction, EntryAck, InstanceSeen, Observed};
-use crate::model::EntryName;
+use crate::load::Health;
+use crate::model::{EntryName, InstanceName};
 use crate::state::{Change, JobId};
 
 use super::super::Effect;
@@ -157,8 +158,19 @@
         }
     }
 
+    /// Instances that fail what they are given, as the dispatcher here found.
+    fn sick_upstreams(&self, now_ms: u64) -> BTreeSet<InstanceName> {
+        let status = self.dispatcher.status(now_ms);
+        status
+            .upstreams
+            .into_iter()
+            .filter(|up| matches!(up.health, Health::Ejected { .. }))
+            .map(|up| up.instance)
+            .collect()
+    }
+
     fn observed(&self, now_ms: u64) -> Observed {
-        let sick = self.dispatcher.sick_upstreams();
+        let sick = self.sick_upstreams(now_ms);
         let instances = self
             .directory
             .iter()
--- a/src/entry/node/peers.rs
+++ b/src/entry/node/peers.rs
@@ -69,7 +69,7 @@
         }
         let input = load::Input::PeerLoad {
             peer: from.clone(),
-            in_flight: gossip.in_flight,
+            in_flight: gossip.claimed,
         };
         self.load(now_ms, input, out);
     }
@@ -93,6 +93,7 @@
                 .iter()
                 .map(|(name, count)| (name.clone(), *count))
                 .collect(),
+            claimed: self.dispatcher.in_flight(now_ms),
             applied_index: self.applied_index,
             stopping: self.is_stopping(),
         };
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -37,8 +37,11 @@
 pub struct Gossip {
     /// Reports heard directly, each with its age in milliseconds when sent.
     pub reports: Vec<(UpstreamReport, u64)>,
-    /// Requests in flight from the sender, by instance.
+    /// Attempts in flight from the sender, by instance: what a move or a wave
+    /// waits for.
     pub in_flight: Vec<(InstanceName, u32)>,
+    /// Slots the sender counts as its own, by instance.
+    pub claimed: Vec<(InstanceName, u32)>,
     /// The highest index of the replicated log the sender has applied.
     pub applied_index: u64,
     /// Whether the sender is stopping.
