--- /dev/null
+++ b/src/load/teams.rs
@@ -0,0 +1,87 @@
+//! Weights and quotas of teams.
+//!
+//! Pattern of load: one team sends most of the requests. Its weight bounds its
+//! part of what is contended (see `fair`), its quota what it has in flight even
+//! where nobody else wants the slots. A team at its quota waits in its own queue
+//! and holds up nobody.
+//!
+//! The quota of the row holds for all entry instances together. Callers are
+//! spread evenly over them by the balancer, so each uses an even part; a shared
+//! counter would make every dispatch wait for the others.
+
+use std::collections::BTreeMap;
+
+use crate::model::{Row, RowKey, TeamName};
+
+/// Weight of a team that has no row.
+const WEIGHT_DEFAULT: u32 = 10;
+
+/// Rows and use of the teams.
+#[derive(Debug, Default)]
+pub(super) struct Teams {
+    rows: BTreeMap<TeamName, Row>,
+    in_flight: BTreeMap<TeamName, u32>,
+    entries: u32,
+}
+
+impl Teams {
+    pub(super) fn set_rows(&mut self, rows: &BTreeMap<RowKey, Row>) {
+        self.rows = rows
+            .iter()
+            .filter_map(|(key, row)| match key {
+                RowKey::Team { team } => Some((team.clone(), *row)),
+                RowKey::Service { .. } => None,
+            })
+            .collect();
+    }
+
+    /// Other entry instances that are heard from.
+    pub(super) fn set_peers(&mut self, peers: usize) {
+        self.entries = u32::try_from(peers).unwrap_or(u32::MAX);
+    }
+
+    pub(super) fn weight(&self, team: &TeamName) -> u32 {
+        self.rows.get(team).map_or(WEIGHT_DEFAULT, |r| r.weight)
+    }
+
+    pub(super) fn queue_ms(&self, team: &TeamName) -> Option<u64> {
+        self.rows.get(team).map(|r| r.queue_ms)
+    }
+
+    pub(super) fn is_closed(&self, team: &TeamName) -> bool {
+        self.rows
+            .get(team)
+            .is_some_and(|r| r.weight == 0 || r.limit_in_flight == 0)
+    }
+
+    pub(super) fn has_quota(&self, team: &TeamName) -> bool {
+        self.rows.contains_key(team)
+    }
+
+    /// Whether the team may have one more in flight.
+    pub(super) fn may_run(&self, team: &TeamName) -> bool {
+        let Some(row) = self.rows.get(team) else {
+            return true;
+        };
+        let part = (row.limit_in_flight / (self.entries + 1)).max(1);
+        !self.is_closed(team) && self.in_flight(team) < part
+    }
+
+    pub(super) fn in_flight(&self, team: &TeamName) -> u32 {
+        self.in_flight.get(team).copied().unwrap_or(0)
+    }
+
+    pub(super) fn started(&mut self, team: &TeamName) {
+        *self.in_flight.entry(team.clone()).or_default() += 1;
+    }
+
+    pub(super) fn ended(&mut self, team: &TeamName) {
+        let Some(n) = self.in_flight.get_mut(team) else {
+            return;
+        };
+        *n = n.saturating_sub(1);
+        if *n == 0 {
+            self.in_flight.remove(team);
+        }
+    }
+}
