--- a/src/consensus/election.rs
+++ b/src/consensus/election.rs
@@ -33,7 +33,7 @@
     /// question while the others hear a leader, so its term stays.
     fn campaign(&mut self, now_ms: u64, pre: bool) {
         if !pre {
-            self.enter_term(now_ms, self.hard.term + 1);
+            self.enter_term(now_ms, self.hard.term.saturating_add(1));
             self.hard.voted_for = Some(self.settings.me.clone());
             self.journal.write(Record::Hard(self.hard.clone()));
         }
@@ -42,7 +42,7 @@
             pre,
             granted: BTreeSet::new(),
         };
-        let term = self.hard.term + u64::from(pre);
+        let term = self.hard.term.saturating_add(u64::from(pre));
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
         let voters = self.log.membership().without(&self.settings.me);
         for (name, counted_as) in voters.iter() {
@@ -144,7 +144,7 @@
             return;
         };
         let pre = *pre;
-        if term != self.hard.term + u64::from(pre) {
+        if term != self.hard.term.saturating_add(u64::from(pre)) {
             return;
         }
         granted.insert(from);
--- a/src/consensus/following.rs
+++ b/src/consensus/following.rs
@@ -20,7 +20,7 @@
         }
         let outcome = match self.match_entries(prev, entries) {
             Some(index) => {
-                self.follow_commit(beat, index);
+                self.follow_commit(now_ms, beat, index);
                 ReplyOutcome::Matched { index }
             }
             None => ReplyOutcome::Conflict {
@@ -72,13 +72,17 @@
         if prev_index >= base && self.log.term_at(prev_index) != Some(prev_term) {
             return None;
         }
-        let last = prev_index + entries.len() as u64;
+        let mut last = prev_index;
         for entry in entries {
+            if entry.index != last.saturating_add(1) {
+                return None;
+            }
+            last = entry.index;
             // What is compacted is committed and so the same everywhere.
             if entry.index <= base || self.log.term_at(entry.index) == Some(entry.term) {
                 continue;
             }
-            if entry.index <= self.commit_index || entry.index > self.log.last_index() + 1 {
+            if entry.index <= self.commit_index {
                 return None;
             }
             self.journal.write(Record::Entry(entry.clone()));
@@ -87,14 +91,14 @@
         Some(last.max(base))
     }
 
-    fn follow_commit(&mut self, beat: &Beat, matched: u64) {
+    fn follow_commit(&mut self, now_ms: u64, beat: &Beat, matched: u64) {
         self.commit_index = self.commit_index.max(beat.commit_index.min(matched));
         self.apply();
         // The view counts as confirmed only if it holds all that was committed
         // when the leader sent this.
         let heard = beat.heard.filter(|h| h.start == self.start);
         if let Some(stamp) = heard.filter(|_| beat.commit_index <= matched) {
-            self.confirmed_ms = self.confirmed_ms.max(Some(stamp.at_ms));
+            self.confirmed_ms = self.confirmed_ms.max(Some(stamp.at_ms.min(now_ms)));
         }
     }
 
--- a/src/consensus/leading.rs
+++ b/src/consensus/leading.rs
@@ -159,7 +159,7 @@
         if reply.term < self.hard.term {
             return;
         }
-        peer.heard(reply);
+        peer.heard(now_ms, reply);
         match reply.outcome {
             // Nothing beyond the own log can match; a peer that says so is wrong.
             ReplyOutcome::Matched { index } if index <= last_index => peer.matched(index),
--- a/src/consensus/progress.rs
+++ b/src/consensus/progress.rs
@@ -71,13 +71,13 @@
 
     /// Notes who answered and when. An answer of another data folder voids what
     /// was acknowledged before.
-    pub(super) fn heard(&mut self, reply: &Reply) {
+    pub(super) fn heard(&mut self, now_ms: u64, reply: &Reply) {
         if self.incarnation != reply.incarnation {
             self.incarnation = reply.incarnation;
             self.match_index = 0;
             self.mode = Mode::Probe { waiting: false };
         }
-        self.echo_ms = self.echo_ms.max(Some(reply.echo_ms));
+        self.echo_ms = self.echo_ms.max(Some(reply.echo_ms.min(now_ms)));
         match self.stamp {
             Some(stamp) if stamp.start == reply.stamp.start => {
                 self.applied_index = self.applied_index.max(reply.applied_index);
--- a/src/consensus/snapshots.rs
+++ b/src/consensus/snapshots.rs
@@ -136,7 +136,7 @@
             self.log.compact(snapshot.index);
         } else {
             // Entries after another history's can't be committed ones.
-            let from = snapshot.index + 1;
+            let from = snapshot.index.saturating_add(1);
             if self.log.last_index() >= from {
                 self.journal.write(Record::Truncate { from });
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,4 +11,4 @@
 pub mod maintenance;
 pub mod model;
 pub mod state;
-//pub mod storage;
+pub mod storage;
--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -2,6 +2,7 @@
 #![allow(missing_docs, clippy::unwrap_used)]
 
 mod consensus_world;
+mod naive_disk;
 
 use consensus_world::{ELECTION_MS, LEASE_MS, Net, World};
 use rand::Rng;
@@ -288,10 +289,7 @@
     });
 }
 
-/// A voter that answers before its disk has synced forgets in a crash what it
-/// said. Vote and acknowledgement come out only with the disk's word.
-#[test]
-fn nothing_is_answered_before_it_is_durable() {
+fn replica_b() -> Replica {
     let settings = ReplicaSettings {
         me: name("b"),
         voters: vec![name("a"), name("b"), name("c")],
@@ -306,7 +304,14 @@
         incarnation: Some(7),
         ..Recovered::default()
     };
-    let mut replica = Replica::new(settings, recovered, 0);
+    Replica::new(settings, recovered, 0)
+}
+
+/// A voter that answers before its disk has synced forgets in a crash what it
+/// said. Vote and acknowledgement come out only with the disk's word.
+#[test]
+fn nothing_is_answered_before_it_is_durable() {
+    let mut replica = replica_b();
     let vote = Message::Vote(VoteRequest {
         term: 2,
         pre: false,
@@ -336,6 +341,45 @@
     }
 }
 
+/// A peer of another version, or a fault on the way that no checksum caught, sends
+/// anything at all. The replica may refuse it or be misled about its peer, but
+/// the process must not end.
+#[test]
+fn altered_messages_do_not_end_the_process() {
+    let config = bincode::config::standard().with_limit::<{ 1 << 20 }>();
+    let mut victim = replica_b();
+    let mut world = World::new(9, 3, 0, 1);
+    let mut decoded = 0;
+    for round in 0..20_000u64 {
+        world.step();
+        if round % 100 == 0 {
+            world.propose(&name("a"), b"x");
+        }
+        let Some((from, message)) = world.overheard.pop() else {
+            continue;
+        };
+        let whole = bincode::serde::encode_to_vec(message, config).unwrap();
+        for _ in 0..20 {
+            let mut bytes = whole.clone();
+            let place = world.rng.random_range(0..bytes.len());
+            bytes[place] = world.rng.random();
+            let Ok((message, _)) = bincode::serde::decode_from_slice(&bytes, config) else {
+                continue;
+            };
+            decoded += 1;
+            let from = from.clone();
+            for action in victim.handle(round, Input::Message { from, message }) {
+                if let Action::Persist { token, .. } = action {
+                    victim.handle(round, Input::Persisted { token });
+                }
+            }
+            victim.handle(round, Input::Tick);
+            victim.status(round);
+        }
+    }
+    assert!(decoded > 5_000, "{decoded}");
+}
+
 /// Many commands arrive while the disk is busy. They share the next write, or
 /// the disk's sync time bounds the changes per second.
 #[test]
--- a/tests/consensus_world/mod.rs
+++ b/tests/consensus_world/mod.rs
@@ -3,7 +3,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::sync::Arc;
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -32,6 +31,8 @@
     state: u64,
 }
 
+use crate::naive_disk::replay;
+
 pub struct World {
     pub now_ms: u64,
     pub rng: ChaCha8Rng,
@@ -43,6 +44,8 @@
     pub history: Vec<u64>,
     pub snapshots_sent: u64,
     pub writes: u64,
+    /// The latest message delivered.
+    pub overheard: Vec<(EntryName, Message)>,
     voters: Vec<EntryName>,
     nodes: BTreeMap<EntryName, Node>,
     flying: BTreeMap<(u64, u64), (EntryName, EntryName, Message)>,
@@ -71,6 +74,7 @@
             history: vec![0],
             snapshots_sent: 0,
             writes: 0,
+            overheard: Vec::new(),
             voters: names[..voters].to_vec(),
             nodes: BTreeMap::new(),
             flying: BTreeMap::new(),
@@ -290,6 +294,7 @@
             }
             let (from, to, message) = entry.remove();
             if !self.cut.contains(&(from.clone(), to.clone())) {
+                self.overheard = vec![(from.clone(), message.clone())];
                 self.input(&to, Input::Message { from, message });
             }
         }
@@ -359,23 +364,6 @@
     }
 }
 
-/// The naive data folder: what the records say, one by one.
-fn replay(disk: &mut Recovered, record: &Record) {
-    match record {
-        Record::Hard(hard) => disk.hard = hard.clone(),
-        Record::Entry(entry) => {
-            disk.entries.retain(|e| e.index < entry.index);
-            disk.entries.push(entry.clone());
-        }
-        Record::Truncate { from } => disk.entries.retain(|e| e.index < *from),
-        Record::Snapshot(snapshot) => {
-            disk.entries.retain(|e| e.index > snapshot.index);
-            disk.snapshot = Some(Arc::clone(snapshot));
-        }
-        Record::Identity { incarnation } => disk.incarnation = Some(*incarnation),
-    }
-}
-
 pub fn entry(index: u64, term: u64, command: &[u8]) -> Entry {
     Entry {
         index,
