Test the stand-ins: upstream, proxy, account

Cause found by the proxy's test: a reset link still ended its streams in good order first (the write half's drop sends FIN), so that a reset looked like a whole answer. Before: read gave Ok(0); after: ConnectionReset.

--- a/src/cmd/upstream.rs
+++ b/src/cmd/upstream.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io::{self, Write};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread;
@@ -65,6 +66,12 @@
     /// Connections at once when there is no file.
     #[arg(long, default_value_t = 64)]
     connections: u32,
+    /// Address to listen on, for a single instance; by default any free port.
+    #[arg(long, value_name = "ADDR")]
+    listen: Option<SocketAddr>,
+    /// Address to announce, for a single instance behind a proxy.
+    #[arg(long, value_name = "ADDR")]
+    advertise: Option<SocketAddr>,
     /// Upstream addresses of a zone's entry instances.
     #[arg(long, value_name = "ZONE=ADDR,ADDR", value_parser = pair)]
     entries: Vec<(String, String)>,
@@ -171,6 +178,8 @@
         accelerators: 0,
         slots: args.slots,
         connections: args.connections,
+        listen: args.listen.filter(|_| args.count == 1),
+        advertise: args.advertise.filter(|_| args.count == 1),
     }
 }
 
--- a/src/proxy/link.rs
+++ b/src/proxy/link.rs
@@ -179,12 +179,10 @@
     };
     let _ = near.set_nodelay(true);
     let _ = far.set_nodelay(true);
-    let (near_rd, near_wr) = near.into_split();
-    let (far_rd, far_wr) = far.into_split();
+    let (mut near_rd, mut near_wr) = near.into_split();
+    let (mut far_rd, mut far_wr) = far.into_split();
     let forward = Gate::forward(passing.clone(), number);
     let backward = Gate::backward(passing, number);
-    // Shared ends, so that a reset reaches both sockets from either direction.
-    let (mut near_rd, mut near_wr, mut far_rd, mut far_wr) = (near_rd, near_wr, far_rd, far_wr);
     let whole = tokio::select! {
         _ = plan.wait_for(|plan| plan.reset_below > number) => false,
         both = async {
@@ -197,6 +195,10 @@
     if !whole {
         reset(near_rd.as_ref());
         reset(far_rd.as_ref());
+        // Dropped, the write halves would end the streams in good order first,
+        // and the peer would take what it has got for the whole.
+        near_wr.forget();
+        far_wr.forget();
     }
 }
 
--- a/src/upstream/host.rs
+++ b/src/upstream/host.rs
@@ -103,12 +103,15 @@
         self.members.iter().map(one).collect()
     }
 
-    /// Binds a new port: connections to the old one belong to an incarnation
-    /// that is gone, and must not reach the new one.
+    /// Binds a new port, unless one is set.
     async fn bind(&self, member: &Member) -> io::Result<TcpListener> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?.to_string();
-        member.worker().set_address(address);
+        let spec = member.worker().spec().clone();
+        let listener = match spec.listen {
+            Some(address) => TcpListener::bind(address).await?,
+            None => TcpListener::bind("127.0.0.1:0").await?,
+        };
+        let address = spec.advertise.map_or_else(|| listener.local_addr(), Ok)?;
+        member.worker().set_address(address.to_string());
         Ok(listener)
     }
 }
--- a/src/upstream/spec.rs
+++ b/src/upstream/spec.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::path::Path;
 
 use serde::Deserialize;
@@ -28,6 +29,12 @@
     pub slots: u32,
     /// Connections at once.
     pub connections: u32,
+    /// Address to listen on in every incarnation; a new port each if none.
+    #[serde(default)]
+    pub listen: Option<SocketAddr>,
+    /// Address to announce, where a proxy stands in front of it.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
 }
 
 impl Spec {
--- /dev/null
+++ b/tests/load_tool.rs
@@ -0,0 +1,241 @@
+//! The load tool: the account finds each kind of violation and nothing else.
+#![allow(missing_docs, clippy::unwrap_used)]
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::sync::Mutex;
+
+use rosemarygauge::account::{Account, Answer, Ledger, Mix, Plan, Planned, Proof, Sent};
+use rosemarygauge::model::Class;
+use rosemarygauge::upstream::{RunEnd, RunRecord};
+use support::{FakeEntry, command, free_address, read_report, reply};
+
+fn mix() -> Mix {
+    Mix {
+        services: vec![
+            "check:urgent:3".parse().unwrap(),
+            "audit:patient:1".parse().unwrap(),
+        ],
+        teams: vec!["a:9:2".parse().unwrap(), "b:1".parse().unwrap()],
+        not_idempotent_percent: 50,
+        twin_percent: 10,
+        cancel_percent: 10,
+        cancel_after_ms: 5,
+        body_bytes: 100,
+    }
+}
+
+fn planned(class: Class, idempotent: bool) -> Planned {
+    Plan::new(mix(), 1_000.0, 10_000, "x", 1)
+        .find(|planned| planned.class == class && planned.idempotent == idempotent)
+        .unwrap()
+}
+
+fn done(echo: &str) -> Answer {
+    let proof = Proof {
+        echo: echo.to_owned(),
+        key: None,
+        instance: "w".to_owned(),
+        run: 0,
+    };
+    Answer::Done {
+        status: 200,
+        proof: Some(proof),
+    }
+}
+
+fn not_run() -> Answer {
+    Answer::NotRun {
+        reason: "queue-full".to_owned(),
+        come_back: true,
+    }
+}
+
+fn ran(fence: Option<u64>, end: RunEnd) -> RunRecord {
+    RunRecord {
+        run: 0,
+        instance: "w".to_owned(),
+        incarnation: 1,
+        request: "r".to_owned(),
+        attempt: 1,
+        service: "s".to_owned(),
+        pool: "p".to_owned(),
+        pool_epoch: 1,
+        key: None,
+        idempotent: false,
+        fence,
+        body_sha256: "mine".to_owned(),
+        started_ms: 0,
+        ended_ms: None,
+        end,
+    }
+}
+
+/// The account of one request, as the names of its violations.
+fn violations(
+    (class, idempotent, tries): (Class, bool, u32),
+    answers: &[Answer],
+    runs: &[RunRecord],
+) -> Vec<&'static str> {
+    let mut ledger = Ledger::default();
+    ledger.open(0, Sent::new(&planned(class, idempotent), "mine".to_owned()));
+    for n in 0..tries {
+        ledger.send(0, n > 0);
+    }
+    for answer in answers {
+        ledger.answer(0, answer.clone());
+    }
+    let account = Account::draw(&ledger, Some(runs));
+    let counts = [
+        ("lost", account.lost),
+        ("doubled", account.doubled),
+        ("mixed up", account.mixed_up),
+        ("not whole", account.not_whole),
+        ("not run but ran", account.not_run_but_ran),
+        ("done without run", account.done_without_run),
+    ];
+    let found: Vec<_> = counts
+        .iter()
+        .filter(|(_, n)| *n > 0)
+        .map(|(name, _)| *name)
+        .collect();
+    assert_eq!(account.is_clean(), found.is_empty());
+    found
+}
+
+#[test]
+fn the_account_finds_each_violation() {
+    let once = (Class::Urgent, false, 1);
+    let again = (Class::Urgent, true, 2);
+    let job = (Class::Patient, false, 1);
+    let finished = || ran(None, RunEnd::Finished);
+    let whole = done("mine");
+    let accepted = Answer::Accepted {
+        location: "/job/1".to_owned(),
+    };
+    let cut = Answer::Done {
+        status: 200,
+        proof: None,
+    };
+
+    assert!(violations(once, std::slice::from_ref(&whole), &[finished()]).is_empty());
+    assert!(violations(once, &[Answer::Unknown], &[]).is_empty());
+    assert!(violations(once, &[not_run()], &[]).is_empty());
+    assert!(violations(again, &[Answer::CutOff, not_run()], &[finished()]).is_empty());
+    assert!(
+        violations(
+            again,
+            std::slice::from_ref(&whole),
+            &[finished(), finished()]
+        )
+        .is_empty()
+    );
+    let attempts = [
+        ran(Some(1), RunEnd::Abandoned),
+        ran(Some(2), RunEnd::Finished),
+    ];
+    assert!(violations(job, &[accepted.clone(), whole.clone()], &attempts).is_empty());
+
+    assert_eq!(violations(once, &[Answer::CutOff], &[finished()]), ["lost"]);
+    assert_eq!(violations(job, &[accepted], &[finished()]), ["lost"]);
+    assert_eq!(
+        violations(
+            once,
+            std::slice::from_ref(&whole),
+            &[finished(), finished()]
+        ),
+        ["doubled"]
+    );
+    assert_eq!(
+        violations(once, &[Answer::Unknown], &[finished(), finished()]),
+        ["doubled"]
+    );
+    let refenced = [
+        ran(Some(1), RunEnd::Finished),
+        ran(Some(1), RunEnd::Running),
+    ];
+    assert_eq!(
+        violations(job, std::slice::from_ref(&whole), &refenced),
+        ["doubled"]
+    );
+    assert_eq!(
+        violations(once, &[done("other")], &[finished()]),
+        ["mixed up"]
+    );
+    assert_eq!(violations(once, &[cut], &[finished()]), ["not whole"]);
+    assert_eq!(
+        violations(once, &[not_run()], &[ran(None, RunEnd::Running)]),
+        ["not run but ran"]
+    );
+    assert_eq!(violations(once, &[whole], &[]), ["done without run"]);
+}
+
+#[test]
+fn the_same_seed_plans_the_same_requests_in_the_shares_asked_for() {
+    for seed in 0..20 {
+        let plan = || Plan::new(mix(), 1_000.0, 4_000, "x", seed).collect::<Vec<_>>();
+        let planned = plan();
+        assert_eq!(planned, plan());
+        assert!(planned.is_sorted_by_key(|p| p.due_us));
+        let n = planned.len() as f64;
+        assert!((3_700.0..4_300.0).contains(&n), "{n}");
+        let share =
+            |pred: &dyn Fn(&Planned) -> bool| planned.iter().filter(|p| pred(p)).count() as f64 / n;
+        assert!((0.7..0.8).contains(&share(&|p| p.service == "check")));
+        assert!((0.85..0.95).contains(&share(&|p| p.team == "a")));
+        assert!((0.45..0.55).contains(&share(&|p| p.idempotent)));
+        assert!(planned.iter().all(|p| p.idempotent || p.key.is_some()));
+    }
+}
+
+// Three entry instances: one refuses connections, one drops each key's first call
+// unanswered, and both others answer with another request's proof. The caller is
+// passed on by the first, sends the same key again after the second, and the
+// account names what the third did; the exit code says so.
+#[test]
+fn a_lying_entry_is_found_out() {
+    let proof = r#"{"echo":"not yours","key":null,"instance":"w","run":1}"#;
+    let lie = || Some(reply(200, "rg-outcome: done\r\n", proof));
+    let lying = FakeEntry::start(move |_| lie());
+    let seen = Mutex::new(BTreeSet::new());
+    let dropping = FakeEntry::start(move |request| {
+        let key = request.header("rg-key").unwrap().to_owned();
+        let is_first = seen.lock().unwrap().insert(key);
+        if is_first { None } else { lie() }
+    });
+    let entries = [free_address(), dropping.address, lying.address].map(|a| a.to_string());
+    let mut load = command(&[
+        "load",
+        "--json",
+        "--service",
+        "check",
+        "--not-idempotent",
+        "100",
+    ]);
+    load.args(["--rate", "100", "--duration-ms", "500", "--resend", "5"]);
+    for entry in &entries {
+        load.args(["--entry", entry]);
+    }
+    let output = load.output().unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    let report = read_report(&output);
+    let account = &report["account"];
+    let sent = account["sent"].as_u64().unwrap();
+    assert_eq!(
+        (&account["mixed_up"], &account["lost"]),
+        (&sent.into(), &0.into())
+    );
+    assert!(account["refused_connections"].as_u64() > Some(0));
+    assert!(account["cut_off"].as_u64() > Some(0));
+    assert_eq!(account["resent"], account["cut_off"]);
+    for dropped in dropping.seen() {
+        let key = dropped.header("rg-key").unwrap();
+        let calls = [dropping.seen(), lying.seen()].concat();
+        let same = calls
+            .iter()
+            .filter(|call| call.header("rg-key") == Some(key));
+        let bodies: Vec<_> = same.map(|call| &call.body).collect();
+        assert_eq!(bodies, [&dropped.body, &dropped.body]);
+    }
+}
--- /dev/null
+++ b/tests/support/system.rs
@@ -0,0 +1,227 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Output;
+
+use rosemarygauge::proxy::{Hub, Link, LinkFaults};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+use super::process::command;
+use super::{Process, agent, free_address, until};
+
+const TOKEN: &str = "token-of-the-tests";
+
+/// The entry instances of some availability zones as real processes; every link
+/// from one to another passes through a proxy.
+pub struct System {
+    pub entries: Vec<Entry>,
+    /// By the numbers of sender and receiver.
+    links: BTreeMap<(usize, usize), Link>,
+    pub hub: Hub,
+    folder: TempDir,
+}
+
+/// One entry instance.
+pub struct Entry {
+    pub name: String,
+    pub zone: String,
+    pub callers: SocketAddr,
+    pub upstreams: SocketAddr,
+    pub operators: SocketAddr,
+    peers: SocketAddr,
+    settings: PathBuf,
+    pub process: Option<Process>,
+}
+
+impl System {
+    /// Starts `per_zone` entry instances in each of the zones z1, z2 and z3; the
+    /// first of each zone votes. Returns when a leader is known to all.
+    pub fn start(per_zone: usize) -> Self {
+        let mut system = Self::prepare(per_zone);
+        for i in 0..system.entries.len() {
+            system.restart(i);
+        }
+        until(10_000, "every entry instance knows a leader", || {
+            (0..system.entries.len()).all(|i| !system.status(i)["log"]["leader"].is_null())
+        });
+        system
+    }
+
+    fn prepare(per_zone: usize) -> Self {
+        let hub = Hub::start().unwrap();
+        let folder = tempfile::tempdir().unwrap();
+        std::fs::write(folder.path().join("peer.key"), "0123456789abcdef").unwrap();
+        let tokens = json!({ "tester": TOKEN }).to_string();
+        std::fs::write(folder.path().join("operators.json"), tokens).unwrap();
+        let entries: Vec<_> = (1..=3)
+            .flat_map(|zone| (0..per_zone).map(move |n| (zone, n)))
+            .map(|(zone, n)| {
+                let name = format!("z{zone}-{}", (b'a' + n as u8) as char);
+                Entry {
+                    zone: format!("z{zone}"),
+                    callers: free_address(),
+                    upstreams: free_address(),
+                    operators: free_address(),
+                    peers: free_address(),
+                    settings: folder.path().join(format!("{name}.json")),
+                    name,
+                    process: None,
+                }
+            })
+            .collect();
+        let mut links = BTreeMap::new();
+        for from in 0..entries.len() {
+            for to in (0..entries.len()).filter(|to| *to != from) {
+                let link = hub.link(free_address(), entries[to].peers).unwrap();
+                links.insert((from, to), link);
+            }
+        }
+        let system = Self {
+            entries,
+            links,
+            hub,
+            folder,
+        };
+        for i in 0..system.entries.len() {
+            system.write_settings(i);
+        }
+        system
+    }
+
+    fn write_settings(&self, i: usize) {
+        let me = &self.entries[i];
+        let member = |(n, entry): (usize, &Entry)| {
+            let peers = self.links.get(&(i, n)).map_or(me.peers, Link::address);
+            let voter = entry.name.ends_with('a');
+            json!({ "entry": entry.name, "zone": entry.zone, "peers": peers, "voter": voter })
+        };
+        let members: Vec<_> = self.entries.iter().enumerate().map(member).collect();
+        let settings = json!({
+            "entry": me.name, "zone": me.zone,
+            "callers": me.callers, "upstreams": me.upstreams,
+            "operators": me.operators, "peers": me.peers,
+            "members": members,
+            "peer_key_file": "peer.key", "operator_keys_file": "operators.json",
+        });
+        std::fs::write(&me.settings, settings.to_string()).unwrap();
+    }
+
+    /// Starts an entry instance, again if it ran before.
+    pub fn restart(&mut self, i: usize) {
+        let entry = &mut self.entries[i];
+        entry.process = None;
+        let settings = entry.settings.to_str().unwrap();
+        entry.process = Some(Process::start(&["serve", "--settings", settings]));
+    }
+
+    pub fn process(&mut self, i: usize) -> &mut Process {
+        self.entries[i].process.as_mut().unwrap()
+    }
+
+    /// Sets the faults of all links between a set of entry instances and the rest.
+    pub fn cut_off(&self, cut: &[usize], faults: &LinkFaults) {
+        for ((from, to), link) in &self.links {
+            if cut.contains(from) != cut.contains(to) {
+                link.set(faults.clone());
+            }
+        }
+    }
+
+    pub fn link(&self, from: usize, to: usize) -> &Link {
+        &self.links[&(from, to)]
+    }
+
+    pub fn status(&self, i: usize) -> Value {
+        self.get(i, "status")
+    }
+
+    pub fn get(&self, i: usize, path: &str) -> Value {
+        let url = format!("http://{}/{path}", self.entries[i].operators);
+        let reply = agent(2_000)
+            .get(url)
+            .header("authorization", format!("Bearer {TOKEN}"))
+            .call();
+        reply.map_or(Value::Null, |mut reply| {
+            reply.body_mut().read_json().unwrap_or(Value::Null)
+        })
+    }
+
+    /// Sends a change; status and body of the answer.
+    pub fn put(&self, i: usize, path: &str, change: &str, body: &Value) -> (u16, String) {
+        let url = format!("http://{}/{path}", self.entries[i].operators);
+        let mut reply = agent(8_000)
+            .put(url)
+            .header("authorization", format!("Bearer {TOKEN}"))
+            .header("rg-change-id", change)
+            .send_json(body)
+            .unwrap();
+        let text = reply.body_mut().read_to_string().unwrap();
+        (reply.status().as_u16(), text)
+    }
+
+    /// Creates pool `p` with the urgent service `check` and the patient service
+    /// `archive`, and waits until every entry instance carries it.
+    pub fn put_pool(&self, min_available: u32) {
+        let service = |name: &str, class: &str| {
+            let demand = json!({ "cores": 1, "memory_mib": 64, "accelerators": 0, "run_ms": 20 });
+            json!({ "name": name, "class": class, "demand": demand })
+        };
+        let pool = json!({
+            "name": "p",
+            "budget": { "min_available": min_available, "survive": "none" },
+            "services": [service("check", "urgent"), service("archive", "patient")],
+        });
+        let (status, text) = self.put(0, "pool", "create-p", &pool);
+        assert_eq!(status, 200, "{text}");
+    }
+
+    /// Addresses at which the upstreams of a zone announce themselves.
+    pub fn announce_to(&self, zone: &str) -> String {
+        let addresses: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|entry| entry.zone == zone)
+            .map(|entry| entry.upstreams.to_string())
+            .collect();
+        format!("{zone}={}", addresses.join(","))
+    }
+
+    /// Waits until every entry instance knows so many upstreams and instances.
+    pub fn await_upstreams(&self, count: usize) {
+        until(10_000, "every entry instance knows the upstreams", || {
+            (0..self.entries.len()).all(|i| {
+                let status = self.status(i);
+                status["upstreams"] == count && status["instances"] == count
+            })
+        });
+    }
+
+    /// Runs `load` against all entry instances and returns its report.
+    pub fn load(&self, controls: &[&str], args: &[&str]) -> Value {
+        let output = self.load_process(controls, args).wait_with_output();
+        read_report(&output.unwrap())
+    }
+
+    /// Starts `load` against all entry instances.
+    pub fn load_process(&self, controls: &[&str], args: &[&str]) -> std::process::Child {
+        let mut command = command(&["load", "--json"]);
+        for entry in &self.entries {
+            command.arg("--entry").arg(entry.callers.to_string());
+        }
+        for control in controls {
+            command.args(["--upstream-control", control]);
+        }
+        command.args(args);
+        command
+            .stdout(std::process::Stdio::piped())
+            .spawn()
+            .unwrap()
+    }
+}
+
+/// The report that `load --json` printed.
+pub fn read_report(output: &Output) -> Value {
+    serde_json::from_slice(&output.stdout)
+        .unwrap_or_else(|e| panic!("load printed no report ({e}): {output:?}"))
+}
