--- /dev/null
+++ b/src/config/whole.rs
@@ -0,0 +1,166 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use crate::model::{EntryName, ZoneName};
+
+use super::{Member, SettingError, SettingFault};
+
+/// What could be read of the settings, so that a wrong field does not hide what
+/// is wrong with the rest.
+pub(super) struct Draft<'a> {
+    /// This entry instance.
+    pub entry: Option<&'a EntryName>,
+    /// Its availability zone.
+    pub zone: Option<&'a ZoneName>,
+    /// Its addresses by field.
+    pub addresses: [(&'static str, Option<SocketAddr>); 4],
+    /// Whether there is a data folder.
+    pub has_folder: bool,
+    /// The members that could be read.
+    pub members: &'a [Member],
+    /// Whether that is all of them.
+    pub all_members: bool,
+    /// Pairs of a time, how many of another must fit, and the other.
+    pub times: [(Time, u64, Time); 3],
+}
+
+/// A time by its field, in milliseconds.
+pub(super) type Time = (&'static str, u64);
+
+/// Checks that need more than one field.
+pub(super) fn check(draft: &Draft<'_>, errors: &mut Vec<SettingError>) {
+    let mut wrong = |field: &str, fault| errors.push(SettingError::new(field, fault));
+    names(draft, &mut wrong);
+    own_line(draft, &mut wrong);
+    addresses(draft, &mut wrong);
+    if draft.all_members {
+        voters(draft.members, &mut wrong);
+    }
+    times(draft, &mut wrong);
+}
+
+fn names(conf: &Draft<'_>, wrong: &mut impl FnMut(&str, SettingFault)) {
+    let mut names = BTreeSet::new();
+    for (n, member) in conf.members.iter().enumerate() {
+        if !names.insert(&member.entry) {
+            let fault = SettingFault::DuplicateName(member.entry.to_string());
+            wrong(&format!("members[{n}].entry"), fault);
+        }
+    }
+    let zone = conf.zone.filter(|_| conf.all_members);
+    if let Some(zone) = zone.filter(|z| !conf.members.iter().any(|m| m.zone == **z)) {
+        wrong("zone", SettingFault::ZoneWithoutEntry(zone.to_string()));
+    }
+}
+
+/// Compares the settings with this entry instance's line among the members.
+fn own_line(conf: &Draft<'_>, wrong: &mut impl FnMut(&str, SettingFault)) {
+    let Some(entry) = conf.entry else { return };
+    let Some(own) = conf.members.iter().find(|m| m.entry == *entry) else {
+        if conf.all_members {
+            wrong("entry", SettingFault::NotAMember(entry.to_string()));
+        }
+        return;
+    };
+    // Peers would send to one place while this process listens at another.
+    let peers = conf.addresses.iter().find(|(field, _)| *field == "peers");
+    let peers = peers.and_then(|(_, address)| address.as_ref());
+    let pairs = [
+        (
+            "zone",
+            own.zone.to_string(),
+            conf.zone.map(ToString::to_string),
+        ),
+        (
+            "peers",
+            own.peers.to_string(),
+            peers.map(ToString::to_string),
+        ),
+    ];
+    for (field, theirs, ours) in pairs {
+        if let Some(ours) = ours.filter(|ours| *ours != theirs) {
+            let entry = entry.to_string();
+            wrong(
+                field,
+                SettingFault::MemberDiffers {
+                    entry,
+                    theirs,
+                    ours,
+                },
+            );
+        }
+    }
+    match (own.voter, conf.has_folder) {
+        // A voter that forgets its vote in a restart can elect two leaders.
+        (true, false) => wrong("data_folder", SettingFault::VoterWithoutFolder),
+        (false, true) => wrong("data_folder", SettingFault::FolderWithoutVote),
+        _ => {}
+    }
+}
+
+fn addresses(conf: &Draft<'_>, wrong: &mut impl FnMut(&str, SettingFault)) {
+    let own = conf.addresses.iter();
+    let own = own.filter_map(|(field, address)| Some(((*field).to_owned(), (*address)?)));
+    let others = conf
+        .members
+        .iter()
+        .filter(|m| Some(&m.entry) != conf.entry)
+        .map(|m| (format!("members, {}, peers", m.entry), m.peers));
+    let mut seen: BTreeMap<SocketAddr, String> = BTreeMap::new();
+    // Port 0 asks for any free port.
+    for (field, address) in own.chain(others).filter(|(_, a)| a.port() != 0) {
+        match seen.get(&address) {
+            Some(other) => {
+                let fault = SettingFault::DuplicateAddress {
+                    address: address.to_string(),
+                    other: other.clone(),
+                };
+                wrong(&field, fault);
+            }
+            None => {
+                seen.insert(address, field);
+            }
+        }
+    }
+}
+
+fn voters(members: &[Member], wrong: &mut impl FnMut(&str, SettingFault)) {
+    let voters = members.iter().filter(|m| m.voter).count();
+    // Two voters stop when either is lost, four when two are: the even one adds
+    // a machine that may fail and no failure that is survived.
+    let alone = members.len() == 1 && voters == 1;
+    if !alone && voters != 3 && voters != 5 {
+        let members = members.len();
+        wrong("members", SettingFault::Voters { voters, members });
+        return;
+    }
+    let zones: BTreeSet<_> = members.iter().map(|m| &m.zone).collect();
+    if zones.len() < 3 {
+        return;
+    }
+    for zone in zones {
+        let here = members
+            .iter()
+            .filter(|m| m.voter && m.zone == *zone)
+            .count();
+        if here * 2 > voters {
+            wrong("members", SettingFault::VotersInOneZone(zone.to_string()));
+        }
+    }
+}
+
+fn times(conf: &Draft<'_>, wrong: &mut impl FnMut(&str, SettingFault)) {
+    for ((field, value), times, (other, part)) in conf.times {
+        let least = part.saturating_mul(times);
+        if value < least {
+            let other = other.to_owned();
+            let fault = SettingFault::TooShort {
+                value,
+                least,
+                times,
+                other,
+            };
+            wrong(field, fault);
+        }
+    }
+}
