--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -3,8 +3,8 @@
 use std::path::PathBuf;
 
 use clap::Args as ClapArgs;
-use eyre::bail;
 
+use super::Exit;
 use crate::config::Settings;
 
 /// What `--help` says.
@@ -32,17 +32,18 @@
 ///
 /// # Errors
 /// Some setting is wrong.
-pub fn run(args: &Args) -> eyre::Result<()> {
+pub fn run(args: &Args) -> eyre::Result<Exit> {
     match Settings::load(&args.settings) {
         Ok(conf) => {
             println!("{}", summary(&conf));
-            Ok(())
+            Ok(Exit::Done)
         }
         Err(errors) => {
             for err in &errors {
                 eprintln!("{err}");
             }
-            bail!("{}: {}", args.settings.display(), count(errors.len()))
+            eprintln!("{}: {}", args.settings.display(), count(errors.len()));
+            Ok(Exit::Faults)
         }
     }
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, one file each.
 
+pub mod check;
 pub mod client;
 pub mod drain;
 mod exit;
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -15,6 +15,7 @@
 };
 use crate::link::{LinkError, Links, LinksConfig, PeerKey};
 use crate::model::EntryName;
+use crate::storage::{self, Disk, StorageError};
 
 /// How often time is fed to the node. Fine enough for queue waits and election
 /// timeouts, coarse enough to cost a fraction of a percent of a core.
@@ -22,7 +23,7 @@
 /// Events taken in one go before time is looked at again.
 const BATCH: usize = 256;
 
-/// What can go wrong when an entry instance is set up.
+/// What can go wrong with an entry instance as a whole.
 #[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
 pub enum DriverError {
     /// A thread or listener cannot be set up.
@@ -34,6 +35,14 @@
     /// Outgoing requests cannot be set up.
     #[display("{_0}")]
     Outgoing(OutgoingError),
+    /// The data folder cannot be used any more; what was not synced was not
+    /// answered.
+    #[display("{_0}")]
+    Storage(StorageError),
+    /// The node's thread ended by a panic.
+    #[display("the node ended by a fault of its own")]
+    #[from(skip)]
+    Panicked,
 }
 
 /// Where an entry instance listens.
@@ -62,13 +71,30 @@
     /// Operators' tokens.
     pub keys: OperatorKeys,
     /// The data folder and what it remembers; none for one without a vote.
-    pub disk: Option<Recovered>,
+    pub disk: Option<(Disk, Recovered)>,
+}
+
+/// What reaches the node's thread.
+enum Input {
+    Event(Event),
+    DiskFailed(StorageError),
 }
 
 /// A running entry instance: the node, its clock and its edges.
 pub struct Driver {
-    events: Sender<Event>,
-    node: Option<JoinHandle<()>>,
+    inputs: Sender<Input>,
+    node: JoinHandle<Result<(), DriverError>>,
+}
+
+/// Asks a running entry instance for a planned stop.
+pub struct Stopper(Sender<Input>);
+
+impl Stopper {
+    /// Begins a planned stop: nothing new is taken, what is in flight ends.
+    pub fn stop(&self) {
+        // The node has ended already if nobody takes the event.
+        let _ = self.0.send(Input::Event(Event::Stop));
+    }
 }
 
 impl Driver {
@@ -76,49 +102,47 @@
     ///
     /// # Errors
     /// A listener or thread cannot be set up.
-    pub fn start(
-        settings: DriverSettings,
-    ) -> Result<Self, DriverError> {
-        let DriverSettings {
-            node: settings,
-            listeners,
-            peers,
-            key,
-            keys,
-            disk,
-        } = settings;
+    pub fn start(settings: DriverSettings) -> Result<Self, DriverError> {
         let (tx, rx) = channel();
+        let (disk, recovered) = match settings.disk {
+            Some((disk, recovered)) => (Some(start_disk(disk, tx.clone())?), recovered),
+            None => (None, Recovered::default()),
+        };
         let sink = {
             let tx = tx.clone();
-            Arc::new(move |event| tx.send(event).is_ok())
+            Arc::new(move |event| tx.send(Input::Event(event)).is_ok())
         };
+        let node = settings.node;
+        let listeners = settings.listeners;
         let health = Arc::new(HealthBoard::default());
         let callers = Callers::new(sink.clone(), Arc::clone(&health));
         let upstreams = Upstreams::new(sink.clone());
-        let operators = Operators::new(sink.clone(), keys, Arc::clone(&health));
-        let outgoing = Outgoing::new(&settings.me, settings.incarnation, sink.clone())?;
+        let operators = Operators::new(sink.clone(), settings.keys, Arc::clone(&health));
+        let outgoing = Outgoing::new(&node.me, node.incarnation, sink.clone())?;
         let conf = LinksConfig {
-            me: settings.me.clone(),
-            key,
-            peers,
+            me: node.me.clone(),
+            key: settings.key,
+            peers: settings.peers,
         };
         let links = Links::start(conf, listeners.peers, move |from, frame| {
             sink(Event::Peer { from, frame })
         })?;
-        let recovered = disk.unwrap_or_default();
-        let (stop, stopped) = watch::channel(false);
-        let servers = [
-            ("callers", listeners.callers, callers.handler()),
-            ("upstreams", listeners.upstreams, upstreams.handler()),
-            ("operators", listeners.operators, operators.handler()),
-        ]
-        .map(|(name, listener, handler)| HttpServer {
-            name,
-            listener,
-            limits: Limits::default(),
-            handler,
-        });
-        let http = serve_http(servers, stopped)?;
+        let (stop_callers, callers_stopped) = watch::channel(false);
+        let (stop_all, all_stopped) = watch::channel(false);
+        let http = serve_http(vec![
+            (
+                server("callers", listeners.callers, callers.handler()),
+                callers_stopped,
+            ),
+            (
+                server("upstreams", listeners.upstreams, upstreams.handler()),
+                all_stopped.clone(),
+            ),
+            (
+                server("operators", listeners.operators, operators.handler()),
+                all_stopped,
+            ),
+        ])?;
         let edges = Edges {
             callers,
             upstreams,
@@ -126,33 +150,73 @@
             outgoing,
             links,
             health,
-            events: tx.clone(),
-            stop,
+            disk,
+            stop_callers,
+            stop_all,
             http: Some(http),
         };
         let node = std::thread::Builder::new()
             .name("node".into())
-            .spawn(move || run(settings, recovered, &rx, edges))?;
-        Ok(Self {
-            events: tx,
-            node: Some(node),
-        })
+            .spawn(move || run(node, recovered, &rx, edges))?;
+        Ok(Self { inputs: tx, node })
     }
 
-    /// Begins a planned stop: nothing new is taken, what is in flight ends.
-    pub fn stop(&self) {
-        // The node has ended already if nobody takes the event.
-        let _ = self.events.send(Event::Stop);
+    /// What asks for a planned stop.
+    pub fn stopper(&self) -> Stopper {
+        Stopper(self.inputs.clone())
     }
 
-    /// Waits for the end of a planned stop.
-    pub fn join(mut self) {
-        if let Some(node) = self.node.take() {
-            let _ = node.join();
-        }
+    /// Waits for the end of the entry instance.
+    ///
+    /// # Errors
+    /// It ended without being asked to: its data folder failed.
+    pub fn join(self) -> Result<(), DriverError> {
+        self.node.join().map_err(|_| DriverError::Panicked)?
     }
 }
 
+fn start_disk(disk: Disk, inputs: Sender<Input>) -> Result<Sender<storage::Job>, DriverError> {
+    let (tx, rx) = channel();
+    storage::spawn(disk, rx, move |synced| {
+        let input = match synced {
+            Ok(token) => Input::Event(Event::Persisted { token }),
+            Err(err) => Input::DiskFailed(err),
+        };
+        // The node has ended if nobody takes it.
+        let _ = inputs.send(input);
+    })?;
+    Ok(tx)
+}
+
+fn server(name: &'static str, listener: TcpListener, handler: crate::http::Handler) -> HttpServer {
+    HttpServer {
+        name,
+        listener,
+        limits: Limits::default(),
+        handler,
+    }
+}
+
+fn serve_http(
+    servers: Vec<(HttpServer, watch::Receiver<bool>)>,
+) -> Result<JoinHandle<()>, DriverError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let thread = std::thread::Builder::new()
+        .name("http".into())
+        .spawn(move || {
+            runtime.block_on(async move {
+                let mut open = tokio::task::JoinSet::new();
+                for (server, stop) in servers {
+                    open.spawn(server.run(stop));
+                }
+                while open.join_next().await.is_some() {}
+            });
+        })?;
+    Ok(thread)
+}
+
 struct Edges {
     callers: Arc<Callers>,
     upstreams: Arc<Upstreams>,
@@ -160,8 +224,9 @@
     outgoing: Outgoing,
     links: Links,
     health: Arc<HealthBoard>,
-    events: Sender<Event>,
-    stop: watch::Sender<bool>,
+    disk: Option<Sender<storage::Job>>,
+    stop_callers: watch::Sender<bool>,
+    stop_all: watch::Sender<bool>,
     http: Option<JoinHandle<()>>,
 }
 
@@ -173,38 +238,46 @@
             Effect::AnswerAnnounce { id, reply } => self.upstreams.answer(id, reply),
             Effect::AnswerOperator { id, answer } => self.operators.answer(id, answer),
             Effect::Send(sending) => self.outgoing.send(sending),
-            Effect::Persist { token, .. } => drop(self.events.send(Event::Persisted { token })),
+            Effect::Persist { token, records } => {
+                if let Some(disk) = &self.disk {
+                    // A disk thread that ended has said why; see `Input`.
+                    let _ = disk.send(storage::Job { token, records });
+                }
+            }
             Effect::Health(health) => self.health.show(health),
-            Effect::CloseCallers => {}
+            Effect::CloseCallers => {
+                self.stop_callers.send_replace(true);
+            }
             Effect::Peer { to, frame } => self.links.send(&to, &frame),
             Effect::Stopped => return true,
         }
         false
     }
-}
 
-fn serve_http(
-    servers: [HttpServer; 3],
-    stop: watch::Receiver<bool>,
-) -> Result<JoinHandle<()>, DriverError> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    let thread = std::thread::Builder::new()
-        .name("http".into())
-        .spawn(move || {
-            runtime.block_on(async move {
-                let mut open = tokio::task::JoinSet::new();
-                for server in servers {
-                    open.spawn(server.run(stop.clone()));
-                }
-                while open.join_next().await.is_some() {}
-            });
-        })?;
-    Ok(thread)
+    fn carry_out_all(&self, effects: Vec<Effect>) -> bool {
+        let mut stopped = false;
+        for effect in effects {
+            stopped |= self.carry_out(effect);
+        }
+        stopped
+    }
+
+    fn shut_down(&mut self) {
+        self.stop_callers.send_replace(true);
+        self.stop_all.send_replace(true);
+        if let Some(http) = self.http.take() {
+            // A panic there was logged and leaves nothing to do here.
+            let _ = http.join();
+        }
+    }
 }
 
-fn run(settings: NodeSettings, recovered: Recovered, events: &Receiver<Event>, mut edges: Edges) {
+fn run(
+    settings: NodeSettings,
+    recovered: Recovered,
+    inputs: &Receiver<Input>,
+    mut edges: Edges,
+) -> Result<(), DriverError> {
     let start = Instant::now();
     let since_ms = || u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX);
     let unix_ms = SystemTime::now()
@@ -214,41 +287,32 @@
     let mut next_tick = start;
     loop {
         let wait = next_tick.saturating_duration_since(Instant::now());
-        let mut event = match events.recv_timeout(wait) {
-            Ok(event) => Some(event),
+        let mut input = match inputs.recv_timeout(wait) {
+            Ok(input) => Some(input),
             Err(RecvTimeoutError::Timeout) => None,
-            Err(RecvTimeoutError::Disconnected) => return,
+            Err(RecvTimeoutError::Disconnected) => return Ok(()),
         };
         let mut taken = 0;
-        while let Some(next) = event {
-            if finish(&edges, node.handle(since_ms(), next)) {
-                shut_down(&mut edges);
-                return;
+        while let Some(next) = input {
+            let event = match next {
+                Input::Event(event) => event,
+                // What is on the disk is not known any more: going on could
+                // break a promise, so the process ends at once.
+                Input::DiskFailed(err) => return Err(err.into()),
+            };
+            if edges.carry_out_all(node.handle(since_ms(), event)) {
+                edges.shut_down();
+                return Ok(());
             }
             taken += 1;
-            event = (taken < BATCH).then(|| events.try_recv().ok()).flatten();
+            input = (taken < BATCH).then(|| inputs.try_recv().ok()).flatten();
         }
         if Instant::now() >= next_tick {
             next_tick = Instant::now() + TICK;
-            if finish(&edges, node.handle(since_ms(), Event::Tick)) {
-                shut_down(&mut edges);
-                return;
+            if edges.carry_out_all(node.handle(since_ms(), Event::Tick)) {
+                edges.shut_down();
+                return Ok(());
             }
         }
     }
 }
-
-fn finish(edges: &Edges, effects: Vec<Effect>) -> bool {
-    let mut stopped = false;
-    for effect in effects {
-        stopped |= edges.carry_out(effect);
-    }
-    stopped
-}
-
-fn shut_down(edges: &mut Edges) {
-    let _ = edges.stop.send(true);
-    if let Some(http) = edges.http.take() {
-        let _ = http.join();
-    }
-}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,7 +25,7 @@
 pub use call::{Call, CallAnswer, CallId};
 pub use counts::Counts;
 pub use directory::{Directory, Known};
-pub use driver::{Driver, DriverError, DriverSettings, Listeners};
+pub use driver::{Driver, DriverError, DriverSettings, Listeners, Stopper};
 pub use effect::{Effect, Sending};
 pub use event::{AttemptEnd, Event};
 pub use job_view::JobView;
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -77,6 +77,33 @@
     pub seed: u64,
 }
 
+impl Default for NodeSettings {
+    /// For zones a millisecond apart; names and members are left empty.
+    fn default() -> Self {
+        Self {
+            me: EntryName::from("entry"),
+            incarnation: 1,
+            zone: ZoneName::from("zone"),
+            members: BTreeMap::new(),
+            voters: Vec::new(),
+            upstream_lease_ms: 3_000,
+            refresh_ms: 1_000,
+            // Five times a report's period: news of load are late by it.
+            gossip_ms: 200,
+            // Ten times the period of gossip.
+            peer_gone_ms: 2_000,
+            heartbeat_ms: 100,
+            election_timeout_ms: 600,
+            view_lease_ms: 2_000,
+            snapshot_every: 4_096,
+            // A balancer that looks every half second has seen it by then.
+            stop_notice_ms: 1_000,
+            stop_grace_ms: 20_000,
+            seed: 0,
+        }
+    }
+}
+
 impl NodeSettings {
     fn replica(&self) -> ReplicaSettings {
         ReplicaSettings {
--- a/src/entry/node/leader.rs
+++ b/src/entry/node/leader.rs
@@ -4,8 +4,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::consensus::Role;
-use crate::maintenance::{Controller, ControllerAction, EntryAck, InstanceSeen, Observed};
 use crate::load::Health;
+use crate::maintenance::{Controller, ControllerAction, EntryAck, InstanceSeen, Observed};
 use crate::model::{EntryName, InstanceName};
 use crate::state::{Change, JobId};
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod model;
 pub mod proxy;
 pub mod state;
+pub mod storage;
 pub mod table;
 pub mod upstream;
 pub mod upstream_api;
--- a/src/main.rs
+++ b/src/main.rs
@@ -22,6 +22,9 @@
     /// Run an entry instance.
     #[command(long_about = cmd::serve::HELP)]
     Serve(cmd::serve::Args),
+    /// Check a settings file.
+    #[command(long_about = cmd::check::HELP)]
+    Check(cmd::check::Args),
     /// Fetch, check or change the table of weights and limits.
     #[command(long_about = cmd::table::HELP)]
     Table(cmd::table::Args),
@@ -64,6 +67,7 @@
 fn run(command: &Command) -> eyre::Result<cmd::Exit> {
     match command {
         Command::Serve(args) => cmd::serve::run(args),
+        Command::Check(args) => cmd::check::run(args),
         Command::Table(args) => cmd::table::run(args),
         Command::Pool(args) => cmd::pool::run(args),
         Command::Move(args) => cmd::move_instance::run(args),
