--- a/src/proxy/link.rs
+++ b/src/proxy/link.rs
@@ -122,7 +122,8 @@
             () = sleep(Duration::from_millis(REBIND_MS)), if is_due(&listener, &now) => {}
             accepted = accept(listener.as_ref(), &room) => {
                 let Some((stream, permit)) = accepted else { continue };
-                if now.faults.accept == Accept::Reset {
+                // As it is now: the faults may have been set after `now` was read.
+                if plan.borrow().faults.accept != Accept::Pass {
                     reset(&stream);
                     continue;
                 }
