--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -441,6 +441,7 @@
                 .iter()
                 .filter(|(_, known)| alive(known.heard_ms))
                 .count(),
+            instances: self.state.fleet().instances().len(),
             open_requests: self.requests.len(),
             in_flight: self.attempts_on.len(),
             attempts: self.attempts,
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -31,6 +31,8 @@
     pub pools: BTreeMap<PoolName, PoolStatus>,
     /// Upstreams whose report counts now.
     pub upstreams: usize,
+    /// Instances in the replicated state.
+    pub instances: usize,
     /// Requests between arrival and answer.
     pub open_requests: usize,
     /// Attempts in flight.
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -1,6 +1,8 @@
 use std::collections::BTreeMap;
+use std::fs::Permissions;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
 use std::process::Output;
 
 use rosemarygauge::proxy::{Hub, Link, LinkFaults};
@@ -51,9 +53,12 @@
     fn prepare(per_zone: usize) -> Self {
         let hub = Hub::start().unwrap();
         let folder = tempfile::tempdir().unwrap();
-        std::fs::write(folder.path().join("peer.key"), "0123456789abcdef").unwrap();
+        write_private(
+            &folder.path().join("peer.key"),
+            &"0123456789abcdef".repeat(2),
+        );
         let tokens = json!({ "tester": TOKEN }).to_string();
-        std::fs::write(folder.path().join("operators.json"), tokens).unwrap();
+        write_private(&folder.path().join("operators.json"), &tokens);
         let entries: Vec<_> = (1..=3)
             .flat_map(|zone| (0..per_zone).map(move |n| (zone, n)))
             .map(|(zone, n)| {
@@ -97,13 +102,16 @@
             json!({ "entry": entry.name, "zone": entry.zone, "peers": peers, "voter": voter })
         };
         let members: Vec<_> = self.entries.iter().enumerate().map(member).collect();
-        let settings = json!({
+        let mut settings = json!({
             "entry": me.name, "zone": me.zone,
             "callers": me.callers, "upstreams": me.upstreams,
             "operators": me.operators, "peers": me.peers,
             "members": members,
             "peer_key_file": "peer.key", "operator_keys_file": "operators.json",
         });
+        if me.name.ends_with('a') {
+            settings["data_folder"] = json!(format!("data-{}", me.name));
+        }
         std::fs::write(&me.settings, settings.to_string()).unwrap();
     }
 
@@ -151,7 +159,7 @@
     pub fn put(&self, i: usize, path: &str, change: &str, body: &Value) -> (u16, String) {
         let url = format!("http://{}/{path}", self.entries[i].operators);
         let mut reply = agent(8_000)
-            .put(url)
+            .post(url)
             .header("authorization", format!("Bearer {TOKEN}"))
             .header("rg-change-id", change)
             .send_json(body)
@@ -172,7 +180,12 @@
             "budget": { "min_available": min_available, "survive": "none" },
             "services": [service("check", "urgent"), service("archive", "patient")],
         });
-        let (status, text) = self.put(0, "pool", "create-p", &pool);
+        let (status, text) = self.put(
+            0,
+            "fleet",
+            "create-p",
+            &json!({ "PutPool": { "pool": pool } }),
+        );
         assert_eq!(status, 200, "{text}");
     }
 
@@ -259,6 +272,12 @@
     }
 }
 
+/// Writes a file that only its owner can read, as keys must be.
+fn write_private(path: &Path, text: &str) {
+    std::fs::write(path, text).unwrap();
+    std::fs::set_permissions(path, Permissions::from_mode(0o600)).unwrap();
+}
+
 /// The report that `load --json` printed.
 pub fn read_report(output: &Output) -> Value {
     serde_json::from_slice(&output.stdout)
