--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,1 +1,2 @@
 //! The commands, one file each.
+pub mod measure_waves;
--- a/src/maintenance/controller.rs
+++ b/src/maintenance/controller.rs
@@ -46,6 +46,7 @@
     observed: &'a Observed,
     rooms: BTreeMap<PoolName, Room>,
     out: Vec<ControllerAction>,
+    proposals: usize,
 }
 
 impl Controller {
@@ -76,6 +77,7 @@
             observed,
             rooms: self.taken_rooms(fleet),
             out: Vec::new(),
+            proposals: 0,
         };
         self.detect(&mut step);
         self.follow_absences(&mut step);
@@ -129,7 +131,7 @@
     /// Proposes a change of one instance, unless one is open already or the step
     /// has proposed its share.
     fn propose(&mut self, step: &mut Step<'_>, name: &InstanceName, command: FleetCommand) -> bool {
-        let full = step.out.len() >= self.settings.proposals_per_step;
+        let full = step.proposals >= self.settings.proposals_per_step;
         if full || self.proposed.contains_key(name) {
             return false;
         }
@@ -150,6 +152,7 @@
                 takes_room,
             },
         );
+        step.proposals += 1;
         step.out.push(ControllerAction::Propose(command));
         true
     }
--- a/src/maintenance/controller/waves.rs
+++ b/src/maintenance/controller/waves.rs
@@ -2,12 +2,23 @@
 
 use std::collections::BTreeMap;
 
-use crate::model::{Absence, Duty, Instance, InstanceName, PoolName};
+use crate::model::{Absence, Duty, Instance, InstanceName, PoolName, WaveName};
 
 use super::super::pace::{PoolPace, next_loan, next_visit};
-use super::super::{FleetCommand, Wave, WaveState};
+use super::super::{Cause, FleetCommand, Wave, WaveSpec, WaveState};
 use super::{Controller, Step};
 
+/// Why an instance is lent.
+#[derive(derive_more::Display)]
+enum LoanCause<'a> {
+    /// A wave ends earlier by it.
+    #[display("lent for wave {wave}, which wins {won_s} s")]
+    Wave { wave: &'a WaveName, won_s: u64 },
+    /// Repair could not make the pool whole.
+    #[display("lent because the pool's budget stays broken")]
+    Broken,
+}
+
 impl Controller {
     pub(super) fn run_waves(&mut self, step: &mut Step<'_>) {
         let fleet = step.fleet;
@@ -15,10 +26,11 @@
             if wave.state != WaveState::Running {
                 continue;
             }
+            // A free slot may be worth more to the pool that is last.
+            self.lend_for(step, wave);
             for pool in wave.pending.keys() {
                 while self.visit(step, wave, pool) {}
             }
-            self.lend_for(step, wave);
         }
     }
 
@@ -27,6 +39,10 @@
         let Some(budget) = step.fleet.pools().get(pool).map(|p| p.budget) else {
             return false;
         };
+        // Most steps find no room: they must not walk the pool's pending ones.
+        if step.room(pool).width_bound(&budget) == 0 {
+            return false;
+        }
         let fleet = step.fleet;
         let pending = wave.pending.get(pool).into_iter().flatten();
         let put_off = |name: &InstanceName| wave.put_off.get(name).copied().unwrap_or(0);
@@ -57,37 +73,48 @@
     }
 
     fn lend_for(&mut self, step: &mut Step<'_>, wave: &Wave) {
-        let paces = paces(step, wave);
-        let drain_ms = wave.spec.drain_ms;
-        let weights = &wave.spec.weights;
-        let Some(loan) = next_loan(&paces, weights, wave.visit_ms(), drain_ms) else {
+        let paces = paces(step, wave, self.settings.borrow_after_ms);
+        let WaveSpec {
+            weights,
+            drain_ms,
+            spread_percent,
+            ..
+        } = &wave.spec;
+        let Some(loan) = next_loan(&paces, weights, *drain_ms, *spread_percent) else {
             return;
         };
-        let reason = format!(
-            "lent for wave {}, which wins {} s",
-            wave.spec.name,
-            loan.won_ms / 1_000
-        );
-        self.lend(step, &loan.from, &loan.to, reason);
+        let cause = LoanCause::Wave {
+            wave: &wave.spec.name,
+            won_s: loan.won_ms / 1_000,
+        };
+        self.lend(step, &loan.from, &loan.to, &cause);
     }
 
-    /// Proposes to lend an instance, one that no wave still has to visit first.
-    fn lend(&mut self, step: &mut Step<'_>, from: &PoolName, to: &PoolName, reason: String) {
-        let Some(budget) = step.fleet.pools().get(from).map(|p| p.budget) else {
+    /// Proposes to lend an instance that no wave still has to visit; to a broken
+    /// pool, if need be, also one that takes its turn along.
+    fn lend(&mut self, step: &mut Step<'_>, from: &PoolName, to: &PoolName, cause: &LoanCause<'_>) {
+        let pools = step.fleet.pools();
+        let (Some(donor), Some(borrower)) = (pools.get(from), pools.get(to)) else {
             return;
         };
-        let free = |instance: &&Instance| {
-            self.is_ready(step, &instance.name) && !is_pending(step, from, &instance.name)
-        };
-        let members: Vec<&Instance> = step.members(from).filter(free).collect();
-        let next = next_visit(step.room(from), &budget, members.into_iter());
+        let room_to = step.room(to).clone();
+        let gains = |instance: &&Instance| room_to.gains_by(&instance.rack, &borrower.budget);
+        let ready = |instance: &&Instance| self.is_ready(step, &instance.name);
+        let members: Vec<&Instance> = step.members(from).filter(gains).filter(ready).collect();
+        let visited = |instance: &&Instance| !is_pending(step, from, &instance.name);
+        let visited: Vec<&Instance> = members.iter().copied().filter(visited).collect();
+        let room = step.room(from);
+        let mut next = next_visit(room, &donor.budget, visited.into_iter());
+        if matches!(cause, LoanCause::Broken) {
+            next = next.or_else(|| next_visit(room, &donor.budget, members.into_iter()));
+        }
         let Some(name) = next.map(|instance| instance.name.clone()) else {
             return;
         };
         let command = FleetCommand::Lend {
             instance: name.clone(),
             to: to.clone(),
-            reason,
+            reason: cause.to_string(),
         };
         self.propose(step, &name, command);
     }
@@ -137,44 +164,64 @@
             }
         }
         if let Some((_, from)) = donor {
-            self.lend(
-                step,
-                from,
-                pool,
-                format!("lent because {pool} stays broken"),
-            );
+            self.lend(step, from, pool, &LoanCause::Broken);
         }
     }
 }
 
-fn paces(step: &mut Step<'_>, wave: &Wave) -> Vec<PoolPace> {
+fn paces(step: &mut Step<'_>, wave: &Wave, mend_ms: u64) -> Vec<PoolPace> {
     let coming = coming(step);
     let fleet = step.fleet;
-    let mut out: BTreeMap<&PoolName, u32> = BTreeMap::new();
-    for name in wave.out.keys() {
-        if let Some(instance) = fleet.instances().get(name) {
-            *out.entry(&instance.pool).or_default() += 1;
-        }
-    }
+    let out = out_ms(step, wave);
     let mut paces = Vec::with_capacity(fleet.pools().len());
     for (name, pool) in fleet.pools() {
-        let more = step.room(name).width_bound(&pool.budget);
-        let out = out.get(name).copied().unwrap_or(0);
-        let pending = wave.pending.get(name).map_or(0, |set| set.len());
-        let pending = u32::try_from(pending).unwrap_or(u32::MAX);
+        let out_ms = out.get(name).map_or(&[][..], Vec::as_slice);
+        // A visit that takes longer than expected tells so before its end.
+        let longest_ms = out_ms.iter().copied().max().unwrap_or(0);
+        let visit_ms = wave.pool_visit_ms(name).max(longest_ms);
+        let mut slots_ms: Vec<u64> = out_ms.iter().map(|ms| visit_ms - ms).collect();
         let coming = coming.get(name).copied().unwrap_or(0);
+        slots_ms.extend((0..coming).map(|_| wave.spec.drain_ms));
+        // What is free in the fleet, open proposals not taken off: those are not
+        // among the ones that are out yet.
+        let more = fleet
+            .tally(name)
+            .map_or(0, |t| t.room().width_bound(&pool.budget));
+        slots_ms.extend((0..more).map(|_| 0));
+        // A pool that is stuck over failed instances gets its room back by repair.
+        if slots_ms.is_empty() && is_mending(step, name) {
+            slots_ms.push(mend_ms);
+        }
+        let pending = wave.pending.get(name).map_or(0, |set| set.len());
         paces.push(PoolPace {
             pool: name.clone(),
-            pending,
-            out,
-            width: out + more + coming,
-            // A pool that still has visits to make lends nothing of its own.
-            spare: if is_wanted(step, name) { 0 } else { more },
+            pending: u32::try_from(pending).unwrap_or(u32::MAX),
+            slots_ms,
+            visit_ms,
+            spare: step.room(name).width_bound(&pool.budget),
         });
     }
     paces
 }
 
+fn is_mending(step: &Step<'_>, pool: &PoolName) -> bool {
+    let absent = step.fleet.budget_use(pool).map(|used| used.absent);
+    let mending = |cause: &Cause| matches!(cause, Cause::Failed | Cause::Repair);
+    absent.is_some_and(|absent| absent.keys().any(mending))
+}
+
+/// By pool: how long each instance that the wave has out is out already.
+fn out_ms<'a>(step: &Step<'a>, wave: &Wave) -> BTreeMap<&'a PoolName, Vec<u64>> {
+    let mut out: BTreeMap<&PoolName, Vec<u64>> = BTreeMap::new();
+    for (name, since_unix_ms) in &wave.out {
+        if let Some(instance) = step.fleet.instances().get(name) {
+            let out_ms = step.observed.unix_ms.saturating_sub(*since_unix_ms);
+            out.entry(&instance.pool).or_default().push(out_ms);
+        }
+    }
+    out
+}
+
 /// Instances on their way into each pool.
 fn coming<'a>(step: &Step<'a>) -> BTreeMap<&'a PoolName, u32> {
     let mut coming = BTreeMap::new();
--- a/src/maintenance/fleet/absences.rs
+++ b/src/maintenance/fleet/absences.rs
@@ -11,9 +11,7 @@
         name: &InstanceName,
     ) -> Result<(), FleetRefusal> {
         let instance = self.instance(name)?;
-        if instance.duty != Duty::Serving {
-            return Err(wrong_duty(instance, "wait until it serves"));
-        }
+        self.check_serves(instance)?;
         self.check_absence(instance)?;
         let absence = Absence::Operator;
         self.change(at_unix_ms, name, "drained by an operator", |instance| {
@@ -164,6 +162,23 @@
         Ok(())
     }
 
+    /// Refuses to take out an instance that does not serve. A failed one costs its
+    /// budget nothing more, but drained it could not come back to a pool that
+    /// may be broken over it.
+    pub(super) fn check_serves(&self, instance: &Instance) -> Result<(), FleetRefusal> {
+        if instance.duty != Duty::Serving {
+            return Err(wrong_duty(instance, "wait until it serves"));
+        }
+        if self.is_failed(&instance.name) {
+            return Err(FleetRefusal::WrongDuty {
+                instance: instance.name.clone(),
+                duty: "failed".to_owned(),
+                remedy: "repair works on it; or set it aside".to_owned(),
+            });
+        }
+        Ok(())
+    }
+
     /// Remembers the incarnation that left, never an older one.
     fn left(&mut self, name: &InstanceName, incarnation: u64) {
         if let Some(record) = self.records.get_mut(name) {
--- a/src/maintenance/fleet/moves.rs
+++ b/src/maintenance/fleet/moves.rs
@@ -93,12 +93,7 @@
                 pool: to.clone(),
             });
         }
-        if instance.duty != Duty::Serving {
-            return Err(wrong_duty(instance, "wait until it serves"));
-        }
-        if self.is_failed(name) {
-            return Err(wrong_duty(instance, "it failed; wait for its repair"));
-        }
+        self.check_serves(instance)?;
         self.check_absence(instance)?;
         Ok(instance)
     }
--- a/src/maintenance/fleet/waves.rs
+++ b/src/maintenance/fleet/waves.rs
@@ -49,7 +49,7 @@
             done: 0,
             left_out: BTreeMap::new(),
             put_off: BTreeMap::new(),
-            seen_ms: 0,
+            seen: BTreeMap::new(),
             trail: Trail::default(),
         };
         for instance in self.instances.values() {
@@ -92,9 +92,7 @@
         name: &InstanceName,
     ) -> Result<(), FleetRefusal> {
         let instance = self.instance(name)?;
-        if instance.duty != Duty::Serving || self.is_failed(name) {
-            return Err(wrong_duty(instance, "wait until it serves"));
-        }
+        self.check_serves(instance)?;
         let pool = instance.pool.clone();
         let found = self.waves.get(wave);
         let found = found.ok_or_else(|| FleetRefusal::UnknownWave(wave.clone()))?;
@@ -164,12 +162,11 @@
         absence: &Absence,
     ) {
         for wave in self.waves.values_mut() {
-            wave.came_back(name, at_unix_ms);
+            wave.came_back(pool, name, at_unix_ms);
             let restarted = *absence == Absence::Repair;
             let wanted = matches!(wave.absence(), Absence::Reboot { .. });
             if restarted && wanted && wave.is_active() && wave.take(pool, name) {
                 wave.done += 1;
-                wave.seen_ms += wave.spec.visit_ms();
             }
         }
         self.review_waves(at_unix_ms);
--- a/src/maintenance/mod.rs
+++ b/src/maintenance/mod.rs
@@ -46,6 +46,6 @@
 pub use stop_proof::{StopProof, Verdict};
 pub use tally::Tally;
 pub use trail::{Note, Trail};
-pub use wave::{Wave, WaveState};
+pub use wave::{SeenVisits, Wave, WaveState};
 pub use wave_spec::{Selection, WaveKind, WaveSpec};
 pub use wave_weights::WaveWeights;
--- a/src/maintenance/pace.rs
+++ b/src/maintenance/pace.rs
@@ -3,6 +3,8 @@
 //! planner and the controller decide by the same functions, so that a plan is
 //! what will be done as long as nothing fails.
 
+use std::cmp::Reverse;
+
 use crate::model::{Budget, Instance, PoolName, Survive};
 
 use super::{Room, WaveWeights};
@@ -17,9 +19,11 @@
 
 /// The next instance to take out of a pool, none if the budget has no room.
 ///
-/// Under a budget that survives a rack, the instances of the largest rack cost
-/// no room while it stays the largest: taking them first groups the visits by
-/// failure domain exactly where that is cheaper.
+/// Under a budget that survives a rack, the largest rack goes first: while it is
+/// the only largest, the loss still to come shrinks with it and the visit costs
+/// no room. Among racks of one size, a rack with few members goes first: two of
+/// a large rack, one after the other, give that room for twice as long as both
+/// at once.
 pub fn next_visit<'a>(
     room: &Room,
     budget: &Budget,
@@ -29,12 +33,13 @@
         let first = candidates.next()?;
         return room.holds_without(&first.rack, budget).then_some(first);
     }
-    let mut best: Option<(u32, &Instance)> = None;
+    let mut best: Option<((u32, Reverse<u32>), &Instance)> = None;
     for instance in candidates {
-        let size = room.rack(&instance.rack);
-        let larger = best.is_none_or(|(found, _)| size > found);
-        if larger && room.holds_without(&instance.rack, budget) {
-            best = Some((size, instance));
+        let rack = &instance.rack;
+        let rank = (room.rack(rack), Reverse(room.members(rack)));
+        let better = best.is_none_or(|(found, _)| rank > found);
+        if better && room.holds_without(rack, budget) {
+            best = Some((rank, instance));
         }
     }
     best.map(|(_, instance)| instance)
@@ -47,35 +52,45 @@
     pub pool: PoolName,
     /// Instances whose turn is still to come.
     pub pending: u32,
-    /// Instances out of service for the wave.
-    pub out: u32,
-    /// Instances that may be out at once, lent ones on their way included.
-    pub width: u32,
+    /// For each instance that may be out at once: when the next visit may start
+    /// in its stead, in milliseconds from now.
+    pub slots_ms: Vec<u64>,
+    /// Expected time out of service of one instance, in milliseconds.
+    pub visit_ms: u64,
     /// Instances it could do without now.
     pub spare: u32,
 }
 
 impl PoolPace {
-    /// Time until the wave is through with the pool, in milliseconds.
-    fn remaining_ms(&self, visit_ms: u64) -> u64 {
-        // Those that are out are half through, on average.
-        let tail_ms = if self.out > 0 { visit_ms / 2 } else { 0 };
+    /// Time until the wave is through with the pool, in milliseconds: each slot
+    /// in turn takes the next visit.
+    fn remaining_ms(&self) -> u64 {
+        let mut slots_ms = self.slots_ms.clone();
+        slots_ms.sort_unstable();
+        let longest_ms = slots_ms.last().copied().unwrap_or(0);
         if self.pending == 0 {
-            return tail_ms;
+            return longest_ms;
         }
-        if self.width == 0 {
+        let width = u32::try_from(slots_ms.len()).unwrap_or(u32::MAX);
+        if width == 0 {
             return STUCK_MS;
         }
-        let rounds = u64::from(self.pending.div_ceil(self.width));
-        tail_ms + rounds * visit_ms
+        let rounds = |visits: u32| u64::from(visits.div_ceil(width)) * self.visit_ms;
+        let last = usize::try_from((self.pending - 1) % width).unwrap_or(0);
+        let last_ms = slots_ms[last] + rounds(self.pending);
+        // Slots after the last visit's have one visit less.
+        last_ms.max(longest_ms + rounds(self.pending + 1) - self.visit_ms)
     }
 
+    /// The pool with one free slot less.
     fn lent(&self) -> Self {
-        Self {
-            width: self.width.saturating_sub(1),
-            spare: self.spare.saturating_sub(1),
-            ..self.clone()
+        let mut lent = self.clone();
+        let free = lent.slots_ms.iter().position(|ms| *ms == 0);
+        if let Some(free) = free {
+            lent.slots_ms.swap_remove(free);
         }
+        lent.spare = lent.spare.saturating_sub(1);
+        lent
     }
 }
 
@@ -90,28 +105,39 @@
     pub won_ms: u64,
 }
 
-/// The next loan worth its cost, if any.
+/// The next loan worth its cost, if any; a lent instance arrives `drain_ms` later.
 ///
 /// Several pools may be last together, where one loan alone wins nothing; so up
 /// to [`LOANS_MAX`] are weighed as a set, and the first of the best set is made.
+/// What a loan wins counts only beyond the spread of one visit of the last pool:
+/// without that, chance alone made pools lend to each other in turn (a trial of
+/// 50 instances: 6 moves that won 0.2 of 30 minutes).
 pub fn next_loan(
     paces: &[PoolPace],
     weights: &WaveWeights,
-    visit_ms: u64,
     drain_ms: u64,
+    spread_percent: u32,
 ) -> Option<Loan> {
+    let (from, to) = pair(paces)?;
+    let first = (paces[from].pool.clone(), paces[to].pool.clone());
+    // Of two stuck pools and one spare instance, no set of loans frees both; the
+    // first must not wait for the second.
+    if paces[to].slots_ms.is_empty() {
+        let (from, to) = first;
+        let won_ms = STUCK_MS;
+        return Some(Loan { from, to, won_ms });
+    }
+    let noise_ms = paces[to].visit_ms * u64::from(spread_percent) / 100;
+    let before_ms = last_ms(paces).saturating_sub(noise_ms);
     let mut paces = paces.to_vec();
-    let before_ms = last_ms(&paces, visit_ms);
-    let mut first = None;
     let mut best: Option<(u64, u64)> = None;
     for loans in 1..=LOANS_MAX {
-        let Some((from, to)) = pair(&paces, visit_ms) else {
+        let Some((from, to)) = pair(&paces) else {
             break;
         };
-        first.get_or_insert((paces[from].pool.clone(), paces[to].pool.clone()));
         paces[from] = paces[from].lent();
-        paces[to].width += 1;
-        let after_ms = last_ms(&paces, visit_ms) + drain_ms;
+        paces[to].slots_ms.push(drain_ms);
+        let after_ms = last_ms(&paces);
         let won_ms = before_ms.saturating_sub(after_ms);
         let cost = weights.loan_cost(loans, after_ms);
         let gain = weights.rollout_cost(won_ms).saturating_sub(cost);
@@ -120,20 +146,20 @@
         }
     }
     let (_, won_ms) = best?;
-    let (from, to) = first?;
+    let (from, to) = first;
     Some(Loan { from, to, won_ms })
 }
 
-fn last_ms(paces: &[PoolPace], visit_ms: u64) -> u64 {
-    let each = paces.iter().map(|p| p.remaining_ms(visit_ms));
+fn last_ms(paces: &[PoolPace]) -> u64 {
+    let each = paces.iter().map(PoolPace::remaining_ms);
     each.max().unwrap_or(0)
 }
 
 /// The pool that lends with the least harm, and the one that is last.
-fn pair(paces: &[PoolPace], visit_ms: u64) -> Option<(usize, usize)> {
+fn pair(paces: &[PoolPace]) -> Option<(usize, usize)> {
     let mut last: Option<(u64, usize)> = None;
     for (i, pace) in paces.iter().enumerate() {
-        let ms = pace.remaining_ms(visit_ms);
+        let ms = pace.remaining_ms();
         if pace.pending > 0 && last.is_none_or(|(found, _)| ms > found) {
             last = Some((ms, i));
         }
@@ -141,7 +167,7 @@
     let (last_ms, to) = last?;
     let donors = paces.iter().enumerate();
     let donors = donors.filter(|(i, pace)| *i != to && pace.spare > 0);
-    let donors = donors.map(|(i, pace)| (pace.lent().remaining_ms(visit_ms), i));
+    let donors = donors.map(|(i, pace)| (pace.lent().remaining_ms(), i));
     let (donor_ms, from) = donors.min()?;
     (donor_ms < last_ms).then_some((from, to))
 }
--- a/src/maintenance/planner.rs
+++ b/src/maintenance/planner.rs
@@ -10,7 +10,7 @@
 
 use crate::model::{Budget, Instance, InstanceName, PoolName};
 
-use super::bounds::{PoolVisits, moves_bound, pooled_bound_ms, rollout_bound_ms};
+use super::bounds::{PoolVisits, Visit, moves_bound, rollout_bound_ms};
 use super::pace::{PoolPace, next_loan, next_visit};
 use super::plan::{Figures, Plan, Step, Work};
 use super::{Cause, Fleet, Room, WaveSpec};
@@ -44,8 +44,8 @@
     pending: BTreeSet<&'a InstanceName>,
     /// Instances that serve and were visited or need no visit.
     idle: BTreeSet<&'a InstanceName>,
-    out: u32,
-    coming: u32,
+    /// When those that are out or on their way in are expected.
+    expected_ms: Vec<u64>,
 }
 
 impl<'a> Planner<'a> {
@@ -74,8 +74,7 @@
                         .unwrap_or_default(),
                     pending: BTreeSet::new(),
                     idle: BTreeSet::new(),
-                    out: 0,
-                    coming: 0,
+                    expected_ms: Vec::new(),
                 },
             );
             planner.dirty.insert(name);
@@ -102,25 +101,50 @@
     }
 
     fn visits(&self) -> Vec<PoolVisits> {
+        let takes_ms = self.spec.visit_ms();
+        let visit = |instance: &Instance| Visit {
+            rack: instance.rack.clone(),
+            takes_ms,
+        };
+        let instances = self.fleet.instances();
         let visits = |pool: &PoolState<'_>| PoolVisits {
-            visits_ms: vec![self.spec.visit_ms(); pool.pending.len()],
-            width: pool.room.width_bound(&pool.budget),
+            visits: pool
+                .pending
+                .iter()
+                .filter_map(|i| instances.get(*i))
+                .map(visit)
+                .collect(),
+            room: pool.room.clone(),
+            budget: pool.budget,
         };
         self.pools.values().map(visits).collect()
     }
 
+    /// Takes all that ends at one time together, so that a slot which is free
+    /// may be lent before its own pool fills it again.
     fn run(&mut self) {
         loop {
+            while self.lend() {}
             while let Some(name) = self.dirty.pop_first() {
                 self.fill(name);
             }
-            while self.lend() {}
-            let Some(Reverse((at_ms, step))) = self.events.pop() else {
+            let Some(Reverse((at_ms, _))) = self.events.peek() else {
                 return;
             };
-            self.now_ms = at_ms;
-            self.end_step(step);
+            self.now_ms = *at_ms;
+            while let Some(step) = self.next_ended() {
+                self.end_step(step);
+            }
+        }
+    }
+
+    fn next_ended(&mut self) -> Option<usize> {
+        let Reverse((at_ms, step)) = *self.events.peek()?;
+        if at_ms > self.now_ms {
+            return None;
         }
+        self.events.pop();
+        Some(step)
     }
 
     fn fill(&mut self, name: &'a PoolName) {
@@ -138,7 +162,7 @@
             };
             pool.pending.remove(&next.name);
             pool.room.remove(&next.rack);
-            pool.out += 1;
+            pool.expected_ms.push(self.now_ms + self.spec.visit_ms());
             self.start(next, name, Work::Visit, self.spec.visit_ms());
         }
     }
@@ -175,12 +199,14 @@
         };
         let visit = step.work == Work::Visit;
         if let Some(state) = self.pools.get_mut(pool) {
+            if !visit {
+                state.room.join(&instance.rack);
+            }
             state.room.add(&instance.rack);
             state.idle.insert(&instance.name);
-            if visit {
-                state.out = state.out.saturating_sub(1);
-            } else {
-                state.coming = state.coming.saturating_sub(1);
+            let expected = state.expected_ms.iter().position(|ms| *ms == step.end_ms);
+            if let Some(expected) = expected {
+                state.expected_ms.swap_remove(expected);
             }
         }
         if visit {
@@ -192,23 +218,36 @@
 
     /// Makes the next loan that is worth its cost.
     fn lend(&mut self) -> bool {
-        let paces: Vec<PoolPace> = self.pools.iter().map(|(name, p)| p.pace(name)).collect();
-        let (visit_ms, drain_ms) = (self.spec.visit_ms(), self.spec.drain_ms);
-        let Some(loan) = next_loan(&paces, &self.spec.weights, visit_ms, drain_ms) else {
+        let visit_ms = self.spec.visit_ms();
+        let pools = self.pools.iter();
+        let paces = pools.map(|(name, pool)| pool.pace(name, self.now_ms, visit_ms));
+        let paces: Vec<PoolPace> = paces.collect();
+        let drain_ms = self.spec.drain_ms;
+        let Some(loan) = next_loan(
+            &paces,
+            &self.spec.weights,
+            drain_ms,
+            self.spec.spread_percent,
+        ) else {
             return false;
         };
         let fleet = self.fleet;
-        let Some(donor) = self.pools.get_mut(&loan.from) else {
+        let (Some(donor), Some(borrower)) = (self.pools.get(&loan.from), self.pools.get(&loan.to))
+        else {
             return false;
         };
         let idle = donor.idle.iter().filter_map(|i| fleet.instances().get(*i));
+        let idle = idle.filter(|i| borrower.room.gains_by(&i.rack, &borrower.budget));
         let Some(next) = next_visit(&donor.room, &donor.budget, idle) else {
             return false;
         };
-        donor.idle.remove(&next.name);
-        donor.room.remove(&next.rack);
+        if let Some(donor) = self.pools.get_mut(&loan.from) {
+            donor.idle.remove(&next.name);
+            donor.room.remove(&next.rack);
+            donor.room.leave(&next.rack);
+        }
         if let Some(borrower) = self.pools.get_mut(&loan.to) {
-            borrower.coming += 1;
+            borrower.expected_ms.push(self.now_ms + drain_ms);
         }
         self.lent.push(self.now_ms);
         self.start(next, &loan.from, Work::Lend(loan.to), drain_ms);
@@ -216,7 +255,11 @@
     }
 
     fn finish(self, visits: &[PoolVisits]) -> Plan {
-        let work_ms: u64 = visits.iter().flat_map(|v| &v.visits_ms).sum();
+        let work_ms: u64 = visits
+            .iter()
+            .flat_map(|v| &v.visits)
+            .map(|v| v.takes_ms)
+            .sum();
         let done = self.steps.iter().filter(|s| s.work == Work::Visit).count();
         let done_ms = u64::try_from(done).unwrap_or(u64::MAX) * self.spec.visit_ms();
         let lent_ms: u64 = self
@@ -225,12 +268,7 @@
             .map(|at| self.rollout_ms.saturating_sub(*at))
             .sum();
         let moves = 2 * u32::try_from(self.lent.len()).unwrap_or(u32::MAX);
-        let pooled_ms = pooled_bound_ms(visits).unwrap_or(0);
-        let bound_ms = if moves == 0 {
-            rollout_bound_ms(visits).unwrap_or(pooled_ms)
-        } else {
-            pooled_ms
-        };
+        let bound_ms = rollout_bound_ms(visits, moves / 2).unwrap_or(0);
         let at_once = work_ms.div_ceil(self.rollout_ms.max(1));
         Plan {
             wave: self.spec.name.clone(),
@@ -266,14 +304,17 @@
 }
 
 impl PoolState<'_> {
-    fn pace(&self, name: &PoolName) -> PoolPace {
+    fn pace(&self, name: &PoolName, now_ms: u64, visit_ms: u64) -> PoolPace {
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
         let more = self.room.width_bound(&self.budget);
+        let expected = self.expected_ms.iter();
+        let mut slots_ms: Vec<u64> = expected.map(|ms| ms - now_ms).collect();
+        slots_ms.extend((0..more).map(|_| 0));
         PoolPace {
             pool: name.clone(),
             pending: count(self.pending.len()),
-            out: self.out,
-            width: self.out + more + self.coming,
+            slots_ms,
+            visit_ms,
             spare: more.min(count(self.idle.len())),
         }
     }
--- a/src/maintenance/room.rs
+++ b/src/maintenance/room.rs
@@ -13,9 +13,38 @@
     serving: u32,
     by_rack: BTreeMap<RackName, u32>,
     racks_by_size: BTreeMap<u32, u32>,
+    /// Members by rack, whether they serve or not.
+    members: BTreeMap<RackName, u32>,
 }
 
 impl Room {
+    /// One more instance of `rack` belongs to the pool.
+    pub fn join(&mut self, rack: &RackName) {
+        *self.members.entry(rack.clone()).or_default() += 1;
+    }
+
+    /// One instance of `rack` belongs to the pool no more.
+    pub fn leave(&mut self, rack: &RackName) {
+        let members = self.members(rack);
+        if members > 1 {
+            self.members.insert(rack.clone(), members - 1);
+        } else {
+            self.members.remove(rack);
+        }
+    }
+
+    /// Instances of `rack` that belong to the pool.
+    pub fn members(&self, rack: &RackName) -> u32 {
+        self.members.get(rack).copied().unwrap_or(0)
+    }
+
+    /// Whether one more instance of `rack` would give the budget more room: under
+    /// a budget that survives a rack, one in the largest rack gives none.
+    pub fn gains_by(&self, rack: &RackName, budget: &Budget) -> bool {
+        let largest = self.members.values().max().copied().unwrap_or(0);
+        budget.survive != Survive::Rack || self.members(rack) < largest
+    }
+
     /// One more instance of `rack` serves.
     pub fn add(&mut self, rack: &RackName) {
         let size = self.rack(rack);
@@ -47,6 +76,13 @@
         self.by_rack.get(rack).copied().unwrap_or(0)
     }
 
+    /// The racks with the most instances that serve, and how many.
+    pub fn worst_racks(&self) -> (u32, impl Iterator<Item = &RackName>) {
+        let worst = self.worst_loss(Survive::Rack);
+        let racks = self.by_rack.iter().filter(move |(_, size)| **size == worst);
+        (worst, racks.map(|(rack, _)| rack))
+    }
+
     /// Instances lost with the worst failure domain still to come.
     pub fn worst_loss(&self, survive: Survive) -> u32 {
         match survive {
--- a/src/maintenance/stop_proof.rs
+++ b/src/maintenance/stop_proof.rs
@@ -53,6 +53,9 @@
         /// Its requests.
         count: u32,
     },
+    /// The instance is not heard: it may have died with its last report.
+    #[display("the instance was not heard for a lease")]
+    Unheard,
     /// The upstream says that requests run.
     #[display("{_0} requests run on it")]
     Running(u32),
@@ -107,12 +110,17 @@
     ) -> Verdict {
         let seen = observed.instances.get(instance);
         let fresh = seen.filter(|s| s.is_fresh(now_ms, settings.dispatch_lease_ms));
+        // Without a recent report an instance that has just died would change
+        // pool before its failure shows.
+        let Some(fresh) = fresh else {
+            return Verdict::Unheard;
+        };
         // An entry that restarted has nothing in flight, but what it sent
         // before may still run: the upstream has the last word.
-        if let Some(running) = fresh.map(|s| s.report.running).filter(|r| *r > 0) {
-            return Verdict::Running(running);
+        if fresh.report.running > 0 {
+            return Verdict::Running(fresh.report.running);
         }
-        if fresh.is_some_and(|s| self.lease_ran_out(settings, s)) {
+        if self.lease_ran_out(settings, fresh) {
             return Verdict::LeaseRanOut;
         }
         self.acknowledged(instance, observed)
--- a/src/maintenance/tally.rs
+++ b/src/maintenance/tally.rs
@@ -18,6 +18,7 @@
     /// Counts an instance in.
     pub fn add(&mut self, instance: &Instance, failed: bool) {
         self.members.insert(instance.name.clone());
+        self.room.join(&instance.rack);
         match Cause::of(instance, failed) {
             Some(cause) => *self.absent.entry(cause).or_default() += 1,
             None => self.room.add(&instance.rack),
@@ -27,6 +28,7 @@
     /// Counts an instance out, as it was counted in.
     pub fn remove(&mut self, instance: &Instance, failed: bool) {
         self.members.remove(&instance.name);
+        self.room.leave(&instance.rack);
         let Some(cause) = Cause::of(instance, failed) else {
             self.room.remove(&instance.rack);
             return;
--- a/src/maintenance/wave.rs
+++ b/src/maintenance/wave.rs
@@ -27,12 +27,30 @@
     pub left_out: BTreeMap<InstanceName, String>,
     /// How often the turn of an instance was put off.
     pub put_off: BTreeMap<InstanceName, u32>,
-    /// Time out of service of those that came back, in milliseconds.
-    pub seen_ms: u64,
+    /// Visits that came back, by pool: what the wave learns from.
+    pub seen: BTreeMap<PoolName, SeenVisits>,
     /// What was decided.
     pub trail: Trail,
 }
 
+/// Visits of one pool that came back.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeenVisits {
+    /// How many.
+    pub count: u32,
+    /// Their time out of service together, in milliseconds.
+    pub total_ms: u64,
+}
+
+impl SeenVisits {
+    /// Their mean; none until two came back, which is enough to tell a declared
+    /// time that is off by four from the spread.
+    fn mean_ms(self) -> Option<u64> {
+        let mean_ms = self.total_ms.checked_div(u64::from(self.count))?;
+        (self.count >= 2).then_some(mean_ms.max(1))
+    }
+}
+
 /// Whether a wave goes on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
 pub enum WaveState {
@@ -64,16 +82,22 @@
         self.pending.values().map(BTreeSet::len).sum()
     }
 
-    /// Expected time out of service of one instance, in milliseconds: the
-    /// declared one until three came back, then what was seen. Declared times
-    /// are often off by four; three visits are enough to tell that apart from
-    /// the spread.
+    /// Expected time out of service of one instance, in milliseconds: what was
+    /// seen in all pools, or else declared.
     pub fn visit_ms(&self) -> u64 {
-        if self.done < 3 {
-            self.spec.visit_ms()
-        } else {
-            (self.seen_ms / u64::from(self.done)).max(1)
+        let mut all = SeenVisits::default();
+        for seen in self.seen.values() {
+            all.count += seen.count;
+            all.total_ms += seen.total_ms;
         }
+        all.mean_ms().unwrap_or_else(|| self.spec.visit_ms())
+    }
+
+    /// The same for one pool, whose services' run times decide how long it
+    /// drains: what was seen there, or else declared.
+    pub fn pool_visit_ms(&self, pool: &PoolName) -> u64 {
+        let seen = self.seen.get(pool).copied().unwrap_or_default();
+        seen.mean_ms().unwrap_or_else(|| self.spec.visit_ms())
     }
 
     /// The absence its instances are under.
@@ -102,10 +126,12 @@
         had
     }
 
-    pub(super) fn came_back(&mut self, instance: &InstanceName, at_unix_ms: u64) {
+    pub(super) fn came_back(&mut self, pool: &PoolName, instance: &InstanceName, at_unix_ms: u64) {
         if let Some(since) = self.out.remove(instance) {
             self.done += 1;
-            self.seen_ms += at_unix_ms.saturating_sub(since);
+            let seen = self.seen.entry(pool.clone()).or_default();
+            seen.count += 1;
+            seen.total_ms += at_unix_ms.saturating_sub(since);
         }
     }
 }
--- /dev/null
+++ b/tests/maintenance/fleet_twin.rs
@@ -0,0 +1,184 @@
+//! Random commands in random order, from several operators, old leaders and new
+//! ones at once: whatever reaches the log, the fleet's answer must be the one a
+//! recount from scratch gives.
+
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use rosemarygauge::cmd::measure_waves::fleet;
+use rosemarygauge::maintenance::{
+    Fleet, FleetCommand, FleetRefusal, Selection, WaveKind, WaveSpec, WaveWeights,
+};
+use rosemarygauge::model::{Duty, InstanceName, PoolName, Survive, WaveName};
+
+use super::recount::{Recount, check};
+
+const SURVIVALS: [Survive; 3] = [Survive::None, Survive::Instance, Survive::Rack];
+
+fn command(fleet: &Fleet, rng: &mut ChaCha8Rng) -> FleetCommand {
+    let names: Vec<&InstanceName> = fleet.instances().keys().collect();
+    let instance: InstanceName = (*names.choose(rng).unwrap()).clone();
+    let pools: Vec<&PoolName> = fleet.pools().keys().collect();
+    let to: PoolName = (*pools.choose(rng).unwrap()).clone();
+    let epoch = fleet.instances()[&instance].epoch - u64::from(rng.random_ratio(1, 10));
+    let waves: Vec<&WaveName> = fleet.waves().keys().collect();
+    let wave: WaveName = waves
+        .choose(rng)
+        .map_or("none".into(), |name| (*name).clone());
+    let incarnation = rng.random_range(0..4);
+    let reason = "drawn".to_owned();
+    match rng.random_range(0..24) {
+        0..4 => FleetCommand::Health {
+            instance,
+            failed: rng.random(),
+        },
+        4 => FleetCommand::Drain { instance },
+        5 | 6 => FleetCommand::Undrain { instance },
+        7 => FleetCommand::StartMove { instance, to },
+        8 => FleetCommand::Lend {
+            instance,
+            to,
+            reason,
+        },
+        9 | 10 => FleetCommand::FinishMove { instance, epoch },
+        11 => FleetCommand::AbortMove { instance, reason },
+        12 => FleetCommand::StartWave {
+            spec: spec(rng, instance, to),
+        },
+        13 if rng.random_ratio(1, 8) => FleetCommand::StopWave { wave },
+        13..16 => FleetCommand::BeginAbsence { wave, instance },
+        16 => FleetCommand::PutOff { instance, reason },
+        17 | 18 => FleetCommand::MarkAway {
+            instance,
+            epoch,
+            incarnation,
+        },
+        19 => FleetCommand::RepairStart {
+            instance,
+            incarnation,
+        },
+        20 | 21 => FleetCommand::Return {
+            instance,
+            incarnation,
+        },
+        22 => FleetCommand::Restore { instance },
+        _ if rng.random_ratio(1, 4) => FleetCommand::SetAside { instance, reason },
+        _ => FleetCommand::Restore { instance },
+    }
+}
+
+fn spec(rng: &mut ChaCha8Rng, instance: InstanceName, pool: PoolName) -> WaveSpec {
+    WaveSpec {
+        name: format!("wave-{}", rng.random_range(0..20)).into(),
+        kind: if rng.random() {
+            WaveKind::Reboot
+        } else {
+            WaveKind::Replace
+        },
+        selection: match rng.random_range(0..3) {
+            0 => Selection::All,
+            1 => Selection::Pool(pool),
+            _ => Selection::Instances(vec![instance]),
+        },
+        drain_ms: 1,
+        absence_ms: 1,
+        spread_percent: 0,
+        weights: WaveWeights::MOVES_FIRST,
+    }
+}
+
+/// What a voluntary absence would take out, if it would take anything.
+fn taken<'a>(fleet: &Fleet, command: &'a FleetCommand) -> Option<&'a InstanceName> {
+    let name = match command {
+        FleetCommand::Drain { instance }
+        | FleetCommand::StartMove { instance, .. }
+        | FleetCommand::Lend { instance, .. }
+        | FleetCommand::BeginAbsence { instance, .. }
+        | FleetCommand::SetAside { instance, .. } => instance,
+        _ => return None,
+    };
+    let serves = fleet.instances()[name].duty == Duty::Serving && !fleet.is_failed(name);
+    serves.then_some(name)
+}
+
+#[test]
+fn random_commands_against_a_recount() {
+    let mut refused_by_budget = 0;
+    let mut moved = 0;
+    for seed in 0..60 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut fleet = fleet(24, 3, *SURVIVALS.choose(&mut rng).unwrap());
+        for at in 0..600 {
+            let command = command(&fleet, &mut rng);
+            let before = fleet.clone();
+            let result = fleet.apply(at, &command);
+            check(&fleet);
+            moved +=
+                u32::from(result.is_ok() && matches!(command, FleetCommand::FinishMove { .. }));
+            if result.is_err() {
+                assert_eq!(fleet, before, "a refused {command:?} changed the fleet");
+            }
+            let Some(name) = taken(&before, &command) else {
+                assert!(
+                    !matches!(result, Err(FleetRefusal::Budget { .. })),
+                    "{command:?}"
+                );
+                continue;
+            };
+            let pool = &before.instances()[name].pool;
+            let whole = Recount::of(&before, pool, Some(name)).is_whole();
+            match result {
+                Ok(()) => assert!(whole, "{command:?} broke {pool} (seed {seed})"),
+                Err(FleetRefusal::Budget { after }) => {
+                    assert!(!whole, "{command:?} was refused by {after}");
+                    refused_by_budget += 1;
+                }
+                Err(_) => {}
+            }
+        }
+        let told = serde_json::to_string(&fleet).unwrap();
+        assert_eq!(fleet, serde_json::from_str(&told).unwrap());
+    }
+    // The draw must reach what it is meant to test.
+    assert!(refused_by_budget > 500, "{refused_by_budget} refusals");
+    assert!(moved > 50, "{moved} moves");
+}
+
+/// An operator types a budget of 80 for 8, or drains a second instance of a
+/// pool that has one to spare. Both are refused before they take effect, with
+/// the numbers they can check against their own table.
+#[test]
+fn refusals_show_the_arithmetic() {
+    let mut fleet = fleet(50, 5, Survive::Instance);
+    let mut pool = fleet.pools()[&PoolName::from("pool-00")].clone();
+    pool.budget.min_available = 80;
+    let refusal = fleet.apply(0, &FleetCommand::PutPool { pool }).unwrap_err();
+    assert_eq!(
+        refusal.to_string(),
+        "pool pool-00: 8 of 8 serving, less 1 for the worst instance still to come = 7, \
+         breaks its need of 80"
+    );
+    let members: Vec<_> = fleet
+        .tally(&"pool-00".into())
+        .unwrap()
+        .members()
+        .iter()
+        .cloned()
+        .collect();
+    let (failed, instance) = (true, members[0].clone());
+    fleet
+        .apply(1, &FleetCommand::Health { instance, failed })
+        .unwrap();
+    let instance = members[1].clone();
+    fleet.apply(2, &FleetCommand::Drain { instance }).unwrap();
+    let instance = members[2].clone();
+    let refusal = fleet
+        .apply(3, &FleetCommand::Drain { instance })
+        .unwrap_err();
+    assert_eq!(
+        refusal.to_string(),
+        "pool pool-00: 5 of 8 serving (1 failed, 1 drained), less 1 for the worst instance \
+         still to come = 4, breaks its need of 5"
+    );
+}
--- /dev/null
+++ b/tests/maintenance/stop_proof.rs
@@ -0,0 +1,155 @@
+//! The proof that nothing dispatches to a draining instance any more.
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use rosemarygauge::maintenance::{
+    ControllerSettings, EntryAck, InstanceSeen, Observed, StopProof, Verdict,
+};
+use rosemarygauge::model::{Capacity, InstanceName, Standing, UpstreamReport};
+
+const EPOCH: u64 = 7;
+const DRAIN_INDEX: u64 = 100;
+
+fn seen(heard_ms: u64, standing: Standing, running: u32, usage_age_ms: u64) -> InstanceSeen {
+    InstanceSeen {
+        report: UpstreamReport {
+            instance: "worker".into(),
+            incarnation: 1,
+            sequence: heard_ms,
+            address: String::new(),
+            zone: "zone".into(),
+            rack: "rack".into(),
+            pool: "old".into(),
+            capacity: Capacity {
+                cores: 1,
+                memory_mib: 1,
+                accelerators: 0,
+                slots: 1,
+                connections: 1,
+            },
+            pool_epoch: EPOCH,
+            standing,
+            running,
+            usage_age_ms,
+        },
+        heard_ms,
+        sick: false,
+    }
+}
+
+fn observed(seen: InstanceSeen, acks: &[(&str, u64, u32)]) -> Observed {
+    let worker: InstanceName = "worker".into();
+    let mut observed = Observed::default();
+    for (entry, applied_index, count) in acks {
+        let in_flight = [(worker.clone(), *count)].into();
+        let ack = EntryAck {
+            applied_index: *applied_index,
+            in_flight,
+        };
+        observed.entries.insert((*entry).into(), ack);
+    }
+    observed.instances.insert(worker, seen);
+    observed
+}
+
+fn verdict(proof: &mut StopProof, now_ms: u64, observed: &Observed) -> Verdict {
+    let worker: InstanceName = "worker".into();
+    proof.hear(&observed.instances[&worker]);
+    proof.verdict(now_ms, &ControllerSettings::default(), &worker, observed)
+}
+
+#[test]
+fn acknowledgements_of_all_entries_are_a_proof() {
+    let mut proof = StopProof::new(EPOCH, DRAIN_INDEX);
+    let serving = || seen(1_000, Standing::Serving, 0, 0);
+    let mut judge =
+        |acks: &[(&str, u64, u32)], seen| verdict(&mut proof, 1_500, &observed(seen, acks));
+    let behind = judge(&[("a", 100, 0), ("b", 99, 0)], serving());
+    assert_eq!(behind, Verdict::Silent(vec!["b".into()]));
+    let busy = judge(&[("a", 100, 0), ("b", 120, 2)], serving());
+    assert!(matches!(busy, Verdict::InFlight { count: 2, .. }));
+    // An entry that restarted counts nothing in flight; the upstream knows.
+    let restarted = judge(
+        &[("a", 100, 0), ("b", 120, 0)],
+        seen(1_000, Standing::Draining, 1, 0),
+    );
+    assert_eq!(restarted, Verdict::Running(1));
+    let all = judge(&[("a", 100, 0), ("b", 120, 0)], serving());
+    assert_eq!(all, Verdict::Acknowledged);
+    // Without a membership there is nobody who acknowledged.
+    assert_eq!(judge(&[], serving()), Verdict::Silent(vec![]));
+}
+
+/// A caller of the new pool and one of the old would share an instance. An entry
+/// instance is cut off from the log, but hears the upstream. It dispatches up to
+/// a lease after the last `Serving` it heard. The proof by reports must never
+/// come while that permission may be valid, however reports are lost or late
+/// and whatever an earlier drain of the same instance left behind.
+#[test]
+fn no_proof_while_a_silent_entry_is_permitted() {
+    let settings = ControllerSettings::default();
+    let mut proofs = 0;
+    for seed in 0..400 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut proof = StopProof::new(EPOCH, DRAIN_INDEX);
+        let drains_at_ms = rng.random_range(0..20_000);
+        let ends_at_ms = drains_at_ms + rng.random_range(0..10_000);
+        let mut permitted_until_ms = 0;
+        let mut heard = seen(0, Standing::Serving, 1, 0);
+        let mut incarnation = 1;
+        for now_ms in (1_000..60_000_u64).step_by(1_000) {
+            let serves = now_ms < drains_at_ms;
+            let age_ms = rng.random_range(0..3_000);
+            let running = u32::from(now_ms.saturating_sub(age_ms) < ends_at_ms);
+            let standing = if serves {
+                Standing::Serving
+            } else {
+                Standing::Draining
+            };
+            let mut report = seen(now_ms, standing, running, age_ms);
+            if rng.random_ratio(1, 30) {
+                // A new start is told neither epoch nor drain yet, or told the
+                // epoch by an entry that has not yet lost its view.
+                incarnation += 1;
+                report.report.standing = Standing::Serving;
+                report.report.pool_epoch = if rng.random() { EPOCH } else { 0 };
+            }
+            report.report.incarnation = incarnation;
+            let permits = report.report.pool_epoch == EPOCH;
+            if permits && report.report.standing == Standing::Serving {
+                permitted_until_ms = now_ms + settings.dispatch_lease_ms;
+            }
+            if rng.random_ratio(7, 10) {
+                heard = report;
+            }
+            let judged = verdict(
+                &mut proof,
+                now_ms,
+                &observed(heard.clone(), &[("cut-off", 3, 0)]),
+            );
+            if judged.is_stopped() {
+                assert_eq!(judged, Verdict::LeaseRanOut);
+                assert!(now_ms >= ends_at_ms, "seed {seed} at {now_ms}");
+                assert!(now_ms >= permitted_until_ms, "seed {seed} at {now_ms}");
+                proofs += 1;
+                break;
+            }
+        }
+    }
+    assert!(proofs > 200, "{proofs} proofs");
+}
+
+/// An instance is drained, serves again, and is drained again. A report of the
+/// first drain arrives late, during the second. It carries the first epoch, so
+/// it proves nothing of the second.
+#[test]
+fn a_late_report_of_an_earlier_drain_proves_nothing() {
+    let mut proof = StopProof::new(EPOCH, DRAIN_INDEX);
+    for now_ms in (1_000..30_000).step_by(1_000) {
+        let mut late = seen(now_ms, Standing::Draining, 0, 0);
+        late.report.pool_epoch = EPOCH - 1;
+        let judged = verdict(&mut proof, now_ms, &observed(late, &[("cut-off", 3, 0)]));
+        assert_eq!(judged, Verdict::Silent(vec!["cut-off".into()]));
+    }
+}
