--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, one file each.
 
 pub mod load;
+pub mod proxy;
 pub mod serve;
 pub mod upstream;
--- a/src/main.rs
+++ b/src/main.rs
@@ -28,6 +28,9 @@
     /// Run stand-in upstreams that prove what they ran.
     #[command(long_about = cmd::upstream::HELP)]
     Upstream(Box<cmd::upstream::Args>),
+    /// Run TCP links with faults that are switched while they run.
+    #[command(long_about = cmd::proxy::HELP)]
+    Proxy(cmd::proxy::Args),
 }
 
 fn main() -> ExitCode {
@@ -35,6 +38,7 @@
         Command::Serve(args) => cmd::serve::run(&args).map(|()| true),
         Command::Load(args) => cmd::load::run(&args),
         Command::Upstream(args) => cmd::upstream::run(&args).map(|()| true),
+        Command::Proxy(args) => cmd::proxy::run(&args).map(|()| true),
     };
     match clean {
         Ok(true) => ExitCode::SUCCESS,
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -1,12 +1,15 @@
 //! The fault-injecting proxy: each fault does to a connection what it says.
 #![allow(missing_docs, clippy::unwrap_used)]
 
+mod support;
+
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use rosemarygauge::proxy::{Accept, Flow, Hub, Link, LinkFaults};
+use support::{Process, agent};
 
 /// Answers each byte with its successor.
 fn successor() -> SocketAddr {
@@ -137,3 +140,27 @@
     assert_eq!(ask(&mut connect(&link), 1), Ok(2));
     assert!(start.elapsed() >= Duration::from_millis(60));
 }
+
+#[test]
+fn the_command_switches_faults_while_it_runs() {
+    let process = Process::start(&["proxy", "--link", &format!("127.0.0.1:0={}", successor())]);
+    let address: SocketAddr = process.ready["links"][0].as_str().unwrap().parse().unwrap();
+    let post = |path: &str, body: &str| {
+        let url = format!(
+            "http://{}/{path}",
+            process.ready["control"].as_str().unwrap()
+        );
+        agent(5_000).post(url).send(body).unwrap().status().as_u16()
+    };
+    let ask_new = || ask(&mut TcpStream::connect(address).unwrap(), 1);
+    assert_eq!(ask_new(), Ok(2));
+    assert_eq!(post("faults", r#"{"faults":{"accept":"reset"}}"#), 200);
+    assert!(ask_new().is_err());
+    assert_eq!(
+        post("faults", r#"{"links":[1]}"#),
+        400,
+        "there is no such link"
+    );
+    assert_eq!(post("faults", "{}"), 200);
+    assert_eq!(ask_new(), Ok(2));
+}
