Test two safeguards of the stand-in that no test caught

Broken on purpose, then restored: an instance that leaves while a request runs (the test's run was shorter than the linger; now longer), and an old incarnation's run that frees a slot of the new one (new test).

--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -6,7 +6,7 @@
 use std::net::TcpListener;
 use std::thread;
 
-use rosemarygauge::upstream::{Orders, RunEnd};
+use rosemarygauge::upstream::{Faults, Orders, Refusal, RunEnd, Spec, Worker};
 use rosemarygauge::upstream_api::{AnnounceReply, Order};
 use serde_json::json;
 use support::{FakeEntry, Upstreams, agent, reply, until};
@@ -127,8 +127,13 @@
 #[test]
 fn a_planned_stop_finishes_what_runs() {
     let (mut up, address) = start(&[]);
+    // Longer than a leaving instance lingers when nothing runs.
+    let long = Run {
+        run_ms: 2_500,
+        ..RUN
+    };
     let answer = thread::scope(|scope| {
-        let call = scope.spawn(|| run(&address, &Run { run_ms: 700, ..RUN }));
+        let call = scope.spawn(|| run(&address, &long));
         until(5_000, "it runs", || up.instance("w")["running"] == 1);
         up.process.term();
         call.join().unwrap()
@@ -251,3 +256,31 @@
     orders.hear(3, "a", &order(Order::Reboot, 1));
     assert_eq!(now(&orders, 4), Some((1, Order::Reboot)), "this is another");
 }
+
+// An instance dies under a request that goes on without its connection, comes
+// back, and takes new work. When the old run ends at last it must not free a
+// slot of the new incarnation, or that one takes more than its slots.
+#[test]
+fn a_run_of_an_old_incarnation_frees_no_slot_of_the_new() {
+    let spec = Spec {
+        name: "w".into(),
+        zone: "z1".into(),
+        rack: "r1".into(),
+        pool: "p".into(),
+        cores: 1,
+        memory_mib: 1,
+        accelerators: 0,
+        slots: 1,
+        connections: 8,
+        listen: None,
+        advertise: None,
+    };
+    let mut worker = Worker::new(spec, 7, Faults::default());
+    assert_eq!(worker.admit(0, 7, "p", 1), Ok(()));
+    worker.restart(1);
+    assert_eq!(worker.admit(2, 8, "p", 1), Ok(()));
+    worker.end(3, 7);
+    assert_eq!(worker.admit(4, 8, "p", 1), Err(Refusal::Busy));
+    worker.end(5, 8);
+    assert_eq!(worker.admit(6, 8, "p", 1), Ok(()));
+}
