--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,18 @@
 //! The commands, one file each.
 
+pub mod check;
+pub mod client;
+pub mod drain;
+mod exit;
+pub mod explain;
 pub mod load;
+pub mod move_instance;
+pub mod pool;
 pub mod proxy;
 pub mod serve;
+pub mod status;
+pub mod table;
 pub mod upstream;
+pub mod wave;
+
+pub use exit::Exit;
--- a/src/cmd/proxy.rs
+++ b/src/cmd/proxy.rs
@@ -10,6 +10,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use tokio::sync::watch;
 
+use crate::cmd::Exit;
 use crate::http::{Handler, HttpServer, Incoming, Limits};
 use crate::proxy::{Hub, Link, LinkFaults};
 
@@ -78,7 +79,7 @@
 ///
 /// # Errors
 /// An address cannot be listened on.
-pub fn run(args: &Args) -> eyre::Result<()> {
+pub fn run(args: &Args) -> eyre::Result<Exit> {
     let hub = Hub::start()?;
     let links = args
         .link
@@ -105,7 +106,7 @@
     stop.send_replace(true);
     // A panic in it was printed already.
     let _ = control.join();
-    Ok(())
+    Ok(Exit::Done)
 }
 
 fn handler(links: Vec<Link>) -> Handler {
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -25,6 +25,11 @@
     Log(Message),
     /// Of upstreams and load.
     Gossip(Gossip),
+    /// The receiver's operator change at this index is in force at the sender.
+    InForce {
+        /// The index.
+        index: u64,
+    },
 }
 
 /// What an entry instance has heard from upstreams itself, and its own load.
@@ -32,8 +37,11 @@
 pub struct Gossip {
     /// Reports heard directly, each with its age in milliseconds when sent.
     pub reports: Vec<(UpstreamReport, u64)>,
-    /// Requests in flight from the sender, by instance.
+    /// Attempts in flight from the sender, by instance: what a move or a wave
+    /// waits for.
     pub in_flight: Vec<(InstanceName, u32)>,
+    /// Slots the sender counts as its own, by instance.
+    pub claimed: Vec<(InstanceName, u32)>,
     /// The highest index of the replicated log the sender has applied.
     pub applied_index: u64,
     /// Whether the sender is stopping.
