--- a/src/main.rs
+++ b/src/main.rs
@@ -52,6 +52,9 @@
     /// Run stand-in upstreams that prove what they ran.
     #[command(long_about = cmd::upstream::HELP)]
     Upstream(Box<cmd::upstream::Args>),
+    /// Run TCP links with faults that are switched while they run.
+    #[command(long_about = cmd::proxy::HELP)]
+    Proxy(cmd::proxy::Args),
 }
 
 fn main() -> ExitCode {
@@ -77,5 +80,6 @@
         Command::Explain(args) => cmd::explain::run(args),
         Command::Load(args) => cmd::load::run(args),
         Command::Upstream(args) => cmd::upstream::run(args),
+        Command::Proxy(args) => cmd::proxy::run(args),
     }
 }
