--- a/src/load/admission.rs
+++ b/src/load/admission.rs
@@ -9,7 +9,8 @@
 //! The wait is the number of requests that go before this one, by the fair order
 //! of its team and caller, times the learnt run time, over how many run at once
 //! (Little's law: in a queue that is not empty, what runs is what can run).
-//! Together with a run time that few requests exceed it must fit the deadline.
+//! With the learnt margin (see `wait_error`), and a run time that few requests exceed, it must fit the
+//! deadline: of what is let in, hardly any is then given up later.
 //!
 //! A service whose learnt run time alone exceeds the deadline is still given one
 //! request at a time: refused for good, it could never be seen to be faster.
@@ -36,8 +37,12 @@
     pub left_ms: u64,
     /// Estimated wait in the queue.
     pub wait_ms: f64,
-    /// Run time that few requests exceed; 0 where nothing is learnt.
+    /// What the wait is multiplied with to be on the safe side.
+    pub margin: f64,
+    /// Mean run time; 0 where nothing is learnt.
     pub run_ms: f64,
+    /// Run time that few requests exceed; 0 where nothing is learnt.
+    pub run_high_ms: f64,
     /// Longest wait by the rows.
     pub queue_ms: Option<u64>,
     /// Requests that wait before it, of any caller.
@@ -54,10 +59,10 @@
         if self.left_ms == 0 {
             return Err(RefusalReason::Deadline);
         }
-        if self.wait_ms > 0.0 && self.is_too_late() {
+        if self.wait_ms > 0.0 && self.waits_too_long() {
             return Err(self.too_slow(RefusalReason::Deadline));
         }
-        if self.wait_ms == 0.0 && self.is_too_late() && !self.is_only {
+        if self.run_ms > self.left_ms as f64 && !self.is_only {
             return Err(RefusalReason::Deadline);
         }
         if self.queue_ms.is_some_and(|max| self.wait_ms > max as f64) || self.queued >= QUEUE_MAX {
@@ -66,8 +71,16 @@
         Ok(())
     }
 
-    fn is_too_late(&self) -> bool {
-        self.wait_ms + self.run_ms > self.left_ms as f64
+    fn waits_too_long(&self) -> bool {
+        let left_ms = self.left_ms as f64;
+        // Where runs vary so much that the long ones never make it, the mean
+        // decides: else a service of mixed work would be closed by its tail.
+        let run_ms = if self.run_high_ms < left_ms {
+            self.run_high_ms
+        } else {
+            self.run_ms
+        };
+        self.wait_ms * self.margin + run_ms > left_ms
     }
 
     fn too_slow(&self, reason: RefusalReason) -> RefusalReason {
--- a/src/load/arrive.rs
+++ b/src/load/arrive.rs
@@ -38,7 +38,7 @@
         let verdict = self
             .is_possible(now_ms, service, &request)
             .and_then(|()| arrival.verdict());
-        self.track(now_ms, service, request);
+        self.track(now_ms, service, request, arrival.wait_ms);
         match verdict {
             Ok(()) => {
                 let wait_ms = arrival.wait_ms as u64;
@@ -49,7 +49,7 @@
         }
     }
 
-    fn track(&mut self, now_ms: u64, service: usize, request: Request) {
+    fn track(&mut self, now_ms: u64, service: usize, request: Request, wait_ms: f64) {
         let ticket = Ticket {
             team: request.team.clone(),
             caller: request.caller.clone(),
@@ -61,6 +61,7 @@
             service,
             ticket,
             arrived_ms: now_ms,
+            estimated_ms: wait_ms,
             zone,
             phase: Phase::Waiting,
             attempts: 0,
@@ -112,7 +113,9 @@
             } else {
                 load.drain_ms(class, ahead)
             },
-            run_ms: if trusted { load.run.high_ms() } else { 0.0 },
+            margin: load.wait_error[class].margin(),
+            run_ms: load.run.trusted_ms(),
+            run_high_ms: if trusted { load.run.high_ms() } else { 0.0 },
             queue_ms: self.queue_ms(service, request),
             queued: queue.len(),
             is_only: load.in_flight[class] == 0,
@@ -172,11 +175,7 @@
             return now_ms;
         };
         let load = &self.services[tracked.service];
-        let run_ms = if load.run.is_trusted() {
-            load.run.mean_ms() as u64
-        } else {
-            0
-        };
+        let run_ms = load.run.trusted_ms() as u64;
         let latest = tracked.request.deadline_ms.saturating_sub(run_ms);
         let queue_ms = self.queue_ms(tracked.service, &tracked.request);
         let queue = queue_ms.map_or(u64::MAX, |ms| tracked.arrived_ms.saturating_add(ms));
@@ -189,6 +188,8 @@
         };
         let service = tracked.service;
         let at_ms = self.give_up_at_ms(now_ms, id);
+        let class = tracked.class();
+        let (estimated_ms, arrived_ms) = (tracked.estimated_ms, tracked.arrived_ms);
         // Run times are learnt while it waits, so the end of the wait moves.
         if at_ms > now_ms + 1 {
             self.give_ups.set(id, at_ms);
@@ -204,6 +205,7 @@
         } else {
             RefusalReason::QueueFull
         };
+        self.services[service].saw_wait(class, estimated_ms, now_ms - arrived_ms);
         self.give_up(now_ms, id, reason, out);
     }
 
--- a/src/load/dispatcher.rs
+++ b/src/load/dispatcher.rs
@@ -3,7 +3,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::model::{Class, RefusalReason, ServiceName};
+use crate::model::{RefusalReason, ServiceName};
 
 use super::admission::retry_after_ms;
 use super::retry::{ATTEMPTS_MAX, RetryBudget};
@@ -376,7 +376,7 @@
     ) -> Option<RefusalReason> {
         let tracked = self.requests.get(&id)?;
         let request = &tracked.request;
-        let run_ms = self.services[tracked.service].run.mean_ms();
+        let run_ms = self.services[tracked.service].run.trusted_ms();
         if ran && !request.idempotent {
             return Some(RefusalReason::RetryBudget);
         }
@@ -517,11 +517,6 @@
             (self.is_fresh || zone == HOME) && self.upstreams.has_members(service, zone)
         })
     }
-
-    pub(super) fn has_urgent(&self, class: Class, level: f64) -> bool {
-        // A hundredth of a slot: what one request leaves behind fades below it.
-        class == Class::Urgent || level > 0.01
-    }
 }
 
 fn base_wait_ms(reason: RefusalReason, drain_ms: f64) -> Option<f64> {
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -16,7 +16,7 @@
 //! | `route` | which upstream |
 //! | `zone_weights` | which availability zone, and how fast that shifts |
 //! | `shares` | which part of an upstream's slots this entry instance uses |
-//! | `limit`, `run_time` | what an upstream really carries, how long work really runs |
+//! | `limit`, `run_time`, `wait_error` | what is learnt: capacity, run times, waits |
 //! | `health` | which upstreams get nothing |
 //! | `retry` | what is tried again |
 //! | `teams` | quotas |
@@ -35,6 +35,7 @@
 mod limit;
 mod naive;
 mod overview;
+pub mod plays;
 mod pump;
 mod queue;
 mod ready;
@@ -54,6 +55,7 @@
 mod upstream;
 mod upstreams;
 mod view;
+mod wait_error;
 mod zone_weights;
 
 pub use action::Action;
--- a/src/load/pump.rs
+++ b/src/load/pump.rs
@@ -34,6 +34,10 @@
 /// Time for which a large request may fit nowhere before room is made for it.
 const RESERVE_AFTER_MS: u64 = 200;
 
+/// Level at which a pool counts as having urgent work although no service of it
+/// is declared so: one request leaves more behind than this for a minute.
+const URGENT_SEEN: f64 = 1e-5;
+
 const URGENT: usize = Class::Urgent as usize;
 const PATIENT: usize = Class::Patient as usize;
 
@@ -119,11 +123,7 @@
         let load = &self.services[tracked.service];
         // The only one goes even if it seems too long: see `admission`.
         let is_only = load.in_flight[tracked.class()] == 0;
-        let run_ms = if load.run.is_trusted() && !is_only {
-            load.run.mean_ms()
-        } else {
-            0.0
-        };
+        let run_ms = if is_only { 0.0 } else { load.run.trusted_ms() };
         let deadline_ms = tracked.request.deadline_ms;
         deadline_ms <= now_ms || now_ms as f64 + run_ms > deadline_ms as f64
     }
@@ -217,7 +217,7 @@
         for &other in &self.upstreams.pools[pool].services {
             let load = &self.services[other];
             let level = load.urgent.level(now_ms);
-            has_urgent |= self.has_urgent(load.class, level);
+            has_urgent |= load.class == Class::Urgent || level > URGENT_SEEN;
             sum += level;
         }
         has_urgent.then_some(sum)
@@ -291,6 +291,9 @@
         load.queues[class].serve(&tracked.ticket);
         load.started(zone, class);
         load.blocked_since_ms = None;
+        if tracked.attempts == 1 {
+            load.saw_wait(class, tracked.estimated_ms, waited_ms);
+        }
         let present = self.present.entry((pool, class)).or_default();
         *present = present.max(load.tags[class]);
         load.tags[class] += load.run.mean_ms().max(0.001);
@@ -301,6 +304,8 @@
         }
         self.upstreams
             .started(now_ms, start.upstream, start.service, class);
+        let slots = self.upstreams.pools[pool].groups.iter().map(|g| g.allowed);
+        self.retries.set_slots(now_ms, pool, slots.sum());
     }
 
     /// After nothing more can start: looks after services that still wait.
--- a/src/load/retry.rs
+++ b/src/load/retry.rs
@@ -14,8 +14,9 @@
 //! never tried again, whatever the budget.
 //!
 //! Thresholds: a ratio of 1/10 lets a pool that has lost one of ten workers
-//! retry all it loses there; the stock of 10 lets the first failures of a quiet
-//! pool through (eight slots of one worker); 3 attempts, since a request that
+//! retry all it loses there; the stock is half of the pool's slots, at least 10:
+//! what is in flight on the worst rack of a small pool is tried again once, at
+//! the moment it goes, and then only at the ratio; 3 attempts, since a request that
 //! failed on two upstreams of different racks is more likely bad itself.
 
 use std::collections::BTreeMap;
@@ -23,11 +24,17 @@
 /// Tokens that one success earns.
 const RATIO: f64 = 0.1;
 
-/// Most tokens a pool can hold, and what it starts with.
-const POOL_STOCK: f64 = 10.0;
+/// Most tokens a pool holds, and what it starts with: at least this many, and a
+/// part of its slots.
+const POOL_STOCK_LEAST: f64 = 10.0;
 
-/// Most tokens a caller can hold, and what it starts with.
-const CALLER_STOCK: f64 = 3.0;
+/// Tokens a pool holds for each of its slots.
+const POOL_STOCK_PER_SLOT: f64 = 0.5;
+
+/// Most tokens a caller can hold, and what it starts with: a quarter of what a
+/// pool of ten workers holds, so that a caller whose own requests are at fault
+/// leaves the others theirs.
+const CALLER_STOCK: f64 = 10.0;
 
 /// Tokens a second that come back without successes, so that a caller whose
 /// stock is spent can be helped again later.
@@ -119,6 +126,15 @@
         }
     }
 
+    /// Fits the stock of a pool to its slots.
+    pub(super) fn set_slots(&mut self, now_ms: u64, pool: usize, slots: u32) {
+        let stock = (f64::from(slots) * POOL_STOCK_PER_SLOT).max(POOL_STOCK_LEAST);
+        let bucket = self.pool(now_ms, pool);
+        // More slots come with their tokens; fewer leave what was earned.
+        bucket.tokens += (stock - bucket.stock).max(0.0);
+        bucket.stock = bucket.stock.max(stock);
+    }
+
     /// A request of the pool and caller succeeded.
     pub(super) fn earn(&mut self, now_ms: u64, pool: usize, caller: &str) {
         self.pool(now_ms, pool).earn(now_ms, RATIO);
@@ -157,7 +173,7 @@
     fn pool(&mut self, now_ms: u64, pool: usize) -> &mut Bucket {
         self.pools
             .entry(pool)
-            .or_insert_with(|| Bucket::full(POOL_STOCK, now_ms))
+            .or_insert_with(|| Bucket::full(POOL_STOCK_LEAST, now_ms))
     }
 
     fn caller(&mut self, now_ms: u64, caller: &str) -> &mut Bucket {
--- a/src/load/run_time.rs
+++ b/src/load/run_time.rs
@@ -53,6 +53,15 @@
         self.mean_us / 1_000.0
     }
 
+    /// The mean, or 0 while too little was seen to refuse anything by it.
+    pub(super) fn trusted_ms(&self) -> f64 {
+        if self.is_trusted() {
+            self.mean_ms()
+        } else {
+            0.0
+        }
+    }
+
     /// A run time that few requests exceed: the mean and twice the mean
     /// deviation, as TCP bounds a round trip.
     pub(super) fn high_ms(&self) -> f64 {
--- a/src/load/scenarios.rs
+++ b/src/load/scenarios.rs
@@ -123,8 +123,32 @@
         Self::new(kind, seed, view, workers)
     }
 
-    /// Adds a stream; returns the ids of its requests.
+    /// The same behind `n` entry instances.
+    pub fn ten_workers_and(n: usize, seed: u64) -> Self {
+        let mut view = View::default();
+        let services = vec![fleets::service("check", Class::Urgent, 20)];
+        let workers = fleets::pool(&mut view, "pool", services, &[ZONE], 10);
+        let sides = (0..n).map(|i| side(Kind::Dispatcher, &format!("entry-{i}"), seed + i as u64));
+        Self {
+            bench: Harness::new(view, workers, sides.collect()),
+            rng: ChaCha8Rng::seed_from_u64(seed ^ 0x5eed),
+            next_id: 0,
+        }
+    }
+
+    /// Adds a stream at the first entry instance; returns the ids of its requests.
     pub fn add(&mut self, from_ms: u64, until_ms: u64, stream: &Stream) -> Vec<RequestId> {
+        self.add_at(0, from_ms, until_ms, stream)
+    }
+
+    /// Adds a stream at one of the entry instances.
+    pub fn add_at(
+        &mut self,
+        entry: usize,
+        from_ms: u64,
+        until_ms: u64,
+        stream: &Stream,
+    ) -> Vec<RequestId> {
         let mut at = from_ms as f64;
         let mut ids = Vec::new();
         loop {
@@ -133,12 +157,16 @@
             if at >= until_ms as f64 {
                 return ids;
             }
-            ids.push(self.add_one(at as u64, stream));
+            ids.push(self.add_one_at(entry, at as u64, stream));
         }
     }
 
     /// Adds one request of a stream.
     pub fn add_one(&mut self, at_ms: u64, stream: &Stream) -> RequestId {
+        self.add_one_at(0, at_ms, stream)
+    }
+
+    fn add_one_at(&mut self, entry: usize, at_ms: u64, stream: &Stream) -> RequestId {
         self.next_id += 1;
         let id = RequestId(self.next_id);
         let caller = self.rng.random_range(0..stream.callers.len());
@@ -153,7 +181,7 @@
             deadline_ms: at_ms + stream.deadline_ms,
         };
         let run_ms = (stream.run_ms as f64 * factor) as u64;
-        self.bench.offer(at_ms, 0, request, run_ms.max(1));
+        self.bench.offer(at_ms, entry, request, run_ms.max(1));
         id
     }
 }
--- a/src/load/service_load.rs
+++ b/src/load/service_load.rs
@@ -5,6 +5,7 @@
 use super::headroom::LoadMeter;
 use super::queue::ClassQueue;
 use super::run_time::RunTime;
+use super::wait_error::WaitError;
 use super::zone_weights::{WEIGHT_DEFAULT, ZoneWeights};
 
 /// One service: its queues, what was learnt of it, and its rows.
@@ -21,6 +22,7 @@
     pub in_flight: [u32; 2],
     pub zone_in_flight: Vec<u32>,
     pub weights: ZoneWeights,
+    pub wait_error: [WaitError; 2],
     /// Urgent requests that are offered.
     pub urgent: LoadMeter,
     /// Virtual time of its next dispatch in each class, in run time.
@@ -44,6 +46,7 @@
             in_flight: [0; 2],
             zone_in_flight: Vec::new(),
             weights: ZoneWeights::default(),
+            wait_error: [WaitError::new(); 2],
             urgent: LoadMeter::new(now_ms),
             tags: [0.0; 2],
             blocked_since_ms: None,
@@ -119,6 +122,11 @@
         self.in_flight[class] = self.in_flight[class].saturating_sub(1);
     }
 
+    pub(super) fn saw_wait(&mut self, class: usize, estimated_ms: f64, waited_ms: u64) {
+        let run_ms = self.run.mean_ms();
+        self.wait_error[class].saw(estimated_ms, waited_ms, run_ms);
+    }
+
     pub(super) fn waiting(&self) -> usize {
         self.queues.iter().map(ClassQueue::len).sum()
     }
--- a/src/load/tracked.rs
+++ b/src/load/tracked.rs
@@ -9,6 +9,8 @@
     pub service: usize,
     pub ticket: Ticket,
     pub arrived_ms: u64,
+    /// Wait that was expected when it arrived.
+    pub estimated_ms: f64,
     /// Zone its weights name.
     pub zone: usize,
     pub phase: Phase,
--- /dev/null
+++ b/tests/load_rows.rs
@@ -0,0 +1,352 @@
+//! Rows, availability zones, quotas, fit and pools that are down.
+#![allow(missing_docs, clippy::unwrap_used)]
+
+use rosemarygauge::load::harness::{Behaviour, Worker};
+use rosemarygauge::load::scenarios::{Kind, Scenario, Stream, ZONE};
+use rosemarygauge::load::{
+    Action, Dispatcher, Input, LoadSettings, Request, RequestId, View, fleets, harness::Ending,
+};
+use rosemarygauge::model::{
+    Capacity, Class, Duty, RefusalReason, Row, RowKey, Standing, UpstreamReport,
+};
+
+const ZONES: [&str; 3] = [ZONE, "amman-2", "amman-3"];
+
+fn check(rate_per_s: f64) -> Stream {
+    Stream::new("check", Class::Urgent, rate_per_s, 20)
+}
+
+/// Twelve workers in three zones.
+fn three_zones() -> (View, Vec<Worker>) {
+    let mut view = View::default();
+    let services = vec![fleets::service("check", Class::Urgent, 20)];
+    let workers = fleets::pool(&mut view, "pool", services, &ZONES, 12);
+    (view, workers)
+}
+
+fn put(view: &mut View, zone: &str, weight: u32, limit_in_flight: u32) {
+    let key = RowKey::Service {
+        service: "check".into(),
+        zone: zone.into(),
+    };
+    let row = Row {
+        weight,
+        limit_in_flight,
+        queue_ms: 1_000,
+    };
+    view.rows.insert(key, row);
+}
+
+fn sent_by_zone(s: &Scenario) -> Vec<u64> {
+    let of = |zone: usize| (0..12).filter(move |i| i % 3 == zone);
+    let sent = |i: usize| s.bench.sent_to(&format!("pool-{i}"));
+    (0..3).map(|zone| of(zone).map(sent).sum()).collect()
+}
+
+fn no_faults(s: &Scenario) {
+    assert_eq!(s.bench.faults(), &[] as &[String]);
+}
+
+fn refused(s: &Scenario, reason: RefusalReason) -> usize {
+    let ended = s.bench.accounts().filter_map(|a| a.ended);
+    ended.filter(|(_, e)| *e == Ending::Refused(reason)).count()
+}
+
+#[test]
+fn the_own_zone_serves_what_arrives_there_until_it_is_full() {
+    let (view, workers) = three_zones();
+    let mut s = Scenario::new(Kind::Dispatcher, 1, view.clone(), workers.clone());
+    s.add(0, 4_000, &check(500.0));
+    s.bench.run(6_000);
+    let sent = sent_by_zone(&s);
+    assert_eq!((sent[1], sent[2]), (0, 0), "{sent:?}");
+
+    // The own zone has 32 slots, 1,600 requests a second; 2,400 come.
+    let mut s = Scenario::new(Kind::Dispatcher, 1, view, workers);
+    s.add(0, 4_000, &check(2_400.0).callers("caller", 20));
+    s.bench.run(6_000);
+    no_faults(&s);
+    assert!(s.bench.accounts().all(|a| a.is_good()));
+    let sent = sent_by_zone(&s);
+    assert!(
+        sent[0] > 5_500 && sent[1] > 500 && sent[2] > 500,
+        "{sent:?}"
+    );
+}
+
+#[test]
+fn weights_move_load_between_zones_step_by_step() {
+    // An operator shifts the service out of this zone. Moved at once, all of it
+    // would hit cold upstreams; the closed row holds at once all the same.
+    let (mut view, workers) = three_zones();
+    put(&mut view, ZONE, 100, 100);
+    put(&mut view, ZONES[1], 100, 100);
+    put(&mut view, ZONES[2], 0, 100);
+    let mut s = Scenario::new(Kind::Dispatcher, 2, view.clone(), workers);
+    s.add(0, 10_000, &check(500.0));
+    put(&mut view, ZONE, 0, 100);
+    put(&mut view, ZONES[2], 100, 100);
+    s.bench.change(2_000, view);
+    s.bench.run(2_000);
+    let before = sent_by_zone(&s);
+    assert!(before[0] > 900 && before[2] == 0, "{before:?}");
+    s.bench.run(3_000);
+    let rising = sent_by_zone(&s);
+    assert!(rising[0] <= before[0] + 1);
+    assert!(rising[1] - before[1] > 4 * rising[2], "{rising:?}");
+    // A full shift takes 4 s; from then on the two zones share evenly.
+    s.bench.run(6_100);
+    let shifted = sent_by_zone(&s);
+    s.bench.run(20_000);
+    no_faults(&s);
+    let after = sent_by_zone(&s);
+    let part = (after[2] - shifted[2]) as f64 / (after[1] - shifted[1]) as f64;
+    assert!((0.85..1.15).contains(&part), "{after:?}");
+    assert!(s.bench.accounts().all(|a| a.is_good()));
+}
+
+#[test]
+fn a_zone_cut_off_uses_its_own_upstreams_only() {
+    let (view, workers) = three_zones();
+    let mut s = Scenario::new(Kind::Dispatcher, 3, view, workers);
+    s.bench.fresh(0, false);
+    s.add(0, 2_000, &check(2_400.0).callers("caller", 20));
+    s.bench.run(5_000);
+    no_faults(&s);
+    let sent = sent_by_zone(&s);
+    assert_eq!((sent[1], sent[2]), (0, 0));
+    let good = s.bench.accounts().filter(|a| a.is_good()).count();
+    assert!(good > 3_000, "it serves what it can: {good}");
+}
+
+#[test]
+fn a_row_is_a_ceiling_and_zero_closes() {
+    let (mut view, workers) = three_zones();
+    for zone in ZONES {
+        put(&mut view, zone, 100, 4);
+    }
+    let mut s = Scenario::new(Kind::Dispatcher, 4, view.clone(), workers);
+    s.add(0, 2_000, &check(2_000.0).callers("caller", 20));
+    for zone in ZONES {
+        put(&mut view, zone, 0, 4);
+    }
+    s.bench.change(1_000, view);
+    s.bench.run(1_000);
+    let sent: u64 = sent_by_zone(&s).iter().sum();
+    assert!(
+        (500..700).contains(&sent),
+        "12 slots do 600 a second: {sent}"
+    );
+    s.bench.run(3_000);
+    no_faults(&s);
+    assert!(refused(&s, RefusalReason::RowClosed) > 1_900);
+    // What waited was refused when the row closed, and nothing started later.
+    let late = s.bench.accounts().filter_map(|a| a.ended);
+    assert!(
+        late.into_iter()
+            .all(|(at, e)| at <= 1_040 || e == Ending::Refused(RefusalReason::RowClosed))
+    );
+}
+
+#[test]
+fn a_team_at_its_quota_waits_and_holds_up_nobody() {
+    let mut s = Scenario::ten_workers(Kind::Dispatcher, 5);
+    let (mut view, _) = three_zones();
+    let services = vec![fleets::service("check", Class::Urgent, 20)];
+    fleets::pool(&mut view, "pool", services, &[ZONE], 10);
+    let row = Row {
+        weight: 10,
+        limit_in_flight: 8,
+        queue_ms: 300,
+    };
+    let key = RowKey::Team {
+        team: "greedy".into(),
+    };
+    view.rows.insert(key, row);
+    s.bench.change(0, view);
+    let mut greedy = check(1_000.0);
+    greedy.team = "greedy".into();
+    let ids = s.add(0, 4_000, &greedy);
+    let others = s.add(0, 4_000, &check(1_000.0));
+    s.bench.run(10_000);
+    no_faults(&s);
+    let good = |ids: &[RequestId]| {
+        let accounts = ids.iter().map(|id| s.bench.account(id.0).unwrap());
+        accounts.filter(|a| a.is_good()).count()
+    };
+    assert_eq!(good(&others), others.len());
+    // 8 slots of 20 ms do 400 a second.
+    assert!((1_550..1_800).contains(&good(&ids)), "{}", good(&ids));
+    assert!(refused(&s, RefusalReason::TeamQuota) > 2_000);
+}
+
+/// A pool with a large and a small service on workers of 16 cores.
+fn large_and_small(large_cores: u32) -> (View, Vec<Worker>) {
+    let mut view = View::default();
+    let mut large = fleets::service("large", Class::Urgent, 100);
+    large.demand.cores = large_cores;
+    let mut small = fleets::service("check", Class::Urgent, 20);
+    small.demand.cores = 2;
+    let workers = fleets::pool(&mut view, "pool", vec![large, small], &[ZONE], 2);
+    (view, workers)
+}
+
+#[test]
+fn a_large_request_is_not_starved_by_small_ones() {
+    // The wind tunnel's big model never gets in. Small requests take each bit of
+    // room as it is freed, so all 16 cores of one worker are never free at once.
+    let (view, workers) = large_and_small(16);
+    let mut s = Scenario::new(Kind::Dispatcher, 6, view, workers);
+    s.add(
+        0,
+        5_000,
+        &check(1_500.0).callers("caller", 10).deadline_ms(400),
+    );
+    let large = Stream::new("large", Class::Urgent, 2.0, 100).deadline_ms(3_000);
+    let ids = s.add(500, 4_000, &large);
+    s.bench.run(10_000);
+    no_faults(&s);
+    assert!(ids.len() > 3);
+    assert!(
+        ids.iter()
+            .all(|id| s.bench.account(id.0).unwrap().is_good())
+    );
+    let good = s.bench.accounts().filter(|a| a.is_good()).count();
+    assert!(good > 2_000, "the others go on: {good}");
+}
+
+#[test]
+fn what_no_instance_could_ever_carry_is_refused_at_once() {
+    let (view, workers) = large_and_small(17);
+    let mut s = Scenario::new(Kind::Dispatcher, 7, view, workers);
+    let id = s.add_one(
+        100,
+        &Stream::new("large", Class::Urgent, 1.0, 100).deadline_ms(60_000),
+    );
+    s.bench.run(200);
+    let account = s.bench.account(id.0).unwrap();
+    assert_eq!(
+        account.ended,
+        Some((100, Ending::Refused(RefusalReason::NeverFits)))
+    );
+}
+
+#[test]
+fn run_times_declared_wrong_by_four_times_are_learnt() {
+    // Declared four times too long, callers were turned away beside idle slots;
+    // four times too short, the queue filled with what could not make it.
+    for (declared_ms, real_ms) in [(80, 20), (20, 80)] {
+        let mut view = View::default();
+        let services = vec![fleets::service("check", Class::Urgent, declared_ms)];
+        let workers = fleets::pool(&mut view, "pool", services, &[ZONE], 10);
+        let mut s = Scenario::new(Kind::Dispatcher, 8, view, workers);
+        let capacity = 80_000.0 / real_ms as f64;
+        let stream = Stream::new("check", Class::Urgent, 2.0 * capacity, real_ms);
+        s.add(0, 5_000, &stream.callers("caller", 30).deadline_ms(300));
+        s.bench.run(10_000);
+        no_faults(&s);
+        let good = s.bench.accounts().filter(|a| a.is_good()).count() as f64;
+        assert!(good >= 0.95 * 5.0 * capacity, "{declared_ms}: {good}");
+        let late = s
+            .bench
+            .accounts()
+            .filter(|a| a.runs > 0 && !a.is_good())
+            .count() as f64;
+        assert!(late < 0.05 * good, "{declared_ms}: {late}");
+    }
+}
+
+#[test]
+fn a_pool_that_is_down_is_waited_for_no_longer_than_plausible() {
+    // All upstreams stop refreshing. What waits is refused once their leases have
+    // been over for a second, and what comes later at once; with when to come back.
+    let mut s = Scenario::ten_workers(Kind::Dispatcher, 9);
+    (0..10).for_each(|i| s.bench.behave(500, &format!("pool-{i}"), Behaviour::Gone));
+    let early = s.add_one(3_500, &check(1.0).deadline_ms(60_000));
+    let late = s.add_one(9_000, &check(1.0).deadline_ms(60_000));
+    s.bench.run(20_000);
+    no_faults(&s);
+    let ended = |id: RequestId| s.bench.account(id.0).unwrap().ended.unwrap();
+    let no_instance = Ending::Refused(RefusalReason::NoInstance);
+    assert!(
+        ended(early).1 == no_instance && ended(early).0 <= 4_500,
+        "{:?}",
+        ended(early)
+    );
+    assert_eq!(ended(late), (9_000, no_instance));
+}
+
+fn report(name: &str, incarnation: u64) -> UpstreamReport {
+    UpstreamReport {
+        instance: name.into(),
+        incarnation,
+        sequence: 1,
+        address: String::new(),
+        zone: ZONE.into(),
+        rack: "r".into(),
+        pool: "pool".into(),
+        capacity: Capacity {
+            slots: 8,
+            ..fleets::WORKER
+        },
+        pool_epoch: 1,
+        standing: Standing::Serving,
+        running: 0,
+        usage_age_ms: 0,
+    }
+}
+
+#[test]
+fn a_returned_upstream_warms_up_and_a_draining_one_gets_nothing() {
+    // An upstream restarts while requests wait. Given eight at once, cold, it is
+    // the slowest; and what its old incarnation still owes must not count.
+    let mut view = View::default();
+    let services = vec![fleets::service("check", Class::Urgent, 20)];
+    fleets::pool(&mut view, "pool", services, &[ZONE], 1);
+    let settings = LoadSettings {
+        home: ZONE.into(),
+        me: "entry-0".into(),
+        seed: 1,
+    };
+    let mut side = Dispatcher::new(settings, 0);
+    side.handle(0, Input::View(view.clone()));
+    let tell = |now_ms, incarnation, side: &mut Dispatcher| {
+        let report = report("pool-0", incarnation);
+        let lease_until_ms = now_ms + 3_000;
+        side.handle(
+            now_ms,
+            Input::Report {
+                report: &report,
+                lease_until_ms,
+            },
+        )
+    };
+    tell(0, 1, &mut side);
+    let offer = |id: u64| Request {
+        id: RequestId(id),
+        service: "check".into(),
+        class: Class::Urgent,
+        team: "team".into(),
+        caller: "caller".into(),
+        idempotent: true,
+        deadline_ms: 60_000,
+    };
+    let n = |actions: &[Action]| {
+        let sent = actions
+            .iter()
+            .filter(|a| matches!(a, Action::Dispatch { .. }));
+        sent.count()
+    };
+    let first: usize = (0..10)
+        .map(|id| n(&side.handle(10, Input::Offer(offer(id)))))
+        .sum();
+    assert_eq!(first, 8);
+    assert_eq!(n(&tell(20, 2, &mut side)), 1);
+    view.instances.values_mut().for_each(|i| {
+        i.duty = Duty::Draining {
+            absence: rosemarygauge::model::Absence::Operator,
+        }
+    });
+    side.handle(30, Input::View(view));
+    assert_eq!(n(&side.handle(40, Input::Offer(offer(20)))), 0);
+}
