Refuse calls until the state is known; hand on long work from draining instances

Cause: a restarted entry instance answered 'unknown-service' until the leader had told it the state (106 of 7,586 calls in a rolling restart of six entry instances), which tells callers never to come back. It now answers 'starting' with when to come back and shows 503 to the balancer. A process that stood still for 4 s counted its own pause as the leader's silence and refused 57 calls with 'no-quorum'; a pause now moves the mark.

--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -238,6 +238,11 @@
             Effect::AnswerAnnounce { id, reply } => self.upstreams.answer(id, reply),
             Effect::AnswerOperator { id, answer } => self.operators.answer(id, answer),
             Effect::Send(sending) => self.outgoing.send(sending),
+            Effect::Checkpoint {
+                address,
+                request,
+                attempt,
+            } => self.outgoing.checkpoint(address, request, attempt),
             Effect::Persist { token, records } => {
                 if let Some(disk) = &self.disk {
                     // A disk thread that ended has said why; see `Input`.
--- a/src/entry/effect.rs
+++ b/src/entry/effect.rs
@@ -33,6 +33,15 @@
     },
     /// Send an attempt to an upstream.
     Send(Sending),
+    /// Ask an upstream to hand out a checkpoint of an attempt and stop it.
+    Checkpoint {
+        /// Where it takes requests, `IP:port`.
+        address: String,
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// Send a frame to a peer; it may be lost.
     Peer {
         /// The peer.
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -35,6 +35,9 @@
 const LONG_PATIENCE_MS: u64 = 120_000;
 /// How long an upstream that is not heard is remembered, for `status`.
 const FORGET_MS: u64 = 600_000;
+/// Time without any event after which this process must have stood still: ticks
+/// come every 20 ms.
+const PAUSE_MS: u64 = 500;
 /// How long the log may be without a leader before what needs it is refused at
 /// once: longer than an election, so that one does not turn requests away.
 const CUT_OFF_AFTER_MS: u64 = 2_000;
@@ -160,11 +163,14 @@
     attempts_on: BTreeMap<(RequestId, AttemptId), InstanceName>,
     in_flight: BTreeMap<InstanceName, u32>,
     refused_here: Vec<(RequestId, AttemptId)>,
+    checkpoints_asked: BTreeSet<(RequestId, AttemptId)>,
     forcing: Vec<Forcing>,
     leader: Option<Leader>,
     lost_proposed: BTreeMap<EntryName, u64>,
     counts: Counts,
     fresh_ms: u64,
+    handled_ms: u64,
+    knows_state: bool,
     stop_ms: Option<u64>,
     notice_over: bool,
     stopped: bool,
@@ -236,11 +242,14 @@
             attempts_on: BTreeMap::new(),
             in_flight: BTreeMap::new(),
             refused_here: Vec::new(),
+            checkpoints_asked: BTreeSet::new(),
             forcing: Vec::new(),
             leader: None,
             lost_proposed: BTreeMap::new(),
             counts: Counts::default(),
             fresh_ms: now_ms,
+            handled_ms: now_ms,
+            knows_state: false,
             stop_ms: None,
             notice_over: false,
             stopped: false,
@@ -252,6 +261,7 @@
     /// Takes one event and returns what to do, in order.
     pub fn handle(&mut self, now_ms: u64, event: Event) -> Vec<Effect> {
         let mut out = Vec::new();
+        self.note_pause(now_ms);
         match event {
             Event::Tick => self.tick(now_ms, &mut out),
             Event::Call { id, call } => self.call(now_ms, id, call, &mut out),
@@ -283,10 +293,12 @@
 
     fn tick(&mut self, now_ms: u64, out: &mut Vec<Effect>) {
         self.log(now_ms, consensus::Input::Tick, out);
-        let fresh = self.replica.status(now_ms).fresh;
+        let log = self.replica.status(now_ms);
+        let fresh = log.fresh;
         if fresh {
             self.fresh_ms = now_ms;
         }
+        self.note_state(now_ms, &log);
         self.introduce_self(now_ms, fresh, out);
         for command in self.proposals.due(now_ms) {
             self.propose(now_ms, &command, out);
@@ -300,6 +312,7 @@
         self.load(now_ms, load::Input::ViewFresh(fresh), out);
         self.load(now_ms, load::Input::Tick, out);
         self.retry_held(now_ms, out);
+        self.ask_for_checkpoints(out);
         self.settle_waiters(now_ms, out);
         self.answer_overdue_stores(now_ms, out);
         self.settle_force(now_ms, out);
@@ -307,6 +320,26 @@
         self.show_health(now_ms, out);
     }
 
+    /// A pause of this process is no silence of the leader: after one the leader
+    /// gets as long as ever to be heard before calls are refused for want of it.
+    fn note_pause(&mut self, now_ms: u64) {
+        let pause_ms = now_ms.saturating_sub(self.handled_ms);
+        if pause_ms >= PAUSE_MS {
+            tracing::warn!("entry: stood still for {pause_ms} ms");
+            self.fresh_ms += pause_ms;
+        }
+        self.handled_ms = now_ms;
+    }
+
+    /// Calls are taken once the pools are known: from the leader, or from the
+    /// data folder if no leader is heard. Before, every service would look
+    /// unknown, and callers would be told never to come back.
+    fn note_state(&mut self, now_ms: u64, log: &consensus::Status) {
+        let told = log.fresh && log.applied_index >= log.commit_index && log.commit_index > 0;
+        let remembered = self.is_cut_off(now_ms) && self.applied_index > 0;
+        self.knows_state |= told || remembered;
+    }
+
     /// Says in the replicated state that this start is up, which settles what an
     /// earlier start left behind.
     fn introduce_self(&mut self, now_ms: u64, fresh: bool, out: &mut Vec<Effect>) {
@@ -400,6 +433,8 @@
     fn health(&self, now_ms: u64) -> Health {
         if self.is_stopping() {
             Health::Draining
+        } else if !self.knows_state {
+            Health::Starting
         } else if self.is_cut_off(now_ms) {
             Health::CutOff
         } else {
--- a/src/entry/node/attempts.rs
+++ b/src/entry/node/attempts.rs
@@ -124,6 +124,7 @@
 
     /// The attempt is over, whatever came of it.
     pub(super) fn settle_attempt(&mut self, request: RequestId, attempt: AttemptId) {
+        self.checkpoints_asked.remove(&(request, attempt));
         let Some(instance) = self.attempts_on.remove(&(request, attempt)) else {
             return;
         };
--- a/src/entry/node/callers.rs
+++ b/src/entry/node/callers.rs
@@ -20,6 +20,8 @@
 const STORE_PATIENCE_MS: u64 = 1_000;
 /// When to come back if the replicated log has no leader: two election timeouts.
 const NO_QUORUM_RETRY_MS: u64 = 2_000;
+/// When to come back to an entry instance that has just started.
+const STARTING_RETRY_MS: u64 = 500;
 /// An attempt may take this many times the declared run time, which is often off
 /// by four, and [`ATTEMPT_EXTRA_MS`] on top, before its connection counts as lost.
 const ATTEMPT_TIMES: u64 = 10;
@@ -27,6 +29,10 @@
 
 impl Node {
     pub(super) fn call(&mut self, now_ms: u64, id: CallId, call: Call, out: &mut Vec<Effect>) {
+        if !self.knows_state {
+            let outcome = not_run(RefusalReason::Starting, Some(STARTING_RETRY_MS));
+            return self.answer_call(id, outcome, out);
+        }
         if self.refuses_new() {
             let outcome = not_run(RefusalReason::Stopping, Some(0));
             return self.answer_call(id, outcome, out);
--- a/src/entry/node/jobs.rs
+++ b/src/entry/node/jobs.rs
@@ -1,7 +1,7 @@
 //! Patient jobs that this entry instance was given, and what is asked of jobs.
 
 use crate::load::RequestId;
-use crate::model::{Class, Outcome, RefusalReason};
+use crate::model::{Class, Duty, Outcome, RefusalReason};
 use crate::state::{Change, Fence, Job, JobId, JobPhase, JobReply, Reply};
 
 use super::super::open::{Open, Origin};
@@ -83,6 +83,30 @@
         }
     }
 
+    /// Asks for checkpoints of long work on instances that drain, so that a
+    /// reboot does not wait for hours. Work that may run only once is left to
+    /// finish where it is.
+    pub(super) fn ask_for_checkpoints(&mut self, out: &mut Vec<Effect>) {
+        for (of, instance) in &self.attempts_on {
+            let stays = self.state.fleet().instances().get(instance);
+            let drains = stays.is_some_and(|i| i.duty != Duty::Serving);
+            let open = self.requests.get(&of.0);
+            let movable =
+                open.is_some_and(|o| o.idempotent && matches!(o.origin, Origin::Job { .. }));
+            if drains
+                && movable
+                && self.checkpoints_asked.insert(*of)
+                && let Some(known) = self.directory.get(instance)
+            {
+                out.push(Effect::Checkpoint {
+                    address: known.report.address.clone(),
+                    request: of.0,
+                    attempt: of.1,
+                });
+            }
+        }
+    }
+
     /// Makes a checkpoint durable; the next attempt goes on from it.
     pub(super) fn keep_checkpoint(
         &mut self,
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -57,6 +57,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, derive_more::Display)]
 #[serde(rename_all = "kebab-case")]
 pub enum Health {
+    /// Does not know the pools yet: send nothing.
+    #[display("starting")]
+    Starting,
     /// Takes calls of every kind.
     #[display("ready")]
     Ready,
--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -283,6 +283,7 @@
         | RefusalReason::RetryBudget
         | RefusalReason::Cancelled
         | RefusalReason::NoQuorum
+        | RefusalReason::Starting
         | RefusalReason::Stopping => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/src/http/health.rs
+++ b/src/http/health.rs
@@ -21,6 +21,7 @@
     /// Shows how the entry instance is.
     pub fn show(&self, health: Health) {
         let code = match health {
+            Health::Starting => STARTING,
             Health::Ready => READY,
             Health::CutOff => CUT_OFF,
             Health::Draining => DRAINING,
--- a/src/http/outgoing.rs
+++ b/src/http/outgoing.rs
@@ -6,7 +6,7 @@
 use ureq::Agent;
 
 use crate::entry::{AttemptEnd, Event, Sending};
-use crate::load::AttemptRefusal;
+use crate::load::{AttemptId, AttemptRefusal, RequestId};
 use crate::model::EntryName;
 use crate::upstream_api as api;
 
@@ -20,6 +20,8 @@
 /// A connection idle for longer is not used again: something on the way may have
 /// forgotten it, and the next request on it would be swallowed.
 const IDLE_MAX: Duration = Duration::from_secs(5);
+/// Bound on asking for a checkpoint; without an answer the attempt runs on.
+const CHECKPOINT: Duration = Duration::from_secs(2);
 /// Largest answer passed on.
 const ANSWER_MAX_BYTES: u64 = 16 * 1024 * 1024;
 
@@ -81,6 +83,27 @@
             });
         });
     }
+
+    /// Asks an upstream to stop an attempt and hand out a checkpoint, which
+    /// comes as the attempt's end. One that knows no checkpoints goes on.
+    pub fn checkpoint(&self, address: String, request: RequestId, attempt: AttemptId) {
+        let agent = agent_for(&self.agents, &address);
+        let body = serde_json::json!({
+            "request": format!("{}-{request}", self.id_prefix),
+            "attempt": attempt.0,
+        });
+        self.runtime.spawn_blocking(move || {
+            let asked = agent
+                .post(format!("http://{address}/stop"))
+                .config()
+                .timeout_global(Some(CHECKPOINT))
+                .build()
+                .send_json(body);
+            if let Err(err) = asked {
+                tracing::debug!("outgoing: {address} was not asked for a checkpoint: {err}");
+            }
+        });
+    }
 }
 
 fn lock(
--- a/src/load/dispatcher.rs
+++ b/src/load/dispatcher.rs
@@ -534,6 +534,7 @@
         | RefusalReason::KeyConflict
         | RefusalReason::KeyExpired => None,
         RefusalReason::Deadline
+        | RefusalReason::Starting
         | RefusalReason::QueueFull
         | RefusalReason::TeamQuota
         | RefusalReason::RetryBudget
--- a/src/model/refusal.rs
+++ b/src/model/refusal.rs
@@ -46,6 +46,9 @@
     /// The replicated state cannot be reached, so no claim can be made.
     #[display("no-quorum")]
     NoQuorum,
+    /// This entry instance has just started and does not know the pools yet.
+    #[display("starting")]
+    Starting,
     /// This entry instance is stopping.
     #[display("stopping")]
     Stopping,
@@ -62,7 +65,7 @@
 
 impl RefusalReason {
     /// Every reason, in the order of the counters.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::UnknownService,
         Self::NeverFits,
         Self::Deadline,
@@ -73,6 +76,7 @@
         Self::RetryBudget,
         Self::Cancelled,
         Self::NoQuorum,
+        Self::Starting,
         Self::Stopping,
         Self::BadRequest,
         Self::KeyConflict,
