Let a request whose caller went away end, and keep its answer if it runs once

Cause: the dispatcher says nothing more of a request cancelled in flight, and the node kept it open for good. The answer of one that may run only once was dropped, so the caller who came back was told 'unknown' although it had run whole. Ruled out: proposals left open (0 in the status) and open connections. Now: two tests in tests/node.rs, seen failing before; add the demonstration.

--- a/src/cmd/client.rs
+++ b/src/cmd/client.rs
@@ -56,6 +56,16 @@
 }
 
 impl Conn {
+    /// A connection to known addresses, for commands that start the entry
+    /// instances themselves.
+    pub fn new(at: Vec<String>, token_file: PathBuf) -> Self {
+        Self {
+            at,
+            token_file,
+            json: false,
+        }
+    }
+
     /// Whether programs read the output.
     pub fn json(&self) -> bool {
         self.json
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod check;
 pub mod client;
+pub mod demo;
 pub mod drain;
 mod exit;
 pub mod explain;
--- a/src/entry/node/attempts.rs
+++ b/src/entry/node/attempts.rs
@@ -51,6 +51,31 @@
             },
         };
         self.load(now_ms, input, out);
+        self.drop_cancelled(request);
+    }
+
+    /// Whether an attempt of the request is under way.
+    pub(super) fn has_attempt(&self, request: RequestId) -> bool {
+        let attempts = (request, AttemptId(0))..=(request, AttemptId(u32::MAX));
+        self.attempts_on.range(attempts).next().is_some()
+    }
+
+    /// Forgets a cancelled request with its last attempt: the dispatcher has
+    /// nothing more to say of it.
+    fn drop_cancelled(&mut self, request: RequestId) {
+        let cancelled = self.requests.get(&request).is_some_and(|open| {
+            matches!(
+                open.origin,
+                Origin::Call {
+                    gone: true,
+                    claim: None,
+                    ..
+                }
+            )
+        });
+        if cancelled && !self.has_attempt(request) {
+            self.requests.remove(&request);
+        }
     }
 
     /// Gives the dispatcher an input and carries out what it decides.
--- a/src/entry/node/callers.rs
+++ b/src/entry/node/callers.rs
@@ -67,11 +67,16 @@
         let Some(open) = self.requests.get_mut(&request) else {
             return;
         };
-        if let Origin::Call { gone, .. } = &mut open.origin {
+        let mut claimed = false;
+        if let Origin::Call { gone, claim, .. } = &mut open.origin {
             *gone = true;
+            claimed = claim.is_some();
         }
         // One that still waits for its claim is given up when that is granted.
-        if open.offered {
+        // One that may run only once and is under way goes on: its answer is
+        // stored for the caller who comes back and asks again.
+        let offered = open.offered;
+        if offered && !(claimed && self.has_attempt(request)) {
             self.load(now_ms, Input::Cancel(request), out);
         }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -19,6 +19,9 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// See it all at work, in one process.
+    #[command(long_about = cmd::demo::HELP)]
+    Demo(cmd::demo::Args),
     /// Run an entry instance.
     #[command(long_about = cmd::serve::HELP)]
     Serve(cmd::serve::Args),
@@ -69,6 +72,7 @@
 
 fn run(command: &Command) -> eyre::Result<cmd::Exit> {
     match command {
+        Command::Demo(args) => cmd::demo::run(args),
         Command::Serve(args) => cmd::serve::run(args),
         Command::Check(args) => cmd::check::run(args),
         Command::Table(args) => cmd::table::run(args),
--- a/src/upstream/spec.rs
+++ b/src/upstream/spec.rs
@@ -24,6 +24,7 @@
     /// Memory in mebibytes.
     pub memory_mib: u32,
     /// Accelerator devices.
+    #[serde(default)]
     pub accelerators: u32,
     /// Requests at once.
     pub slots: u32,
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,275 @@
+//! A whole entry instance without its edges: events in, effects out.
+#![allow(missing_docs, clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use rosemarygauge::consensus::Recovered;
+use rosemarygauge::entry::{
+    AttemptEnd, Call, CallAnswer, CallId, Effect, Event, Node, NodeSettings, OperatorId,
+    OperatorRequest, Sending,
+};
+use rosemarygauge::maintenance::FleetCommand;
+use rosemarygauge::model::{
+    Budget, Capacity, Class, Demand, EntryName, Outcome, Pool, RefusalReason, Service, Standing,
+    Survive, UpstreamReport, ZoneName,
+};
+
+/// One entry instance that is its own quorum, and its clock.
+struct Bench {
+    node: Node,
+    now_ms: u64,
+    seen: Vec<Effect>,
+    calls: u64,
+    reports: u64,
+}
+
+impl Bench {
+    fn start() -> Self {
+        let me = EntryName::from("a-1");
+        let settings = NodeSettings {
+            me: me.clone(),
+            zone: ZoneName::from("a"),
+            members: BTreeMap::from([(me.clone(), ZoneName::from("a"))]),
+            voters: vec![me],
+            ..NodeSettings::default()
+        };
+        let recovered = Recovered {
+            incarnation: Some(7),
+            ..Recovered::default()
+        };
+        let mut bench = Self {
+            node: Node::new(settings, recovered, 1_000_000, 0),
+            now_ms: 0,
+            seen: Vec::new(),
+            calls: 0,
+            reports: 0,
+        };
+        bench.run_ms(3_000);
+        bench.feed(Event::Operator {
+            id: OperatorId(1),
+            request: OperatorRequest::Fleet {
+                change: "c1".into(),
+                operator: "mona".into(),
+                command: FleetCommand::PutPool { pool: pool() },
+            },
+        });
+        bench.report();
+        bench.run_ms(100);
+        bench.report();
+        bench
+    }
+
+    /// Feeds an event and, as a disk without delay would, its writes.
+    fn feed(&mut self, event: Event) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            for effect in self.node.handle(self.now_ms, event) {
+                if let Effect::Persist { token, .. } = effect {
+                    events.push(Event::Persisted { token });
+                } else {
+                    self.seen.push(effect);
+                }
+            }
+        }
+    }
+
+    fn run_ms(&mut self, ms: u64) {
+        let end_ms = self.now_ms + ms;
+        while self.now_ms < end_ms {
+            self.now_ms += 20;
+            self.feed(Event::Tick);
+        }
+    }
+
+    fn report(&mut self) {
+        self.reports += 1;
+        let report = UpstreamReport {
+            instance: "w1".into(),
+            incarnation: 1,
+            sequence: self.reports,
+            address: "127.0.0.1:9".into(),
+            zone: "a".into(),
+            rack: "r".into(),
+            pool: "p".into(),
+            capacity: Capacity {
+                cores: 16,
+                memory_mib: 1_024,
+                accelerators: 0,
+                slots: 8,
+                connections: 64,
+            },
+            pool_epoch: 1,
+            standing: Standing::Serving,
+            running: 0,
+            usage_age_ms: 0,
+        };
+        let id = CallId(1_000_000 + self.reports);
+        self.feed(Event::Announced { id, report });
+    }
+
+    fn call(&mut self, idempotent: bool) -> CallId {
+        self.calls += 1;
+        let id = CallId(self.calls);
+        let call = Call {
+            service: "check".into(),
+            team: "t".into(),
+            caller: "c".into(),
+            class: None,
+            key: Some(format!("k{}", self.calls).as_str().into()),
+            idempotent,
+            deadline_ms: 5_000,
+            body: Arc::from(&b"body"[..]),
+        };
+        self.feed(Event::Call { id, call });
+        id
+    }
+
+    fn sent(&self) -> Vec<Sending> {
+        let sending = |effect: &Effect| match effect {
+            Effect::Send(sending) => Some(sending.clone()),
+            _ => None,
+        };
+        self.seen.iter().filter_map(sending).collect()
+    }
+
+    fn end(&mut self, sending: &Sending, end: AttemptEnd) {
+        self.feed(Event::AttemptEnded {
+            request: sending.request,
+            attempt: sending.attempt,
+            run_us: 1_000,
+            end,
+        });
+    }
+
+    fn answer_to(&self, call: CallId) -> Option<CallAnswer> {
+        self.seen.iter().find_map(|effect| match effect {
+            Effect::AnswerCall { id, answer } if *id == call => Some(answer.clone()),
+            _ => None,
+        })
+    }
+}
+
+fn pool() -> Pool {
+    Pool {
+        name: "p".into(),
+        budget: Budget {
+            min_available: 0,
+            survive: Survive::None,
+        },
+        services: vec![Service {
+            name: "check".into(),
+            class: Class::Urgent,
+            demand: Demand {
+                cores: 1,
+                memory_mib: 1,
+                accelerators: 0,
+                run_ms: 10,
+            },
+        }],
+    }
+}
+
+fn whole() -> AttemptEnd {
+    AttemptEnd::Answer {
+        status: 200,
+        body: b"answer".to_vec(),
+    }
+}
+
+fn done() -> CallAnswer {
+    CallAnswer::Outcome(Outcome::Done {
+        status: 200,
+        body: b"answer".to_vec(),
+    })
+}
+
+/// Callers go away while their requests run. The requests end, and nobody is
+/// told; yet they stayed open in the entry instance for good, and a planned stop
+/// waited for them until its grace was over.
+#[test]
+fn a_request_whose_caller_went_away_leaves_nothing_open() {
+    for idempotent in [true, false] {
+        let mut bench = Bench::start();
+        let call = bench.call(idempotent);
+        let sent = bench.sent();
+        assert_eq!(sent.len(), 1, "idempotent {idempotent}");
+        bench.feed(Event::CallerGone { id: call });
+        bench.end(&sent[0], whole());
+        assert_eq!(bench.node.status(bench.now_ms).open_requests, 0);
+        bench.feed(Event::Stop);
+        bench.run_ms(2_000);
+        let stopped = bench.seen.iter().any(|e| matches!(e, Effect::Stopped));
+        assert!(stopped, "idempotent {idempotent}");
+    }
+}
+
+/// A caller that may not be served twice goes away and asks again under its key.
+/// The first run's answer was whole although nobody waited for it: the second
+/// call gets it, and nothing runs again.
+#[test]
+fn an_answer_nobody_waited_for_is_stored_under_its_key() {
+    let mut bench = Bench::start();
+    let call = bench.call(false);
+    let sent = bench.sent();
+    bench.feed(Event::CallerGone { id: call });
+    bench.end(&sent[0], whole());
+    let again = CallId(500);
+    let call = Call {
+        service: "check".into(),
+        team: "t".into(),
+        caller: "c".into(),
+        class: None,
+        key: Some("k1".into()),
+        idempotent: false,
+        deadline_ms: 5_000,
+        body: Arc::from(&b"body"[..]),
+    };
+    bench.feed(Event::Call { id: again, call });
+    assert_eq!(bench.answer_to(again), Some(done()));
+    assert_eq!(bench.sent().len(), 1);
+}
+
+/// The upstream gives no whole answer to a request that may run only once. The
+/// caller is told `unknown` at once, and the key never runs again.
+#[test]
+fn a_lost_answer_is_unknown_and_never_run_again() {
+    let mut bench = Bench::start();
+    let call = bench.call(false);
+    let sent = bench.sent();
+    bench.end(&sent[0], AttemptEnd::Lost);
+    let unknown = Some(CallAnswer::Outcome(Outcome::Unknown));
+    assert_eq!(bench.answer_to(call), unknown);
+    bench.calls = 0;
+    let before = bench.seen.len();
+    bench.call(false);
+    let told = bench.seen[before..].iter().any(|effect| {
+        matches!(effect, Effect::AnswerCall { answer, .. } if Some(answer) == unknown.as_ref())
+    });
+    assert!(told);
+    assert_eq!(bench.sent().len(), 1);
+}
+
+/// A call comes before the entry instance knows the pools. "Unknown service"
+/// would tell the caller never to come back; it is told when to.
+#[test]
+fn a_call_before_the_state_is_known_is_told_to_come_back() {
+    let mut bench = Bench::start();
+    bench.node = Node::new(
+        NodeSettings::default(),
+        Recovered::default(),
+        1_000_000,
+        bench.now_ms,
+    );
+    bench.seen.clear();
+    let call = bench.call(true);
+    let Some(CallAnswer::Outcome(Outcome::NotRun {
+        reason,
+        retry_after_ms,
+    })) = bench.answer_to(call)
+    else {
+        panic!("{:?}", bench.seen);
+    };
+    assert_eq!(reason, RefusalReason::Starting);
+    assert!(retry_after_ms.is_some());
+}
