Prove each safeguard of maintenance by breaking it

Each was broken in turn and its test seen failing, then restored: the budget check in apply, the wave's pause, the stop proof's lease wait, count, epoch, restart, running, freshness and silent-entry checks, the undone move, setting aside (no return, repeated repairs), cut-off zones, loans to broken and stuck pools, damping, endless drains, leaving and sick upstreams, incarnations and epochs of late commands, the turn that follows a moved instance, and a budget above what serves. Three were missed at first (freshness of the report, the restart during a proof, a return of the old incarnation): tests added, and a check that made the second one unreachable removed.

--- a/src/maintenance/stop_proof.rs
+++ b/src/maintenance/stop_proof.rs
@@ -134,9 +134,7 @@
         };
         let wait_ms = settings.dispatch_lease_ms + settings.clock_margin_ms;
         let counted_ms = seen.heard_ms.saturating_sub(seen.report.usage_age_ms);
-        seen.report.incarnation == draining.incarnation
-            && seen.heard_ms >= draining.since_ms + wait_ms
-            && counted_ms > draining.since_ms
+        seen.heard_ms >= draining.since_ms + wait_ms && counted_ms > draining.since_ms
     }
 
     fn acknowledged(&self, instance: &InstanceName, observed: &Observed) -> Verdict {
--- a/tests/maintenance/faults.rs
+++ b/tests/maintenance/faults.rs
@@ -261,6 +261,24 @@
         world.apply(&moving),
         Err(FleetRefusal::SamePool { .. })
     ));
+    let (instance, failed, incarnation) = (name.clone(), true, 4);
+    let lost = FleetCommand::Health { instance, failed };
+    world.apply(&lost).unwrap();
+    let instance = name.clone();
+    let repair = FleetCommand::RepairStart {
+        instance,
+        incarnation,
+    };
+    world.apply(&repair).unwrap();
+    let instance = name.clone();
+    let back = FleetCommand::Return {
+        instance,
+        incarnation,
+    };
+    assert!(matches!(
+        world.apply(&back),
+        Err(FleetRefusal::NotRestarted { .. })
+    ));
 }
 
 /// A loose cable: an instance is silent for ten seconds and heard for ten, for
--- a/tests/maintenance/stop_proof.rs
+++ b/tests/maintenance/stop_proof.rs
@@ -77,6 +77,12 @@
     assert_eq!(restarted, Verdict::Running(1));
     let all = judge(&[("a", 100, 0), ("b", 120, 0)], serving());
     assert_eq!(all, Verdict::Acknowledged);
+    // It may have died with that report, idle or not.
+    let silent = observed(serving(), &[("a", 100, 0)]);
+    assert_eq!(
+        verdict(&mut StopProof::new(EPOCH, DRAIN_INDEX), 6_000, &silent),
+        Verdict::Unheard
+    );
     // Without a membership there is nobody who acknowledged.
     assert_eq!(judge(&[], serving()), Verdict::Silent(vec![]));
 }
