--- a/src/load/plays.rs
+++ b/src/load/plays.rs
@@ -7,8 +7,13 @@
 use super::scenarios::{Kind, Scenario, Stream, quantile};
 use super::{RequestId, fleets};
 
-/// Urgent requests a second that `Scenario::ten_workers` can answer.
-pub const CAPACITY_PER_S: f64 = 80.0 / 0.020;
+/// Urgent requests a second that `n` workers can answer: 8 slots, 20 ms.
+pub fn capacity_per_s(n: usize) -> f64 {
+    n as f64 * 8.0 / 0.020
+}
+
+/// The same of the ten workers of most plays.
+const CAPACITY_PER_S: f64 = 80.0 / 0.020;
 
 /// What a set of requests got.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -127,24 +132,25 @@
     Played::new(s, ids, 90_000)
 }
 
-/// Urgent requests of 50 callers at `factor` times capacity for 5 s.
-pub fn saturation(kind: Kind, seed: u64, factor: f64) -> Played {
-    let mut s = Scenario::ten_workers(kind, seed);
-    let stream = check(factor * CAPACITY_PER_S).callers("caller", 50);
+/// Urgent requests of 50 callers at `factor` times the capacity of `n` workers,
+/// for 5 s. The naive queue takes minutes with ten.
+pub fn saturation(kind: Kind, seed: u64, n: usize, factor: f64) -> Played {
+    let mut s = Scenario::workers(kind, seed, n);
+    let stream = check(factor * capacity_per_s(n)).callers("caller", 50);
     let ids = s.add(0, 5_000, &stream.deadline_ms(500));
-    Played::new(s, ids, 60_000)
+    Played::new(s, ids, 20_000)
 }
 
-/// Three times capacity, 90 % of it from one caller; the nine others send a
-/// third of their fair part each and are looked at.
-pub fn heavy_caller(kind: Kind, seed: u64) -> Played {
-    let mut s = Scenario::ten_workers(kind, seed);
-    let total = 3.0 * CAPACITY_PER_S;
+/// Three times the capacity of `n` workers, 90 % of it from one caller; the nine
+/// others send a third of their fair part each and are looked at.
+pub fn heavy_caller(kind: Kind, seed: u64, n: usize) -> Played {
+    let mut s = Scenario::workers(kind, seed, n);
+    let total = 3.0 * capacity_per_s(n);
     let heavy = check(0.9 * total).callers("heavy", 1).deadline_ms(500);
     let light = check(0.1 * total).callers("light", 9).deadline_ms(500);
     s.add(0, 5_000, &heavy);
     let ids = s.add(0, 5_000, &light);
-    Played::new(s, ids, 60_000)
+    Played::new(s, ids, 20_000)
 }
 
 /// Half of capacity; after 2 s one worker fails everything within 1 ms.
--- a/src/load/scenarios.rs
+++ b/src/load/scenarios.rs
@@ -114,12 +114,17 @@
     /// Ten workers of eight slots that carry an urgent service `check` (20 ms)
     /// and a patient service `archive` (400 ms): 80 slots.
     pub fn ten_workers(kind: Kind, seed: u64) -> Self {
+        Self::workers(kind, seed, 10)
+    }
+
+    /// The same with `n` workers.
+    pub fn workers(kind: Kind, seed: u64, n: usize) -> Self {
         let mut view = View::default();
         let services = vec![
             fleets::service("check", Class::Urgent, 20),
             fleets::service("archive", Class::Patient, 400),
         ];
-        let workers = fleets::pool(&mut view, "pool", services, &[ZONE], 10);
+        let workers = fleets::pool(&mut view, "pool", services, &[ZONE], n);
         Self::new(kind, seed, view, workers)
     }
 
--- a/src/load/wait_error.rs
+++ b/src/load/wait_error.rs
@@ -11,6 +11,9 @@
 /// holds enough work all the same.
 const MARGIN_LEAST: f64 = 1.25;
 
+/// Mean deviations that the margin stands above the mean.
+const DEVIATIONS: f64 = 3.0;
+
 /// A correction beyond this would close the door for good.
 const MARGIN_MAX: f64 = 4.0;
 
@@ -26,23 +29,31 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct WaitError {
     ratio: f64,
+    deviation: f64,
 }
 
 impl WaitError {
     pub(super) fn new() -> Self {
-        Self { ratio: 1.0 }
+        Self {
+            ratio: 1.0,
+            deviation: 0.0,
+        }
     }
 
     /// A request started, or was given up, after this wait.
     pub(super) fn saw(&mut self, estimated_ms: f64, waited_ms: u64, run_ms: f64) {
         if estimated_ms > RUNS_LEAST * run_ms {
             let ratio = (waited_ms as f64 / estimated_ms).min(MARGIN_MAX);
-            self.ratio += GAIN * (ratio - self.ratio);
+            let error = ratio - self.ratio;
+            self.ratio += GAIN * error;
+            self.deviation += GAIN * (error.abs() - self.deviation);
         }
     }
 
-    /// What estimated waits are to be multiplied with at the door.
+    /// What estimated waits are to be multiplied with at the door: a ratio that
+    /// few waits exceed.
     pub(super) fn margin(&self) -> f64 {
-        (MARGIN_LEAST * self.ratio).clamp(MARGIN_LEAST, MARGIN_MAX)
+        let high = self.ratio + DEVIATIONS * self.deviation;
+        high.clamp(MARGIN_LEAST, MARGIN_MAX)
     }
 }
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -2,7 +2,7 @@
 #![allow(missing_docs, clippy::unwrap_used)]
 
 use rosemarygauge::load::harness::Side;
-use rosemarygauge::load::plays::{self, CAPACITY_PER_S, Figures, Played};
+use rosemarygauge::load::plays::{self, Figures, Played};
 use rosemarygauge::load::scenarios::{Kind, Scenario, Stream};
 use rosemarygauge::load::{Dispatcher, Health};
 use rosemarygauge::model::Class;
@@ -53,7 +53,7 @@
     // At 5 times capacity all slots are busy and no caller gets an answer in time:
     // what is served has waited past its deadline. Most must be refused at the
     // door, at once, and of what is let in nearly all must be answered in time.
-    let play = |factor| plays::saturation(Kind::Dispatcher, 2, factor);
+    let play = |factor| plays::saturation(Kind::Dispatcher, 2, 10, factor);
     let at_capacity = play(1.0).goodput_per_s(1_000, 5_000);
     for factor in [2.0, 5.0] {
         let played = play(factor);
@@ -71,10 +71,10 @@
 fn one_caller_with_most_requests_hurts_no_other() {
     // One caller sends 90 % of three times the capacity. Served in the order of
     // arrival, nine of ten slots are its own and the others' requests time out.
-    let played = plays::heavy_caller(Kind::Dispatcher, 3);
+    let played = plays::heavy_caller(Kind::Dispatcher, 3, 10);
     let light = sound(&played);
     assert!(light.good_part() >= 0.95, "{light:?}");
-    assert!(played.goodput_per_s(1_000, 5_000) >= 0.95 * CAPACITY_PER_S);
+    assert!(played.goodput_per_s(1_000, 5_000) >= 0.95 * plays::capacity_per_s(10));
 }
 
 #[test]
