--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,8 @@
 mod exit;
 pub mod explain;
 pub mod load;
+pub mod measure_load;
+pub mod measure_log;
 pub mod measure_waves;
 pub mod move_instance;
 pub mod pool;
