--- a/tests/state/jobs.rs
+++ b/tests/state/jobs.rs
@@ -79,6 +79,7 @@
     assert_eq!(bench.run("f", 2, assign("j", 1, "f")), Reply::StaleFence);
     assert_eq!(bench.run("e", 3, checkpoint.clone()), NOTED);
     assert_eq!(bench.run("e", 4, lost), NOTED);
+    assert_eq!(bench.run("e", 5, assign("j", 1, "e")), Reply::StaleFence);
     let second = Reply::Job(JobReply::Assigned { fence: Fence(2) });
     assert_eq!(bench.run("f", 5, assign("j", 2, "f")), second);
     assert_eq!(
@@ -141,6 +142,14 @@
     assert_eq!(bench.run("f", 2, resent("j2")), first);
     let claimed = bench.run("f", 2, super::claims::claim("j", 1));
     assert_eq!(claimed, Reply::Claim(ClaimReply::Conflict));
+    bench.run("e", 3, super::claims::claim("k", 1));
+    let conflict = Reply::Job(JobReply::Conflict);
+    assert_eq!(bench.run("f", 3, accept("k", false)), conflict);
+    let Change::JobAccept(mut clash) = accept("j", true) else {
+        unreachable!()
+    };
+    clash.key = "other".into();
+    assert_eq!(bench.run("f", 3, Change::JobAccept(clash)), conflict);
     bench.run("e", 3, assign("j", 1, "e"));
     bench.run("e", 4, done("j", 1, 200));
     assert_eq!(bench.run("f", 5, resent("j3")), first);
@@ -205,6 +214,13 @@
     let full = Reply::Job(JobReply::Full);
     assert_eq!(bench.run("e", room, fill("more".into())), full);
     assert_eq!(bench.state.ready_jobs().count() as u64, room);
+    bench.run("e", room, assign("0", 1, "e"));
+    let checkpoint = Change::JobCheckpoint {
+        job: "0".into(),
+        fence: Fence(1),
+        data: vec![1],
+    };
+    assert_eq!(bench.run("e", room, checkpoint), full);
 }
 
 // Jobs are accepted, assigned, lost, not run, completed late and more than
--- a/tests/state/rows.rs
+++ b/tests/state/rows.rs
@@ -6,7 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 use rosemarygauge::model::*;
 use rosemarygauge::state::*;
-use rosemarygauge::table::{Column, Fault};
+use rosemarygauge::table::{CellError, Column, Fault};
 
 use super::{Bench, put, service_row};
 
@@ -62,6 +62,50 @@
     assert_eq!(bench.state.rows(), &before, "all or nothing");
 }
 
+// After thousands of other changes an operator's old change is sent again. Its
+// first reply is no longer kept, but its versions are behind: it cannot bring
+// back an old row.
+#[test]
+fn a_forgotten_change_is_stopped_by_its_versions() {
+    let mut bench = Bench::furnished();
+    let old = put("old", vec![service_row("a", 0, 10, 8)]);
+    assert_eq!(bench.run("e", 1, old.clone()), Reply::Accepted);
+    for n in 0..CHANGES_KEPT {
+        bench.run("e", 2, put(&n.to_string(), Vec::new()));
+    }
+    assert!(version_fault(&bench.run("e", 3, old)).is_some());
+}
+
+// Instances report less capacity than when the table was put. An operator sends
+// the whole sheet back with one other row changed. The rows that stay must not
+// be refused, or nothing could be changed until all of them are.
+#[test]
+fn rows_that_stay_are_not_checked_again() {
+    let mut bench = Bench::furnished();
+    let rows = vec![service_row("a", 0, 10, 16), service_row("b", 0, 10, 16)];
+    assert_eq!(bench.run("e", 1, put("c1", rows)), Reply::Accepted);
+    let small = |instance: &str| Change::Capacity {
+        instance: instance.into(),
+        capacity: Capacity {
+            cores: 2,
+            memory_mib: 65_536,
+            accelerators: 0,
+            slots: 2,
+            connections: 64,
+        },
+    };
+    for instance in ["a1", "a2"] {
+        assert_eq!(bench.run("e", 2, small(instance)), Reply::Accepted);
+    }
+    assert_eq!(bench.run("e", 2, small("stranger")), Reply::UnknownInstance);
+    let rows = vec![service_row("a", 1, 10, 16), service_row("b", 1, 12, 16)];
+    assert_eq!(bench.run("e", 3, put("c2", rows)), Reply::Accepted);
+    let mut many = vec![service_row("a", 1, 10, 16); 2_001];
+    many[0].expected_version = 9;
+    assert!(matches!(bench.run("e", 4, put("c3", many)), Reply::Rows(e)
+        if matches!(e[..], [CellError { fault: Fault::TooLarge { .. }, .. }])));
+}
+
 // A row is removed and made again. If its version started at 1 again, an entry
 // instance that still holds the old row would take the new one for older, and
 // an operator with an old sheet would overwrite it.
