--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,2 +1,19 @@
 //! The commands, one file each.
+
 pub mod check;
+pub mod client;
+pub mod drain;
+mod exit;
+pub mod explain;
+pub mod load;
+pub mod measure_waves;
+pub mod move_instance;
+pub mod pool;
+pub mod proxy;
+pub mod serve;
+pub mod status;
+pub mod table;
+pub mod upstream;
+pub mod wave;
+
+pub use exit::Exit;
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,24 @@
+//! The HTTP edges: callers, upstreams and operators come in through `hyper`,
+//! requests go out to upstreams through `ureq`.
+//!
+//! Everything that comes in is bounded before it is read: connections, header
+//! bytes, body bytes, and the time each may take.
+
+mod callers;
+mod health;
+mod limits;
+mod metrics;
+mod operators;
+mod outgoing;
+mod reply;
+mod server;
+mod upstreams;
+mod waiting;
+
+pub use callers::Callers;
+pub use health::HealthBoard;
+pub use limits::Limits;
+pub use operators::{OperatorKeys, Operators};
+pub use outgoing::{Outgoing, OutgoingError};
+pub use server::{Handler, HttpServer, Incoming};
+pub use upstreams::Upstreams;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,11 +5,21 @@
 //! present time and a typed input and return typed actions), and the driver
 //! (`entry`) that feeds one to the other.
 
+pub mod account;
 pub mod cmd;
+pub mod codec;
 pub mod config;
 pub mod consensus;
+pub mod entry;
+pub mod http;
+pub mod link;
 pub mod load;
+pub mod logs;
 pub mod maintenance;
 pub mod model;
+pub mod proxy;
 pub mod state;
+pub mod storage;
 pub mod table;
+pub mod upstream;
+pub mod upstream_api;
