Test the last safeguards of the log that went unseen

Seen failing with the safeguard out, then restored: a restarted voter that votes at once (the test ended before the new leader could be fresh), a voter repaired before it caught up, a lone voter leading before its vote is synced.

--- a/src/consensus/leading.rs
+++ b/src/consensus/leading.rs
@@ -38,8 +38,8 @@
 }
 
 impl Leading {
-    /// When a quorum of the voters last was provably on the other side: the
-    /// latest sending time that a quorum has answered, 0 for never.
+    /// The latest sending time of which a quorum of the voters has answered a
+    /// message at least as new; none if no quorum has answered yet.
     pub(super) fn quorum_heard_ms(
         &self,
         now_ms: u64,
--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -173,6 +173,7 @@
         world.until("another leads", 5_000, |w| {
             w.leader().is_some_and(|l| l != leader)
         });
+        world.run(100);
     }
 }
 
--- a/tests/consensus_replica.rs
+++ b/tests/consensus_replica.rs
@@ -191,6 +191,20 @@
     }
 }
 
+/// A cluster of one: its own vote alone elects it, so that vote must be synced
+/// before it leads.
+#[test]
+fn lone_voter_leads_once_its_vote_is_synced() {
+    let mut first = entries(1);
+    first[0].membership = Some(voters().without(&"a".into()).without(&"c".into()));
+    let mut replica = replica("b", first);
+    let at_ms = 2 * ELECTION_MS + 1;
+    replica.handle(at_ms, Input::Tick);
+    assert_eq!(replica.status(at_ms).role, Role::Candidate);
+    replica.handle(at_ms, Input::Persisted { token: 1 });
+    assert_eq!(replica.status(at_ms).role, Role::Leader);
+}
+
 /// A new leader has an entry of an earlier term on a quorum. A leader of a later
 /// term that another quorum may still elect could replace it, so it is committed
 /// only together with the new leader's first entry; and only by the word of the
@@ -208,6 +222,25 @@
     }
 }
 
+/// A voter answers from a new, empty folder. If it counted before it holds what is
+/// committed, it could elect a leader that lacks it. It is admitted with its new
+/// folder once it has caught up, and not a message sooner.
+#[test]
+fn repaired_voter_counts_once_it_caught_up() {
+    let (mut replica, at_ms) = leader();
+    feed(
+        &mut replica,
+        at_ms,
+        from("a", reply(at_ms, Some(FOLDER), 3)),
+    );
+    for (index, counted) in [(0, FOLDER), (2, FOLDER), (3, FOLDER + 1)] {
+        let message = reply(at_ms, Some(FOLDER + 1), index);
+        feed(&mut replica, at_ms, from("c", message));
+        let states = replica.status(at_ms).voter_states;
+        assert_eq!(states["c"].incarnation, counted);
+    }
+}
+
 /// A learner's view counts as recent by the leader's word. A leader that has not
 /// heard a quorum yet, or no more (its process was frozen, and a command is the
 /// first thing it handles), may have been replaced: it gives no such word.
