--- /dev/null
+++ b/src/cmd/measure.rs
@@ -0,0 +1,66 @@
+//! `measure`: the decisions and the log in figures.
+
+use std::path::PathBuf;
+
+use clap::{Args as ClapArgs, Subcommand};
+
+use super::{Exit, measure_load, measure_log, measure_waves};
+
+/// What `--help` says.
+pub const HELP: &str = "\
+Run one of the project's measurements and print its table. Each runs all its sides
+in one go, so that their ratios hold on any machine; times by the clock do not.
+
+  load   decisions under load beside the naive dispatcher, in simulated time
+  waves  maintenance waves beside naive plans and lower bounds, in simulated time
+  log    the replicated log on this machine's disk, and its elections in
+         simulated time
+
+Example:
+
+    rosemarygauge measure waves --seed 1";
+
+/// Arguments of `measure`.
+#[derive(ClapArgs, Debug)]
+pub struct Args {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand, Debug)]
+enum What {
+    /// Decisions under load.
+    Load {
+        /// Seed of the random choices.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Maintenance waves.
+    Waves {
+        /// Seed of the random choices.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// The replicated log.
+    Log {
+        /// Folder on the disk to be measured; by default a temporary one.
+        #[arg(long)]
+        folder: Option<PathBuf>,
+    },
+}
+
+/// Runs a measurement.
+///
+/// # Errors
+/// Those of the measurement.
+pub fn run(args: &Args) -> eyre::Result<Exit> {
+    match &args.what {
+        What::Load { seed } => measure_load::run(*seed)?,
+        What::Waves { seed } => measure_waves::run(*seed)?,
+        What::Log { folder: None } => measure_log::run(tempfile::tempdir()?.path())?,
+        What::Log {
+            folder: Some(folder),
+        } => measure_log::run(folder)?,
+    }
+    Ok(Exit::Done)
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod exit;
 pub mod explain;
 pub mod load;
+pub mod measure;
 pub mod measure_load;
 pub mod measure_log;
 pub mod measure_waves;
--- a/src/main.rs
+++ b/src/main.rs
@@ -49,6 +49,9 @@
     /// Print what was decided, when and why.
     #[command(long_about = cmd::explain::HELP)]
     Explain(cmd::explain::Args),
+    /// Measure the decisions against naive ones and against their bounds.
+    #[command(long_about = cmd::measure::HELP)]
+    Measure(cmd::measure::Args),
     /// Send open-loop load and account for every request.
     #[command(long_about = cmd::load::HELP)]
     Load(Box<cmd::load::Args>),
@@ -82,6 +85,7 @@
         Command::Wave(args) => cmd::wave::run(args),
         Command::Status(args) => cmd::status::run(args),
         Command::Explain(args) => cmd::explain::run(args),
+        Command::Measure(args) => cmd::measure::run(args),
         Command::Load(args) => cmd::load::run(args),
         Command::Upstream(args) => cmd::upstream::run(args),
         Command::Proxy(args) => cmd::proxy::run(args),
