Do not remove a voter if no quorum of the rest is alive

Ruled out: a loss of committed entries; the history stayed one.

The change waits until a quorum of the voters after it has answered lately. removal_that_leaves_no_quorum_waits failed before (2 voters instead of 3).

--- a/src/consensus/voters.rs
+++ b/src/consensus/voters.rs
@@ -12,6 +12,7 @@
 
 use crate::model::EntryName;
 
+use super::progress::Progress;
 use super::replica::Part;
 use super::{Membership, Replica, VoterChange};
 
@@ -52,12 +53,37 @@
             }
         });
         let wanted = leading.wanted.clone();
-        wanted.iter().find_map(|change| match change {
+        let next = wanted.iter().filter_map(|change| match change {
             VoterChange::Add(name) => self
                 .caught_up(now_ms, name)
                 .map(|inc| membership.with(name, inc)),
             VoterChange::Remove(name) => Some(membership.without(name)),
-        })
+        });
+        next.into_iter().find(|next| self.has_quorum(now_ms, next))
+    }
+
+    /// Whether a quorum of these voters is alive under this leader.
+    ///
+    /// A change that leaves none could never be committed nor undone: with a voter
+    /// dead, removing a living one would end the cluster. It waits until the dead
+    /// one is back or removed.
+    fn has_quorum(&self, now_ms: u64, membership: &Membership) -> bool {
+        let Part::Leader(leading) = &self.part else {
+            return false;
+        };
+        let alive = membership.iter().filter(|(name, incarnation)| {
+            let own = **name == self.settings.me;
+            let peer = leading.peers.get(*name);
+            own || peer.is_some_and(|p| {
+                p.incarnation == Some(*incarnation) && self.answered_lately(now_ms, p)
+            })
+        });
+        alive.count() >= membership.quorum()
+    }
+
+    fn answered_lately(&self, now_ms: u64, peer: &Progress) -> bool {
+        let timeout_ms = self.settings.election_timeout_ms;
+        peer.echo_ms.is_some_and(|at| now_ms < at + timeout_ms)
     }
 
     /// The membership with the first lost folder replaced that is made up for.
@@ -76,8 +102,8 @@
             return None;
         };
         let peer = leading.peers.get(name)?;
-        let alive_until_ms = peer.echo_ms? + self.settings.election_timeout_ms;
-        let caught_up = now_ms < alive_until_ms && peer.match_index >= self.commit_index;
-        peer.incarnation.filter(|_| caught_up)
+        let caught_up = peer.match_index >= self.commit_index;
+        peer.incarnation
+            .filter(|_| caught_up && self.answered_lately(now_ms, peer))
     }
 }
--- a/tests/consensus_replica.rs
+++ b/tests/consensus_replica.rs
@@ -5,7 +5,7 @@
 use rand_chacha::ChaCha8Rng;
 use rosemarygauge::consensus::{
     Action, Beat, Entry, HardState, Input, Membership, Message, Record, Recovered, Replica,
-    ReplicaSettings, Reply, ReplyOutcome, Role, Stamp, VoteRequest,
+    ReplicaSettings, Reply, ReplyOutcome, Role, Stamp, VoteRequest, VoterChange,
 };
 use rosemarygauge::model::EntryName;
 
@@ -241,6 +241,25 @@
     }
 }
 
+/// One of three voters is dead and an operator removes one of the two that live.
+/// The dead one and the last would then have to agree: nothing could ever be
+/// committed again, not even the removal. It waits; removing the dead one does
+/// not. (Random schedules, seed 3972 of 5000, found five with two lost.)
+#[test]
+fn removal_that_leaves_no_quorum_waits() {
+    let (mut replica, at_ms) = leader();
+    feed(
+        &mut replica,
+        at_ms,
+        from("a", reply(at_ms, Some(FOLDER), 3)),
+    );
+    for (voter, left) in [("a", 3), ("c", 2)] {
+        let change = VoterChange::Remove(voter.into());
+        feed(&mut replica, at_ms, Input::ChangeVoters { change });
+        assert_eq!(replica.status(at_ms).voters.len(), left);
+    }
+}
+
 /// A learner's view counts as recent by the leader's word. A leader that has not
 /// heard a quorum yet, or no more (its process was frozen, and a command is the
 /// first thing it handles), may have been replaced: it gives no such word.
