--- a/src/table/fault.rs
+++ b/src/table/fault.rs
@@ -104,7 +104,7 @@
         first: u32,
     },
     /// The row is at another version: somebody else changed it.
-    #[display("the row is at version {version}{}", now(row.as_deref()))]
+    #[display("{}", standing(*version, row.as_deref()))]
     Version {
         /// The present version.
         version: u64,
@@ -169,6 +169,7 @@
             ),
             Self::QueueTooLong { max_ms } => format!("Write at most {max_ms}."),
             Self::Duplicate { .. } => "Keep one of the two.".into(),
+            Self::Version { version: 0, .. } => "Write 0 or leave the cell empty.".into(),
             Self::Version { version, .. } => format!(
                 "Get the table again, look at what changed, and write version {version} if your row still holds."
             ),
@@ -188,18 +189,21 @@
 
 const HEADER: &str = "kind,name,zone,weight,limit_in_flight,queue_ms,version";
 
-fn now(row: Option<&VersionedRow>) -> String {
+/// Says where a row stands.
+fn standing(version: u64, row: Option<&VersionedRow>) -> String {
     match row {
-        None => " and is not in force".into(),
-        Some(row) => {
+        None if version == 0 => "there is no such row yet".into(),
+        None => format!("the row was removed at version {version}"),
+        Some(versioned) => {
             let Row {
                 weight,
                 limit_in_flight,
                 queue_ms,
-            } = row.row;
+            } = versioned.row;
+            let operator = &versioned.operator;
             format!(
-                ", set by {}: weight {weight}, limit {limit_in_flight}, queue {queue_ms} ms",
-                row.operator
+                "the row is at version {version}, set by {operator}: \
+                 weight {weight}, limit {limit_in_flight}, queue {queue_ms} ms"
             )
         }
     }
