--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -10,10 +10,10 @@
 pub use fake_entry::{FakeEntry, FakeRequest, reply};
 pub use process::{Process, command};
 pub use system::{System, assert_clean, read_report};
-pub use upstreams::Upstreams;
+pub use upstreams::{Upstreams, controls};
 
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -42,21 +42,42 @@
     }
 }
 
-/// A port below the range from which the kernel takes ports for connections,
-/// so that one stays free between its choice and its use, and over a restart.
+/// A port that nobody else takes: below the range from which the kernel takes
+/// ports for connections, so that it stays free between its choice and its use
+/// and over a restart, and in a block that only this process of the tests uses.
 pub fn free_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
+    static BLOCKS: Mutex<Vec<(TcpListener, u16)>> = Mutex::new(Vec::new());
+    let mut blocks = BLOCKS.lock().unwrap();
     loop {
-        // Test processes start at different places by their ids.
-        let step = NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = 10_000 + (std::process::id().wrapping_mul(61) + step) % 20_000;
-        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        let base = match blocks.last_mut() {
+            Some((base, used)) if *used + 1 < BLOCK_PORTS => {
+                *used += 1;
+                base.local_addr().unwrap().port() + *used
+            }
+            _ => {
+                blocks.push((take_block(), 0));
+                continue;
+            }
+        };
+        let address = SocketAddr::from(([127, 0, 0, 1], base));
         if TcpListener::bind(address).is_ok() {
             return address;
         }
     }
 }
 
+const BLOCK_PORTS: u16 = 50;
+
+/// Takes a block by listening on its first port until the process ends.
+fn take_block() -> TcpListener {
+    let blocks = 20_000 / BLOCK_PORTS;
+    let first = (std::process::id() % u32::from(blocks)) as u16;
+    (0..blocks)
+        .map(|n| 10_000 + (first + n) % blocks * BLOCK_PORTS)
+        .find_map(|port| TcpListener::bind(("127.0.0.1", port)).ok())
+        .unwrap()
+}
+
 /// An HTTP client that never gives one call more than `timeout_ms`.
 pub fn agent(timeout_ms: u64) -> Agent {
     Agent::config_builder()
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -123,6 +123,43 @@
         entry.process = Some(Process::start(&["serve", "--settings", settings]));
     }
 
+    pub fn kill(&mut self, i: usize) {
+        self.process(i).kill();
+    }
+
+    /// Deletes the data folder of an entry instance that does not run.
+    pub fn lose_disk(&mut self, i: usize) {
+        let name = format!("data-{}", self.entries[i].name);
+        std::fs::remove_dir_all(self.folder.path().join(name)).unwrap();
+    }
+
+    /// The number of the entry instance that leads now, by what the running ones
+    /// say, if they agree.
+    pub fn leader(&mut self) -> Option<usize> {
+        let mut leaders = Vec::new();
+        for i in 0..self.entries.len() {
+            let process = self.entries[i].process.as_mut();
+            if process.is_some_and(Process::is_running) {
+                leaders.push(self.status(i)["log"]["leader"].clone());
+            }
+        }
+        let first = leaders.first()?.as_str()?;
+        let agree = leaders.iter().all(|leader| leader == first);
+        self.entries
+            .iter()
+            .position(|entry| agree && entry.name == first)
+    }
+
+    /// Waits for a leader that all running entry instances agree on.
+    pub fn await_leader(&mut self) -> usize {
+        let mut leader = None;
+        until(10_000, "all agree on a leader", || {
+            leader = self.leader();
+            leader.is_some()
+        });
+        leader.unwrap()
+    }
+
     pub fn process(&mut self, i: usize) -> &mut Process {
         self.entries[i].process.as_mut().unwrap()
     }
@@ -168,6 +205,33 @@
         (reply.status().as_u16(), text)
     }
 
+    /// Puts a sheet in force; status and body of the answer, none if there was no
+    /// answer.
+    pub fn put_table(&self, i: usize, change: &str, sheet: &str) -> Option<(u16, String)> {
+        let url = format!("http://{}/table", self.entries[i].operators);
+        let mut reply = agent(8_000)
+            .post(url)
+            .header("authorization", format!("Bearer {TOKEN}"))
+            .header("rg-change-id", change)
+            .header("rg-confirm-jump", "true")
+            .send(sheet)
+            .ok()?;
+        let text = reply.body_mut().read_to_string().ok()?;
+        Some((reply.status().as_u16(), text))
+    }
+
+    /// The rows in force, as a sheet; empty if there is no answer.
+    pub fn table(&self, i: usize) -> String {
+        let url = format!("http://{}/table", self.entries[i].operators);
+        let reply = agent(2_000)
+            .get(url)
+            .header("authorization", format!("Bearer {TOKEN}"))
+            .call();
+        reply
+            .and_then(|mut reply| reply.body_mut().read_to_string())
+            .unwrap_or_default()
+    }
+
     /// Creates pool `p` with the urgent service `check` and the patient service
     /// `archive`, and waits until every entry instance carries it.
     pub fn put_pool(&self, min_available: u32) {
@@ -200,6 +264,27 @@
         format!("{zone}={}", addresses.join(","))
     }
 
+    /// Starts two upstreams in each zone, named after it, and waits for them.
+    pub fn upstreams_in_all_zones(&self, args: &[&str]) -> Vec<Upstreams> {
+        let start = |zone: &&str| {
+            let entries = self.announce_to(zone);
+            let fixed = [
+                "--count",
+                "2",
+                "--name",
+                zone,
+                "--zone",
+                zone,
+                "--entries",
+                &entries,
+            ];
+            Upstreams::start(&[&fixed, args].concat())
+        };
+        let started = ["z1", "z2", "z3"].iter().map(start).collect();
+        self.await_upstreams(6);
+        started
+    }
+
     /// Starts one upstream in zone z1 with a proxy between it and all entry
     /// instances.
     pub fn proxied_upstream(&self, name: &str, args: &[&str]) -> (Upstreams, Link) {
--- a/tests/support/upstreams.rs
+++ b/tests/support/upstreams.rs
@@ -45,3 +45,8 @@
         assert!(reply.status().is_success(), "{path}: {}", reply.status());
     }
 }
+
+/// The control addresses of some processes.
+pub fn controls(ups: &[Upstreams]) -> Vec<&str> {
+    ups.iter().map(|up| up.control.as_str()).collect()
+}
