Hand over the lead before a planned stop

Cause: a stopped leader left the others to wait an election timeout (600 to 1,200 ms) for a heartbeat that would not come; in a rolling restart of six entry instances the urgent p99 was 474 ms and p99.9 1,285 ms beside a p50 of 33 ms. The leader now names the voter that holds most and that one asks for votes at once.

--- a/src/consensus/election.rs
+++ b/src/consensus/election.rs
@@ -31,7 +31,7 @@
     /// its return deposes the healthy leader with its higher term: callers see
     /// changes stall for an election although nothing was wrong. It can't win the
     /// question while the others hear a leader, so its term stays.
-    fn campaign(&mut self, now_ms: u64, pre: bool) {
+    pub(super) fn campaign(&mut self, now_ms: u64, pre: bool) {
         if !pre {
             self.enter_term(now_ms, self.hard.term.saturating_add(1));
             self.hard.voted_for = Some(self.settings.me.clone());
--- a/src/consensus/following.rs
+++ b/src/consensus/following.rs
@@ -36,6 +36,11 @@
             self.reply(now_ms, from.clone(), beat, ReplyOutcome::Stale);
             return false;
         }
+        // What the leader sent before it resigned comes late: taken for a sign of
+        // life it would bind this vote for another election timeout.
+        if self.resigned_term == Some(beat.term) {
+            return false;
+        }
         if beat.term > self.hard.term {
             self.enter_term(now_ms, beat.term);
         }
--- a/src/consensus/input.rs
+++ b/src/consensus/input.rs
@@ -28,6 +28,8 @@
         /// The change.
         change: VoterChange,
     },
+    /// Give up the lead before a planned stop; nothing on one that does not lead.
+    Resign,
     /// The disk finished the write with this token, synced.
     Persisted {
         /// From [`super::Action::Persist`].
--- a/src/consensus/message.rs
+++ b/src/consensus/message.rs
@@ -1,5 +1,7 @@
 use serde::{Deserialize, Serialize};
 
+use crate::model::EntryName;
+
 use super::{Entry, Membership, VoterChange};
 
 /// What replicas say to each other. None is larger than about half a mebibyte.
@@ -73,6 +75,13 @@
     },
     /// The answer to [`Message::Append`] and [`Message::Chunk`].
     Reply(Reply),
+    /// The leader of this term gives up the lead before a planned stop.
+    Resign {
+        /// The term that it led.
+        term: u64,
+        /// The voter that should ask for votes at once.
+        successor: EntryName,
+    },
 }
 
 /// A candidate's request for a vote.
--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -21,6 +21,7 @@
 mod record;
 mod recovered;
 mod replica;
+mod resigning;
 mod settings;
 mod single;
 mod snapshot;
--- a/src/consensus/replica.rs
+++ b/src/consensus/replica.rs
@@ -43,6 +43,8 @@
     pub(super) leader: Option<EntryName>,
     /// When a leader was heard last.
     pub(super) heard_ms: Option<u64>,
+    /// The term whose leader resigned.
+    pub(super) resigned_term: Option<u64>,
     /// The latest moment at which the leader has proved to know of this replica.
     pub(super) confirmed_ms: Option<u64>,
     /// When to ask for an election.
@@ -91,6 +93,7 @@
             part: Part::Follower,
             leader: None,
             heard_ms: None,
+            resigned_term: None,
             confirmed_ms: None,
             election_ms: 0,
             founding: Founding::default(),
@@ -109,6 +112,7 @@
             Input::Message { from, message } => self.message(now_ms, from, message),
             Input::Propose { command } => self.propose(command),
             Input::ChangeVoters { change } => self.change_voters(change),
+            Input::Resign => self.resign(now_ms),
             Input::Persisted { token } => self.persisted(now_ms, token),
             Input::SnapshotTaken { index, data } => self.snapshot_taken(index, data),
         }
@@ -173,6 +177,9 @@
                 let head = Incoming::new(index, term, membership, total_bytes);
                 self.chunk(now_ms, from, &beat, head, offset_bytes, &data);
             }
+            Message::Resign { term, successor } => {
+                self.leader_resigned(now_ms, &from, term, &successor);
+            }
             Message::Reply(reply) => self.replied(now_ms, from, &reply),
         }
     }
--- a/src/consensus/single.rs
+++ b/src/consensus/single.rs
@@ -36,9 +36,10 @@
             Input::Tick => self.tick(),
             Input::Propose { command } => self.propose(command),
             Input::Message { from, message } => self.message(from, message),
-            Input::ChangeVoters { .. } | Input::Persisted { .. } | Input::SnapshotTaken { .. } => {
-                Vec::new()
-            }
+            Input::ChangeVoters { .. }
+            | Input::Resign
+            | Input::Persisted { .. }
+            | Input::SnapshotTaken { .. } => Vec::new(),
         }
     }
 
@@ -117,6 +118,7 @@
             | Message::FoundReply { .. }
             | Message::Vote(_)
             | Message::VoteReply { .. }
+            | Message::Resign { .. }
             | Message::Chunk { .. } => Vec::new(),
         }
     }
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -283,7 +283,10 @@
                 self.log(now_ms, consensus::Input::Persisted { token }, &mut out);
             }
             Event::Operator { id, request } => self.operator(now_ms, id, request, &mut out),
-            Event::Stop => self.stop_ms = self.stop_ms.or(Some(now_ms)),
+            Event::Stop => {
+                self.stop_ms = self.stop_ms.or(Some(now_ms));
+                self.log(now_ms, consensus::Input::Resign, &mut out);
+            }
         }
         self.give_back_refused(now_ms, &mut out);
         self.flush(now_ms, &mut out);
--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -358,3 +358,48 @@
         world.writes - writes
     );
 }
+
+/// A leader is stopped as planned. Callers who need a claim wait for the next
+/// leader; told at once, the others must not wait an election timeout for a
+/// heartbeat that will not come.
+#[test]
+fn resigning_leader_hands_over_at_once() {
+    for seed in 0..20 {
+        let (mut world, leader) = cluster(seed, 0, 1);
+        world.input(&leader, Input::Resign);
+        let took_ms = world.until("another leader", 5_000, |w| {
+            w.leader().is_some_and(|l| l != leader)
+        });
+        assert!(took_ms < 100, "seed {seed}: {took_ms} ms");
+        commit(&mut world, 5);
+        world.until("all alike", 5_000, World::converged);
+    }
+}
+
+/// Leaders resign at random moments among cuts, losses and restarts. One that
+/// said it was going must not count as bound, nor may two lead one term: the
+/// history stays one and goes on.
+#[test]
+fn resigning_among_faults_keeps_one_history() {
+    for seed in 1_000..1_000 + seeds() / 4 {
+        let mut world = World::new(seed, 3, 1, 1);
+        world.until("a cluster", 5_000, |w| !w.membership.is_empty());
+        for command in 0u64..120 {
+            match command % 4 {
+                0 => fault(&mut world),
+                1 => {
+                    let at = any(&mut world);
+                    world.input(&at, Input::Resign);
+                }
+                _ => {
+                    let at = any(&mut world);
+                    world.propose(&at, &command.to_le_bytes());
+                }
+            }
+            let pause_ms = world.rng.random_range(0..40);
+            world.run(pause_ms);
+        }
+        world.heal();
+        world.until(&format!("seed {seed}: all alike"), 20_000, World::converged);
+    }
+}
