Measure group commit in rounds and give the figures

Cause: two runs of the old table differed by 10 times for the same size; the disk is shared and was slow for one size in one run. The sizes take turns now, nine rounds, with median, least and most.

--- a/src/cmd/measure_log.rs
+++ b/src/cmd/measure_log.rs
@@ -27,6 +27,9 @@
 /// Changes per measurement of throughput.
 const CHANGES: usize = 2_000;
 
+/// Rounds of that measurement; odd, so that one is the median.
+const ROUNDS: usize = 9;
+
 /// Runs all measurements with files under `folder` and prints their tables.
 ///
 /// # Errors
@@ -38,10 +41,8 @@
             recovery(folder, changes, with_snapshot)?;
         }
     }
-    println!("changes, one voter: in flight  changes/s  changes a sync");
-    for in_flight in [1, 8, 64, 512] {
-        throughput(folder, in_flight)?;
-    }
+    println!("one voter: at once  changes/s median  least  most  changes a sync");
+    throughputs(folder)?;
     println!("leader killed, 3 voters 1 ms apart: heartbeat ms  timeout ms  p50 ms  max ms");
     for (heartbeat_ms, election_timeout_ms) in [(50, 300), (100, 600), (100, 1_000)] {
         elections(heartbeat_ms, election_timeout_ms)?;
@@ -170,20 +171,38 @@
     Ok(())
 }
 
-fn throughput(folder: &Path, in_flight: usize) -> eyre::Result<()> {
+/// Takes turns among the sizes, so that a disk that is slow for a while is slow
+/// for all of them.
+fn throughputs(folder: &Path) -> eyre::Result<()> {
+    let mut measured: BTreeMap<usize, Vec<(f64, f64)>> = BTreeMap::new();
+    for _ in 0..ROUNDS {
+        for at_once in [1, 8, 64, 512] {
+            let rate = throughput(folder, at_once)?;
+            measured.entry(at_once).or_default().push(rate);
+        }
+    }
+    for (at_once, mut rates) in measured {
+        rates.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let ((median, a_sync), least, most) = (rates[ROUNDS / 2], rates[0].0, rates[ROUNDS - 1].0);
+        println!("{at_once:18}  {median:16.0}  {least:5.0}  {most:6.0}  {a_sync:14.1}");
+    }
+    Ok(())
+}
+
+/// Changes per second and per sync.
+fn throughput(folder: &Path, at_once: usize) -> eyre::Result<(f64, f64)> {
     let folder = tempfile::tempdir_in(folder)?;
     let mut lone = Lone::open(folder.path(), 0)?;
     lone.lead()?;
     let (syncs, applied, from) = (lone.disk.syncs(), lone.applied, Instant::now());
     let target = applied + CHANGES as u64;
     while lone.applied < target {
-        lone.change(in_flight)?;
+        lone.change(at_once)?;
     }
     let changes = (lone.applied - applied) as f64;
     let rate = changes / from.elapsed().as_secs_f64();
     let a_sync = changes / (lone.disk.syncs() - syncs) as f64;
-    println!("{in_flight:30}  {rate:9.0}  {a_sync:14.1}");
-    Ok(())
+    Ok((rate, a_sync))
 }
 
 /// Three voters, 1 ms apart, whose writes take no time.
