--- a/src/consensus/snapshots.rs
+++ b/src/consensus/snapshots.rs
@@ -7,8 +7,9 @@
 use super::log::Log;
 use super::{Action, Beat, Membership, Record, Replica, ReplyOutcome, Snapshot};
 
-/// The largest snapshot taken in from a leader, so that a wrong length can't ask
-/// for more memory than an entry instance has.
+/// The largest snapshot. None above is taken in from a leader, so that a wrong
+/// length can't ask for more memory than an entry instance has; so none above is
+/// taken either, as it would reach nobody. The log then grows instead.
 const SNAPSHOT_LIMIT_BYTES: u64 = 64 << 20;
 
 /// A snapshot that arrives piece by piece.
@@ -71,7 +72,8 @@
         let Some(term) = self.log.term_at(index) else {
             return;
         };
-        if index <= last || index > self.applied_index {
+        let too_large = data.len() as u64 > SNAPSHOT_LIMIT_BYTES;
+        if index <= last || index > self.applied_index || too_large {
             return;
         }
         let snapshot = Arc::new(Snapshot {
