--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -5,6 +5,7 @@
 //! A process with half-right settings must not start: two entry instances under
 //! one name, or a voter without a disk, break promises much later and far away.
 
+mod draft;
 mod error;
 mod fields;
 mod keys;
--- a/src/config/whole.rs
+++ b/src/config/whole.rs
@@ -1,45 +1,22 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use crate::model::{EntryName, ZoneName};
-
+use super::draft::{Draft, Times};
 use super::{Member, SettingError, SettingFault};
 
-/// What could be read of the settings, so that a wrong field does not hide what
-/// is wrong with the rest.
-pub(super) struct Draft<'a> {
-    /// This entry instance.
-    pub entry: Option<&'a EntryName>,
-    /// Its availability zone.
-    pub zone: Option<&'a ZoneName>,
-    /// Its addresses by field.
-    pub addresses: [(&'static str, Option<SocketAddr>); 4],
-    /// Whether there is a data folder.
-    pub has_folder: bool,
-    /// The members that could be read.
-    pub members: &'a [Member],
-    /// Whether that is all of them.
-    pub all_members: bool,
-    /// Pairs of a time, how many of another must fit, and the other.
-    pub times: [(Time, u64, Time); 3],
-}
-
-/// A time by its field, in milliseconds.
-pub(super) type Time = (&'static str, u64);
-
 /// Checks that need more than one field.
-pub(super) fn check(draft: &Draft<'_>, errors: &mut Vec<SettingError>) {
+pub(super) fn check(draft: &Draft, errors: &mut Vec<SettingError>) {
     let mut wrong = |field: &str, fault| errors.push(SettingError::new(field, fault));
     names(draft, &mut wrong);
     own_line(draft, &mut wrong);
     addresses(draft, &mut wrong);
     if draft.all_members {
-        voters(draft.members, &mut wrong);
+        voters(&draft.members, &mut wrong);
     }
-    times(draft, &mut wrong);
+    times(&draft.times, &mut wrong);
 }
 
-fn names(conf: &Draft<'_>, wrong: &mut impl FnMut(&str, SettingFault)) {
+fn names(conf: &Draft, wrong: &mut impl FnMut(&str, SettingFault)) {
     let mut names = BTreeSet::new();
     for (n, member) in conf.members.iter().enumerate() {
         if !names.insert(&member.entry) {
@@ -47,15 +24,15 @@
             wrong(&format!("members[{n}].entry"), fault);
         }
     }
-    let zone = conf.zone.filter(|_| conf.all_members);
+    let zone = conf.own.zone.as_ref().filter(|_| conf.all_members);
     if let Some(zone) = zone.filter(|z| !conf.members.iter().any(|m| m.zone == **z)) {
         wrong("zone", SettingFault::ZoneWithoutEntry(zone.to_string()));
     }
 }
 
 /// Compares the settings with this entry instance's line among the members.
-fn own_line(conf: &Draft<'_>, wrong: &mut impl FnMut(&str, SettingFault)) {
-    let Some(entry) = conf.entry else { return };
+fn own_line(conf: &Draft, wrong: &mut impl FnMut(&str, SettingFault)) {
+    let Some(entry) = &conf.own.entry else { return };
     let Some(own) = conf.members.iter().find(|m| m.entry == *entry) else {
         if conf.all_members {
             wrong("entry", SettingFault::NotAMember(entry.to_string()));
@@ -63,18 +40,16 @@
         return;
     };
     // Peers would send to one place while this process listens at another.
-    let peers = conf.addresses.iter().find(|(field, _)| *field == "peers");
-    let peers = peers.and_then(|(_, address)| address.as_ref());
     let pairs = [
         (
             "zone",
             own.zone.to_string(),
-            conf.zone.map(ToString::to_string),
+            conf.own.zone.as_ref().map(ToString::to_string),
         ),
         (
             "peers",
             own.peers.to_string(),
-            peers.map(ToString::to_string),
+            conf.own.peers.map(|peers| peers.to_string()),
         ),
     ];
     for (field, theirs, ours) in pairs {
@@ -90,7 +65,7 @@
             );
         }
     }
-    match (own.voter, conf.has_folder) {
+    match (own.voter, conf.own.data_folder.is_some()) {
         // A voter that forgets its vote in a restart can elect two leaders.
         (true, false) => wrong("data_folder", SettingFault::VoterWithoutFolder),
         (false, true) => wrong("data_folder", SettingFault::FolderWithoutVote),
@@ -98,13 +73,13 @@
     }
 }
 
-fn addresses(conf: &Draft<'_>, wrong: &mut impl FnMut(&str, SettingFault)) {
-    let own = conf.addresses.iter();
-    let own = own.filter_map(|(field, address)| Some(((*field).to_owned(), (*address)?)));
+fn addresses(conf: &Draft, wrong: &mut impl FnMut(&str, SettingFault)) {
+    let own = conf.own.addresses();
+    let own = own.map(|(field, address)| (field.to_owned(), address));
     let others = conf
         .members
         .iter()
-        .filter(|m| Some(&m.entry) != conf.entry)
+        .filter(|m| Some(&m.entry) != conf.own.entry.as_ref())
         .map(|m| (format!("members, {}, peers", m.entry), m.peers));
     let mut seen: BTreeMap<SocketAddr, String> = BTreeMap::new();
     // Port 0 asks for any free port.
@@ -149,8 +124,29 @@
     }
 }
 
-fn times(conf: &Draft<'_>, wrong: &mut impl FnMut(&str, SettingFault)) {
-    for ((field, value), times, (other, part)) in conf.times {
+fn times(times: &Times, wrong: &mut impl FnMut(&str, SettingFault)) {
+    let pairs = [
+        // One lost report must not take an upstream out.
+        (
+            ("upstream_lease_ms", times.upstream_lease_ms),
+            2,
+            ("refresh_ms", times.refresh_ms),
+        ),
+        // Two late heartbeats must not depose a healthy leader.
+        (
+            ("election_timeout_ms", times.election_timeout_ms),
+            3,
+            ("heartbeat_ms", times.heartbeat_ms),
+        ),
+        // An entry instance whose view ends between two heartbeats would be
+        // cut off again and again without any fault.
+        (
+            ("view_lease_ms", times.view_lease_ms),
+            2,
+            ("heartbeat_ms", times.heartbeat_ms),
+        ),
+    ];
+    for ((field, value), times, (other, part)) in pairs {
         let least = part.saturating_mul(times);
         if value < least {
             let other = other.to_owned();
