Count failed instances as room that comes back, and look on for a donor

The random trouble test then failed on three faults that were there before, now mended: - instances set aside counted as failed of their zone, so that a few more lost made it look cut off and stopped all repair there for good; - an instance set aside kept its rack taken in its pool, so that none of that rack could be lent to it; - when the best donor had no instance that gave the borrower room, the other donors were not asked.

--- a/src/maintenance/controller.rs
+++ b/src/maintenance/controller.rs
@@ -8,6 +8,7 @@
 };
 
 mod absences;
+mod loans;
 mod repairs;
 mod waves;
 
--- a/src/maintenance/controller/repairs.rs
+++ b/src/maintenance/controller/repairs.rs
@@ -121,6 +121,11 @@
 fn cut_off_zones<'a>(step: &Step<'a>) -> Vec<&'a ZoneName> {
     let mut zones: BTreeMap<&ZoneName, (usize, usize)> = BTreeMap::new();
     for (name, instance) in step.fleet.instances() {
+        // Those out by decision say nothing of the zone: counted in, a few set
+        // aside and a few lost together would stop all repair for good.
+        if matches!(instance.duty, Duty::Away { .. }) {
+            continue;
+        }
         let (all, failed) = zones.entry(&instance.zone).or_default();
         *all += 1;
         *failed += usize::from(step.fleet.is_failed(name));
--- a/src/maintenance/pace.rs
+++ b/src/maintenance/pace.rs
@@ -157,6 +157,13 @@
     Some(Loan { from, to, won_ms })
 }
 
+/// Takes a pool off the donors: none of its instances would give the borrower room.
+pub fn no_spare(paces: &mut [PoolPace], pool: &PoolName) {
+    for pace in paces.iter_mut().filter(|pace| pace.pool == *pool) {
+        pace.spare = 0;
+    }
+}
+
 fn last_ms(paces: &[PoolPace]) -> u64 {
     let each = paces.iter().map(PoolPace::remaining_ms);
     each.max().unwrap_or(0)
--- a/src/maintenance/planner.rs
+++ b/src/maintenance/planner.rs
@@ -11,7 +11,7 @@
 use crate::model::{Budget, Instance, InstanceName, PoolName};
 
 use super::bounds::{PoolVisits, Visit, moves_bound, rollout_bound_ms};
-use super::pace::{PoolPace, next_loan, next_visit};
+use super::pace::{Loan, PoolPace, next_loan, next_visit, no_spare};
 use super::plan::{Figures, Plan, Step, Work};
 use super::{Cause, Fleet, Room, WaveSpec};
 
@@ -221,26 +221,34 @@
         let visit_ms = self.spec.visit_ms();
         let pools = self.pools.iter();
         let paces = pools.map(|(name, pool)| pool.pace(name, self.now_ms, visit_ms));
-        let paces: Vec<PoolPace> = paces.collect();
-        let drain_ms = self.spec.drain_ms;
-        let Some(loan) = next_loan(
-            &paces,
-            &self.spec.weights,
+        let mut paces: Vec<PoolPace> = paces.collect();
+        let WaveSpec {
+            weights,
             drain_ms,
-            self.spec.spread_percent,
-        ) else {
-            return false;
-        };
+            spread_percent,
+            ..
+        } = self.spec;
+        while let Some(loan) = next_loan(&paces, weights, *drain_ms, *spread_percent) {
+            if let Some(next) = self.choose(&loan) {
+                self.start_loan(next, loan);
+                return true;
+            }
+            no_spare(&mut paces, &loan.from);
+        }
+        false
+    }
+
+    /// The donor's instance that gives the borrower room.
+    fn choose(&self, loan: &Loan) -> Option<&'a Instance> {
+        let (donor, borrower) = (self.pools.get(&loan.from)?, self.pools.get(&loan.to)?);
         let fleet = self.fleet;
-        let (Some(donor), Some(borrower)) = (self.pools.get(&loan.from), self.pools.get(&loan.to))
-        else {
-            return false;
-        };
         let idle = donor.idle.iter().filter_map(|i| fleet.instances().get(*i));
         let idle = idle.filter(|i| borrower.room.gains_by(&i.rack, &borrower.budget));
-        let Some(next) = next_visit(&donor.room, &donor.budget, idle) else {
-            return false;
-        };
+        next_visit(&donor.room, &donor.budget, idle)
+    }
+
+    fn start_loan(&mut self, next: &'a Instance, loan: Loan) {
+        let drain_ms = self.spec.drain_ms;
         if let Some(donor) = self.pools.get_mut(&loan.from) {
             donor.idle.remove(&next.name);
             donor.room.remove(&next.rack);
@@ -251,7 +259,6 @@
         }
         self.lent.push(self.now_ms);
         self.start(next, &loan.from, Work::Lend(loan.to), drain_ms);
-        true
     }
 
     fn finish(self, visits: &[PoolVisits]) -> Plan {
--- a/src/maintenance/room.rs
+++ b/src/maintenance/room.rs
@@ -13,17 +13,17 @@
     serving: u32,
     by_rack: BTreeMap<RackName, u32>,
     racks_by_size: BTreeMap<u32, u32>,
-    /// Members by rack, whether they serve or not.
+    /// Members by rack that serve or are expected back.
     members: BTreeMap<RackName, u32>,
 }
 
 impl Room {
-    /// One more instance of `rack` belongs to the pool.
+    /// One more instance of `rack` serves or is expected to.
     pub fn join(&mut self, rack: &RackName) {
         *self.members.entry(rack.clone()).or_default() += 1;
     }
 
-    /// One instance of `rack` belongs to the pool no more.
+    /// One instance of `rack` is not expected to serve any more.
     pub fn leave(&mut self, rack: &RackName) {
         let members = self.members(rack);
         if members > 1 {
@@ -33,7 +33,7 @@
         }
     }
 
-    /// Instances of `rack` that belong to the pool.
+    /// Instances of `rack` that serve or are expected to.
     pub fn members(&self, rack: &RackName) -> u32 {
         self.members.get(rack).copied().unwrap_or(0)
     }
--- a/src/maintenance/tally.rs
+++ b/src/maintenance/tally.rs
@@ -18,8 +18,12 @@
     /// Counts an instance in.
     pub fn add(&mut self, instance: &Instance, failed: bool) {
         self.members.insert(instance.name.clone());
-        self.room.join(&instance.rack);
-        match Cause::of(instance, failed) {
+        let cause = Cause::of(instance, failed);
+        // One that is set aside is not expected back in its rack.
+        if cause != Some(Cause::SetAside) {
+            self.room.join(&instance.rack);
+        }
+        match cause {
             Some(cause) => *self.absent.entry(cause).or_default() += 1,
             None => self.room.add(&instance.rack),
         }
@@ -28,8 +32,11 @@
     /// Counts an instance out, as it was counted in.
     pub fn remove(&mut self, instance: &Instance, failed: bool) {
         self.members.remove(&instance.name);
-        self.room.leave(&instance.rack);
-        let Some(cause) = Cause::of(instance, failed) else {
+        let cause = Cause::of(instance, failed);
+        if cause != Some(Cause::SetAside) {
+            self.room.leave(&instance.rack);
+        }
+        let Some(cause) = cause else {
             self.room.remove(&instance.rack);
             return;
         };
