Prove headroom, rack avoidance and incarnations by tests that fail without them

Cause: breaking each safeguard in turn showed four that no test caught: headroom (patient jobs of 400 ms free slots often enough without it; they now run 4 s), the incarnation of an ended attempt, the rack of a retry, and the second look at the deadline. A queue out of step with its requests would have looped for ever in the pump; it stands still instead.

--- a/src/load/plays.rs
+++ b/src/load/plays.rs
@@ -111,12 +111,12 @@
     Stream::new("check", Class::Urgent, rate_per_s, 20)
 }
 
-/// Urgent requests at a tenth of capacity, beside patient jobs that arrive at
-/// 1.2 times what the pool can do, or alone.
+/// Urgent requests at a tenth of capacity, beside patient jobs of 4 s that arrive
+/// at 1.2 times what the pool can do, or alone.
 pub fn urgent_beside_patient(kind: Kind, seed: u64, patient: bool) -> Played {
     let mut s = Scenario::ten_workers(kind, seed);
     if patient {
-        let archive = Stream::new("archive", Class::Patient, 240.0, 400).deadline_ms(600_000);
+        let archive = Stream::new("archive", Class::Patient, 24.0, 4_000).deadline_ms(600_000);
         s.add(0, 12_000, &archive);
     }
     let ids = s.add(2_000, 12_000, &check(400.0).deadline_ms(60_000));
--- a/src/load/pump.rs
+++ b/src/load/pump.rs
@@ -109,6 +109,9 @@
         loop {
             let queue = &self.services[service].queues[class];
             let id = queue.peek(|team| self.teams.may_run(team))?;
+            // Queues and requests change together; if they ever did not, a queue
+            // that stands still is better than a loop without end.
+            self.requests.get(&id)?;
             if !self.is_late(now_ms, id) {
                 return self.place(now_ms, service, id);
             }
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -22,9 +22,9 @@
 #[test]
 fn urgent_requests_answer_while_patient_work_saturates() {
     // The caller sees its eligibility check frozen behind archiving. Patient jobs
-    // arrive at more than the pool can do, and each holds a slot for 400 ms.
-    // Without headroom all 80 slots hold one when an urgent request arrives, and
-    // it waits for one to end although it goes first in the queue.
+    // arrive at more than the pool can do, and each holds a slot for 4 s. Without
+    // headroom all 80 slots hold one when an urgent request arrives, and it waits
+    // for one to end although it goes first in the queue.
     let alone = sound(&plays::urgent_beside_patient(Kind::Dispatcher, 1, false));
     let beside = plays::urgent_beside_patient(Kind::Dispatcher, 1, true);
     let urgent = sound(&beside);
--- a/tests/load_rows.rs
+++ b/tests/load_rows.rs
@@ -4,10 +4,11 @@
 use rosemarygauge::load::harness::{Behaviour, Worker};
 use rosemarygauge::load::scenarios::{Kind, Scenario, Stream, ZONE};
 use rosemarygauge::load::{
-    Action, Dispatcher, Input, LoadSettings, Request, RequestId, View, fleets, harness::Ending,
+    Action, AttemptId, Dispatcher, Input, LoadSettings, Request, RequestId, View, fleets,
+    harness::Ending,
 };
 use rosemarygauge::model::{
-    Capacity, Class, Duty, RefusalReason, Row, RowKey, Standing, UpstreamReport,
+    Absence, Capacity, Class, Duty, RefusalReason, Row, RowKey, Standing, UpstreamReport,
 };
 
 const ZONES: [&str; 3] = [ZONE, "amman-2", "amman-3"];
@@ -296,13 +297,11 @@
     }
 }
 
-#[test]
-fn a_returned_upstream_warms_up_and_a_draining_one_gets_nothing() {
-    // An upstream restarts while requests wait. Given eight at once, cold, it is
-    // the slowest; and what its old incarnation still owes must not count.
+/// A dispatcher with a pool of `n` workers of one slot or more, in racks of four.
+fn small_pool(n: usize, slots: u32) -> (Dispatcher, View) {
     let mut view = View::default();
     let services = vec![fleets::service("check", Class::Urgent, 20)];
-    fleets::pool(&mut view, "pool", services, &[ZONE], 1);
+    fleets::pool(&mut view, "pool", services, &[ZONE], n);
     let settings = LoadSettings {
         home: ZONE.into(),
         me: "entry-0".into(),
@@ -310,43 +309,126 @@
     };
     let mut side = Dispatcher::new(settings, 0);
     side.handle(0, Input::View(view.clone()));
-    let tell = |now_ms, incarnation, side: &mut Dispatcher| {
-        let report = report("pool-0", incarnation);
-        let lease_until_ms = now_ms + 3_000;
-        side.handle(
-            now_ms,
-            Input::Report {
-                report: &report,
-                lease_until_ms,
-            },
-        )
+    for instance in view.instances.values() {
+        let mut report = report(instance.name.as_str(), 1);
+        report.rack = instance.rack.clone();
+        report.capacity.slots = slots;
+        tell(&mut side, 0, &report);
+    }
+    (side, view)
+}
+
+fn tell(side: &mut Dispatcher, now_ms: u64, report: &UpstreamReport) -> Vec<Action> {
+    let lease_until_ms = now_ms + 3_000;
+    let input = Input::Report {
+        report,
+        lease_until_ms,
     };
-    tell(0, 1, &mut side);
-    let offer = |id: u64| Request {
+    side.handle(now_ms, input)
+}
+
+fn offer(side: &mut Dispatcher, now_ms: u64, id: u64, deadline_ms: u64) -> Vec<Action> {
+    let request = Request {
         id: RequestId(id),
         service: "check".into(),
         class: Class::Urgent,
         team: "team".into(),
-        caller: "caller".into(),
+        caller: format!("caller-{id}"),
         idempotent: true,
-        deadline_ms: 60_000,
+        deadline_ms,
     };
-    let n = |actions: &[Action]| {
-        let sent = actions
-            .iter()
-            .filter(|a| matches!(a, Action::Dispatch { .. }));
-        sent.count()
+    side.handle(now_ms, Input::Offer(request))
+}
+
+fn finish(side: &mut Dispatcher, now_ms: u64, id: u64, run_us: u64) -> Vec<Action> {
+    let input = Input::Finished {
+        request: RequestId(id),
+        attempt: AttemptId(1),
+        status: 200,
+        run_us,
+    };
+    side.handle(now_ms, input)
+}
+
+fn lose(side: &mut Dispatcher, now_ms: u64, id: u64) -> Vec<Action> {
+    let input = Input::Lost {
+        request: RequestId(id),
+        attempt: AttemptId(1),
+        run_us: 1,
     };
+    side.handle(now_ms, input)
+}
+
+fn sent(actions: &[Action]) -> Vec<&str> {
+    let sent = actions.iter().filter_map(|action| match action {
+        Action::Dispatch { instance, .. } => Some(instance.as_str()),
+        _ => None,
+    });
+    sent.collect()
+}
+
+#[test]
+fn a_returned_upstream_warms_up_and_a_draining_one_gets_nothing() {
+    // An upstream restarts while requests wait. Given eight at once, cold, it is
+    // the slowest; and what its old incarnation still owes must not count: each
+    // late loss there would free a slot that was never taken.
+    let (mut side, mut view) = small_pool(1, 8);
     let first: usize = (0..10)
-        .map(|id| n(&side.handle(10, Input::Offer(offer(id)))))
+        .map(|id| sent(&offer(&mut side, 10, id, 60_000)).len())
         .sum();
     assert_eq!(first, 8);
-    assert_eq!(n(&tell(20, 2, &mut side)), 1);
+    assert_eq!(sent(&tell(&mut side, 20, &report("pool-0", 2))).len(), 1);
+    assert_eq!(sent(&lose(&mut side, 25, 0)).len(), 0);
     view.instances.values_mut().for_each(|i| {
         i.duty = Duty::Draining {
-            absence: rosemarygauge::model::Absence::Operator,
+            absence: Absence::Operator,
         }
     });
     side.handle(30, Input::View(view));
-    assert_eq!(n(&side.handle(40, Input::Offer(offer(20)))), 0);
+    assert_eq!(sent(&offer(&mut side, 40, 20, 60_000)).len(), 0);
+}
+
+#[test]
+fn a_retry_goes_to_another_rack_first() {
+    // A rack loses its switch: a retry on the neighbour is lost like the first
+    // try, and the caller's attempts are used up on one fault.
+    let (mut side, _) = small_pool(8, 8);
+    let rack = |name: &str| name["pool-".len()..].parse::<usize>().unwrap() / 4;
+    for id in 0..10 {
+        let first = offer(&mut side, 10 + id, id, 60_000);
+        let second = lose(&mut side, 10 + id, id);
+        assert_ne!(rack(sent(&first)[0]), rack(sent(&second)[0]));
+    }
+}
+
+#[test]
+fn what_became_too_late_while_it_waited_is_not_started() {
+    // Requests turn out to run longer than learnt while one waits. Started all the
+    // same it would hold a slot and be answered after its deadline.
+    let (mut side, _) = small_pool(1, 2);
+    for id in 0..6 {
+        offer(&mut side, id, id, 60_000);
+        finish(&mut side, id, id, 20_000);
+    }
+    let running = [
+        offer(&mut side, 10, 6, 60_000),
+        offer(&mut side, 10, 7, 60_000),
+    ];
+    assert!(running.iter().all(|a| sent(a).len() == 1));
+    assert_eq!(offer(&mut side, 10, 8, 110), []);
+    let actions = finish(&mut side, 40, 6, 900_000);
+    let is_refused = |a: &Action| {
+        matches!(
+            a,
+            Action::Refuse {
+                request: RequestId(8),
+                reason: RefusalReason::Deadline,
+                ..
+            }
+        )
+    };
+    assert!(
+        sent(&actions).is_empty() && actions.iter().any(is_refused),
+        "{actions:?}"
+    );
 }
