Keep what the log cannot carry out of it; end a view lease before an election can

The log drops commands above 512 KiB without a word: a job's body is refused above 256 KiB with a clear answer, and an answer too large to be kept is told as such (507, or the key as expired) rather than cut. A view lease of 2 s outlasted an election timeout of 600 ms; it is 500 ms now and the settings check the relation.

--- a/src/config/whole.rs
+++ b/src/config/whole.rs
@@ -146,6 +146,16 @@
             ("heartbeat_ms", times.heartbeat_ms),
         ),
     ];
+    // A view counts as recent until its lease ends; one that outlasted an
+    // election, with clocks a tenth apart, would let two leaders act as such.
+    if times.view_lease_ms.saturating_mul(10) > times.election_timeout_ms.saturating_mul(9) {
+        let most = times.election_timeout_ms / 10 * 9;
+        let fault = SettingFault::BadValue(format!(
+            "{} ms is over nine tenths of election_timeout_ms: set at most {most}",
+            times.view_lease_ms
+        ));
+        wrong("view_lease_ms", fault);
+    }
     for ((field, value), times, (other, part)) in pairs {
         let least = part.saturating_mul(times);
         if value < least {
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -97,7 +97,9 @@
             peer_gone_ms: 2_000,
             heartbeat_ms: 100,
             election_timeout_ms: 600,
-            view_lease_ms: 2_000,
+            // Ends before another leader can be elected: under 0.9 of the election
+            // timeout, as clocks may run apart by a tenth.
+            view_lease_ms: 500,
             snapshot_every: 4_096,
             // A balancer that looks every half second has seen it by then.
             stop_notice_ms: 1_000,
--- a/src/entry/node/callers.rs
+++ b/src/entry/node/callers.rs
@@ -4,7 +4,10 @@
 
 use crate::load::{Input, Request, RequestId};
 use crate::model::{Class, Outcome, RefusalReason, RequestKey, Service};
-use crate::state::{Change, ClaimPhase, Fingerprint, JobId, JobReply, NewJob, scoped_key};
+use crate::state::{
+    Change, ClaimPhase, Fingerprint, JobId, JobReply, MAX_JOB_PART_BYTES, MAX_ONE_ANSWER_BYTES,
+    NewJob, scoped_key,
+};
 
 use super::super::open::{ClaimHold, Open, Origin, Storing};
 use super::super::{Call, CallAnswer, CallId, Effect};
@@ -336,7 +339,7 @@
                 key,
                 fence,
                 status: *status,
-                body: body.clone(),
+                body: kept(body, MAX_ONE_ANSWER_BYTES),
             },
             Outcome::NotRun { .. } => Change::ClaimRelease { key, fence },
             Outcome::Unknown => Change::ClaimUnknown { key, fence },
@@ -392,6 +395,11 @@
             let outcome = not_run(RefusalReason::NoQuorum, Some(NO_QUORUM_RETRY_MS));
             return self.answer_call(id, outcome, out);
         }
+        let limit_bytes = MAX_JOB_PART_BYTES;
+        if call.body.len() as u64 > limit_bytes {
+            let reply = crate::state::Reply::Job(JobReply::TooLarge { limit_bytes });
+            return self.accepted(id, reply, out);
+        }
         let number = self.next_request();
         let job = JobId::from(format!(
             "{}-{}-{number}",
@@ -443,6 +451,13 @@
     }
 }
 
+/// As much of an answer as the replicated state needs: the whole, or enough to
+/// see that it is over the limit. The log drops commands that are too large.
+pub(super) fn kept(body: &[u8], limit_bytes: u64) -> Vec<u8> {
+    let limit = usize::try_from(limit_bytes).unwrap_or(usize::MAX);
+    body[..body.len().min(limit + 1)].to_vec()
+}
+
 /// Longest time for one attempt of a service.
 pub(super) fn attempt_ms(service: &Service) -> u64 {
     let times = service.demand.run_ms.saturating_mul(ATTEMPT_TIMES);
--- a/src/entry/node/jobs.rs
+++ b/src/entry/node/jobs.rs
@@ -2,11 +2,11 @@
 
 use crate::load::RequestId;
 use crate::model::{Class, Duty, Outcome, RefusalReason};
-use crate::state::{Change, Fence, Job, JobId, JobPhase, JobReply, Reply};
+use crate::state::{Change, Fence, Job, JobId, JobPhase, JobReply, MAX_JOB_PART_BYTES, Reply};
 
 use super::super::open::{Open, Origin};
 use super::super::{CallAnswer, CallId, Effect, JobView};
-use super::callers::{attempt_ms, not_run, shared};
+use super::callers::{attempt_ms, kept, not_run, shared};
 use super::{LONG_PATIENCE_MS, Node, Purpose, SYSTEM_PATIENCE_MS};
 
 /// How long a job may wait at one entry instance before it is handed back to the
@@ -146,7 +146,7 @@
                 job,
                 fence,
                 status,
-                body,
+                body: kept(&body, MAX_JOB_PART_BYTES),
             },
             Outcome::Unknown => Change::JobLost { job, fence },
             Outcome::NotRun {
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -17,11 +17,17 @@
 pub const MAX_JOBS_BYTES: u64 = 64 * 1024 * 1024;
 
 /// Bytes of one job's body, checkpoint or answer.
-pub const MAX_JOB_PART_BYTES: u64 = 1024 * 1024;
+pub const MAX_JOB_PART_BYTES: u64 = 256 * 1024;
 
 /// Jobs kept at once, open or ended.
 pub const MAX_JOBS: usize = 100_000;
 
+/// HTTP status of a job that ran and whose answer is too large to keep.
+pub const STATUS_TOO_LARGE: u16 = 507;
+
+/// What is kept in its place.
+const TOO_LARGE: &str = "it ran once; its answer is too large to be kept\n";
+
 /// Patient jobs, by id and by the caller's key.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Jobs {
@@ -214,10 +220,12 @@
         if let Err(reply) = self.open(id, fence) {
             return reply;
         }
-        let body = if body.len() as u64 > MAX_JOB_PART_BYTES {
-            Vec::new()
+        // Neither a part of the answer nor an empty one: both would pass for
+        // the whole.
+        let (status, body) = if body.len() as u64 > MAX_JOB_PART_BYTES {
+            (STATUS_TOO_LARGE, TOO_LARGE.as_bytes().to_vec())
         } else {
-            body.to_vec()
+            (status, body.to_vec())
         };
         self.step(stamp, id, TrailEvent::Answered);
         self.turn(
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -36,7 +36,7 @@
 pub use fence::Fence;
 pub use fingerprint::{Fingerprint, scoped_key};
 pub use job::{Job, JobId, JobPhase};
-pub use jobs::{JOB_RETENTION_MS, MAX_JOB_PART_BYTES, MAX_JOBS, MAX_JOBS_BYTES};
+pub use jobs::{JOB_RETENTION_MS, MAX_JOB_PART_BYTES, MAX_JOBS, MAX_JOBS_BYTES, STATUS_TOO_LARGE};
 pub use reply::{ClaimReply, JobReply, Reply};
 pub use rows::{ROW_TRAIL, RowStep};
 pub use snapshot::{MAX_STATE_BYTES, SnapshotError};
