Tell an upstream no epoch without recent news; count acknowledgements at their own index

Cause (read in the promises of moves): an entry instance that was cut off before a move could tell an upstream that restarted right after it the old epoch; and the confirmation of an operator's change raised a peer's acknowledged index over in flight counts that were older. Either could let two pools use one instance. Test a_cut_off_entry_tells_a_restarted_upstream_no_epoch, seen failing without the check; the second is by reading only, behind it the upstream's own count of running requests.

--- a/src/entry/node/peers.rs
+++ b/src/entry/node/peers.rs
@@ -56,6 +56,7 @@
     ) {
         if let Some(peer) = self.peers.get_mut(from) {
             peer.applied_index = peer.applied_index.max(gossip.applied_index);
+            peer.counted_index = gossip.applied_index;
             peer.in_flight = gossip.in_flight.iter().cloned().collect();
             peer.stopping = gossip.stopping;
         }
--- a/src/entry/node/upstreams.rs
+++ b/src/entry/node/upstreams.rs
@@ -25,16 +25,27 @@
             .get(&report.instance)
             .cloned();
         self.introduce(now_ms, report, instance.is_some(), out);
+        let told = instance.filter(|i| self.may_tell(now_ms, i, report));
         let reply = AnnounceReply {
             lease_ms: self.settings.upstream_lease_ms,
             refresh_ms: self.settings.refresh_ms,
-            pool: instance.as_ref().map(|i| i.pool.clone()),
-            pool_epoch: instance.as_ref().map_or(0, |i| i.epoch),
-            order: instance.as_ref().map_or(Order::Serve, order_for),
+            pool: told.as_ref().map(|i| i.pool.clone()),
+            pool_epoch: told.as_ref().map_or(report.pool_epoch, |i| i.epoch),
+            order: told.as_ref().map_or(Order::Serve, order_for),
         };
         out.push(Effect::AnswerAnnounce { id, reply });
     }
 
+    /// Whether what is known here of an instance may be told to its upstream.
+    ///
+    /// An entry instance that was cut off before a move still knows the old
+    /// epoch. An upstream that restarted right after the move has forgotten the
+    /// new one; told the old, it would run requests of both pools. So without
+    /// recent news an upstream is told no epoch but the one it says itself.
+    fn may_tell(&self, now_ms: u64, instance: &Instance, report: &UpstreamReport) -> bool {
+        self.replica.status(now_ms).fresh || instance.epoch == report.pool_epoch
+    }
+
     /// Brings a new upstream, or a changed capacity, into the replicated state.
     fn introduce(
         &mut self,
--- a/src/model/instance.rs
+++ b/src/model/instance.rs
@@ -13,7 +13,8 @@
     pub rack: RackName,
     /// The one pool it belongs to.
     pub pool: PoolName,
-    /// Counts its changes of pool; a dispatch under an older epoch is void.
+    /// Counts its returns to service, in this or another pool; a dispatch under an
+    /// older epoch is void.
     pub epoch: u64,
     /// What it is meant to be doing.
     pub duty: Duty,
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -84,26 +84,7 @@
 
     fn report(&mut self) {
         self.reports += 1;
-        let report = UpstreamReport {
-            instance: "w1".into(),
-            incarnation: 1,
-            sequence: self.reports,
-            address: "127.0.0.1:9".into(),
-            zone: "a".into(),
-            rack: "r".into(),
-            pool: "p".into(),
-            capacity: Capacity {
-                cores: 16,
-                memory_mib: 1_024,
-                accelerators: 0,
-                slots: 8,
-                connections: 64,
-            },
-            pool_epoch: 1,
-            standing: Standing::Serving,
-            running: 0,
-            usage_age_ms: 0,
-        };
+        let report = report(self.reports);
         let id = CallId(1_000_000 + self.reports);
         self.feed(Event::Announced { id, report });
     }
@@ -150,6 +131,29 @@
     }
 }
 
+fn report(sequence: u64) -> UpstreamReport {
+    UpstreamReport {
+        instance: "w1".into(),
+        incarnation: 1,
+        sequence,
+        address: "127.0.0.1:9".into(),
+        zone: "a".into(),
+        rack: "r".into(),
+        pool: "p".into(),
+        capacity: Capacity {
+            cores: 16,
+            memory_mib: 1_024,
+            accelerators: 0,
+            slots: 8,
+            connections: 64,
+        },
+        pool_epoch: 1,
+        standing: Standing::Serving,
+        running: 0,
+        usage_age_ms: 0,
+    }
+}
+
 fn pool() -> Pool {
     Pool {
         name: "p".into(),
@@ -273,3 +277,110 @@
     assert_eq!(reason, RefusalReason::Starting);
     assert!(retry_after_ms.is_some());
 }
+
+/// Two entry instances and the frames between them, which can be held back.
+struct Pair {
+    leader: Bench,
+    learner: Bench,
+}
+
+impl Pair {
+    fn start() -> Self {
+        let members: BTreeMap<EntryName, ZoneName> =
+            ["a-1", "a-2"].map(|name| (name.into(), "a".into())).into();
+        let node = |me: &str, incarnation: Option<u64>| {
+            let settings = NodeSettings {
+                me: me.into(),
+                zone: "a".into(),
+                members: members.clone(),
+                voters: vec!["a-1".into()],
+                seed: incarnation.unwrap_or(3),
+                ..NodeSettings::default()
+            };
+            let recovered = Recovered {
+                incarnation,
+                ..Recovered::default()
+            };
+            Bench {
+                node: Node::new(settings, recovered, 1_000_000, 0),
+                now_ms: 0,
+                seen: Vec::new(),
+                calls: 0,
+                reports: 0,
+            }
+        };
+        Self {
+            leader: node("a-1", Some(7)),
+            learner: node("a-2", None),
+        }
+    }
+
+    /// Runs both, with or without the link between them.
+    fn run_ms(&mut self, ms: u64, linked: bool) {
+        for _ in 0..ms / 20 {
+            for bench in [&mut self.leader, &mut self.learner] {
+                bench.now_ms += 20;
+                bench.feed(Event::Tick);
+            }
+            carry("a-1", &mut self.leader, &mut self.learner, linked);
+            carry("a-2", &mut self.learner, &mut self.leader, linked);
+        }
+    }
+}
+
+fn carry(from: &str, sender: &mut Bench, receiver: &mut Bench, linked: bool) {
+    let (frames, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut sender.seen)
+        .into_iter()
+        .partition(|effect| matches!(effect, Effect::Peer { .. }));
+    sender.seen = rest;
+    for effect in frames {
+        if let Effect::Peer { frame, .. } = effect
+            && linked
+        {
+            let from = from.into();
+            receiver.feed(Event::Peer { from, frame });
+        }
+    }
+}
+
+/// An entry instance is cut off; meanwhile an instance may move and restart. It
+/// announces itself to the one that is cut off, having forgotten its epoch. Told
+/// the old one, it would run requests of two pools at once.
+#[test]
+fn a_cut_off_entry_tells_a_restarted_upstream_no_epoch() {
+    let mut pair = Pair::start();
+    pair.run_ms(3_000, true);
+    pair.leader.feed(Event::Operator {
+        id: OperatorId(1),
+        request: OperatorRequest::Fleet {
+            change: "c1".into(),
+            operator: "mona".into(),
+            command: FleetCommand::PutPool { pool: pool() },
+        },
+    });
+    pair.run_ms(200, true);
+    pair.leader.report();
+    pair.run_ms(200, true);
+    let told = |bench: &mut Bench, incarnation| {
+        bench.reports += 1;
+        let sequence = bench.reports;
+        let report = UpstreamReport {
+            incarnation,
+            sequence,
+            pool_epoch: 0,
+            ..report(sequence)
+        };
+        bench.feed(Event::Announced {
+            id: CallId(2_000_000),
+            report,
+        });
+        let reply = bench.seen.iter().rev().find_map(|effect| match effect {
+            Effect::AnswerAnnounce { reply, .. } => Some(reply.pool_epoch),
+            _ => None,
+        });
+        reply.unwrap()
+    };
+    assert_eq!(told(&mut pair.learner, 2), 1, "with recent news");
+    pair.run_ms(2_000, false);
+    assert_eq!(told(&mut pair.learner, 3), 0, "cut off");
+}
