Test repair's bound, cut-off zones beside set-aside ones, loans home, restores

Each seen failing with its safeguard broken, then restored. Not caught when broken: asking the next donor when the best one has no fitting instance, and the pause between repeated orders (costs messages, nothing else).

--- a/tests/maintenance/faults.rs
+++ b/tests/maintenance/faults.rs
@@ -106,6 +106,15 @@
     assert_eq!(world.fleet.record(&sick).unwrap().repairs_unix_ms.len(), 3);
     assert_eq!(world.machines[&sick].cut_off, 0, "what ran was cut off");
     assert!(world.run_until(180 * MINUTE_MS, |w| *state(w) == WaveState::Done));
+    // Mended by hand and restored, it is a new instance to repair.
+    world.machines.get_mut(&sick).unwrap().fate = Fate::Returns;
+    let instance = sick.clone();
+    world.apply(&FleetCommand::Restore { instance }).unwrap();
+    assert!(world.run_until(10 * MINUTE_MS, |w| !w.fleet.is_failed(&sick)));
+    world.kill(&sick);
+    assert!(world.run_until(MINUTE_MS, |w| w.fleet.is_failed(&sick)));
+    assert!(world.run_until(30 * MINUTE_MS, |w| !w.fleet.is_failed(&sick)));
+    assert_eq!(*duty(&world, &sick), Duty::Serving);
 }
 
 /// An instance dies between its drain and its change of pool. The move is
@@ -212,6 +221,55 @@
     assert_eq!(zone.iter().map(repairs).sum::<usize>(), 0);
 }
 
+/// Some instances of a zone are set aside; later a few more are lost. Together
+/// they are more than half of the zone, but it is not cut off: what was set aside
+/// long ago says nothing of it. The lost ones are repaired, four at a time.
+#[test]
+fn instances_set_aside_do_not_make_a_zone_look_cut_off() {
+    let mut world = world(Survive::Instance);
+    let of_zone = world
+        .fleet
+        .instances()
+        .values()
+        .filter(|i| i.zone.as_str() == "zone-1");
+    let zone: Vec<InstanceName> = of_zone.map(|i| i.name.clone()).collect();
+    for name in &zone[..6] {
+        let (instance, failed) = (name.clone(), true);
+        world
+            .apply(&FleetCommand::Health { instance, failed })
+            .unwrap();
+        let (instance, reason) = (name.clone(), "old".to_owned());
+        world
+            .apply(&FleetCommand::SetAside { instance, reason })
+            .unwrap();
+    }
+    // Five here and two elsewhere.
+    let lost = zone[6..11]
+        .iter()
+        .cloned()
+        .chain(["worker-00000".into(), "worker-00001".into()]);
+    let lost: Vec<InstanceName> = lost.collect();
+    for name in &lost {
+        world.kill(name);
+    }
+    let absence = Absence::Repair;
+    let repair = Duty::Away { absence };
+    let running = |w: &World| {
+        w.fleet
+            .instances()
+            .values()
+            .filter(|i| i.duty == repair)
+            .count()
+    };
+    let mut most = 0;
+    for _ in 0..30 * 60 {
+        world.step();
+        most = most.max(running(&world));
+    }
+    assert_eq!(most, 4);
+    assert!(lost.iter().all(|name| !world.fleet.is_failed(name)));
+}
+
 /// A pool loses instances for good and stays below its budget; its wave would
 /// stay paused for ever. It borrows from the pool with the most to spare.
 #[test]
@@ -227,6 +285,14 @@
     assert!(world.run_until(180 * MINUTE_MS, |w| *state(w) == WaveState::Done));
     assert!(world.fleet.broken().is_empty());
     assert!(!world.fleet.loans().is_empty());
+    // Mended by hand and restored, the pool gives back what it borrowed.
+    for instance in world.fleet.absent().clone() {
+        world.machines.get_mut(&instance).unwrap().state = MachineState::Serving;
+        world.apply(&FleetCommand::Restore { instance }).unwrap();
+    }
+    assert!(world.run_until(30 * MINUTE_MS, |w| w.fleet.loans().is_empty()));
+    let members = world.fleet.budget_use(&"pool-00".into()).unwrap().members;
+    assert_eq!(members, 8);
 }
 
 /// An operator's order comes twice, and a late one after the instance has gone
--- a/tests/maintenance/plans.rs
+++ b/tests/maintenance/plans.rs
@@ -117,6 +117,9 @@
                 run.rollout_ms * 100 <= run.rollout_bound_ms * 150,
                 "{run:?}"
             );
+            // Chance alone is no reason to lend.
+            let moves_ok = trouble != Trouble::None || run.moves <= run.moves_bound;
+            assert!(moves_ok, "{run:?}");
             assert!(run.rollout_ms * 2 < run.rack_by_rack_ms, "{run:?}");
         }
     }
