Watch absences by the leader's own clock too before they count as overdue

Half of each limit must now be watched by the controller itself, and a learnt visit is at most sixteen times the declared one.

--- a/src/cmd/measure_waves/world.rs
+++ b/src/cmd/measure_waves/world.rs
@@ -35,6 +35,8 @@
     pub machines: BTreeMap<InstanceName, Machine>,
     /// Entry instances that neither hear the log nor are heard.
     pub silent: BTreeSet<EntryName>,
+    /// How far the leader's wall clock is ahead.
+    pub clock_error_ms: u64,
     /// Machines that run but are not heard.
     pub muted: BTreeSet<InstanceName>,
     /// Called with the fleet after each command that it took.
@@ -136,6 +138,7 @@
             now_ms: 0,
             machines: BTreeMap::new(),
             silent: BTreeSet::new(),
+            clock_error_ms: 0,
             muted: BTreeSet::new(),
             audit: |_, _| {},
             counts: Counts::default(),
@@ -178,7 +181,7 @@
 
     /// The wall clock.
     pub fn unix_ms(&self) -> u64 {
-        START_UNIX_MS + self.now_ms
+        START_UNIX_MS + self.now_ms + self.clock_error_ms
     }
 
     /// Applies a command as the log would.
--- a/src/maintenance/controller.rs
+++ b/src/maintenance/controller.rs
@@ -12,6 +12,10 @@
 mod repairs;
 mod waves;
 
+/// The part of a limit that a controller must have watched itself: half leaves
+/// four times the expected time, and a new leader sets nothing aside at once.
+const WATCHED_PART: u64 = 2;
+
 /// Runs the fleet's maintenance on the leader: finds failures, proves stops,
 /// finishes moves, runs waves and repairs.
 ///
@@ -26,6 +30,8 @@
     proofs: BTreeMap<InstanceName, StopProof>,
     /// Instances away that were heard again: the incarnation, and since when.
     heard_back: BTreeMap<InstanceName, (u64, u64)>,
+    /// Absent instances: the revision seen, and since when.
+    watched: BTreeMap<InstanceName, (u64, u64)>,
     proposed: BTreeMap<InstanceName, Proposed>,
     ordered: BTreeMap<InstanceName, (PlatformOrder, u64, u64)>,
     broken_since_ms: BTreeMap<PoolName, u64>,
@@ -58,6 +64,7 @@
             detector: Detector::new(now_ms),
             proofs: BTreeMap::new(),
             heard_back: BTreeMap::new(),
+            watched: BTreeMap::new(),
             proposed: BTreeMap::new(),
             ordered: BTreeMap::new(),
             broken_since_ms: BTreeMap::new(),
@@ -109,6 +116,15 @@
         self.proofs.retain(|name, _| absent(name));
         self.heard_back.retain(|name, _| absent(name));
         self.ordered.retain(|name, _| absent(name));
+        self.watched.retain(|name, _| absent(name));
+        for name in fleet.absent() {
+            let revision = fleet.record(name).map_or(0, |r| r.revision);
+            let watched = self.watched.entry(name.clone());
+            let watched = watched.or_insert((revision, now_ms));
+            if watched.0 != revision {
+                *watched = (revision, now_ms);
+            }
+        }
         self.broken_since_ms
             .retain(|pool, _| fleet.broken().contains(pool));
         for pool in fleet.broken() {
@@ -158,6 +174,18 @@
         true
     }
 
+    /// Whether an absence has lasted longer than `limit_ms`, by the times in the
+    /// log and, for a part of it, by this controller's own watch: a wall clock
+    /// that jumps ahead would else set aside all that reboots at the moment.
+    fn is_overdue(&self, step: &Step<'_>, name: &InstanceName, limit_ms: u64) -> bool {
+        let since_ms = self
+            .watched
+            .get(name)
+            .map_or(step.now_ms, |watched| watched.1);
+        let watched_ms = step.now_ms.saturating_sub(since_ms);
+        step.since_ms(name) > limit_ms && watched_ms > limit_ms / WATCHED_PART
+    }
+
     /// Gives an order, again only after a while without effect.
     fn order(
         &mut self,
--- a/src/maintenance/controller/absences.rs
+++ b/src/maintenance/controller/absences.rs
@@ -83,7 +83,7 @@
             return;
         }
         let drain_ms = self.declared(step, instance).0;
-        if step.since_ms(name) > limit_ms(drain_ms) {
+        if self.is_overdue(step, name, limit_ms(drain_ms)) {
             let reason = verdict
                 .err()
                 .unwrap_or_else(|| "it was never heard".to_owned());
@@ -128,7 +128,7 @@
             return;
         }
         let away_ms = self.declared(step, instance).1;
-        if step.since_ms(name) > limit_ms(away_ms) {
+        if self.is_overdue(step, name, limit_ms(away_ms)) {
             let instance = name.clone();
             let reason = format!("it did not return within {} s", limit_ms(away_ms) / 1_000);
             self.propose(step, name, FleetCommand::SetAside { instance, reason });
@@ -162,7 +162,7 @@
         let replace = matches!(absence, Absence::Replace { .. });
         if busy && step.since_ms(name) < limit_ms(away_ms) / 4 {
             PlatformOrder::Drain
-        } else if replace || step.since_ms(name) > limit_ms(away_ms) / 2 {
+        } else if replace || self.is_overdue(step, name, limit_ms(away_ms) / 2) {
             PlatformOrder::Replace
         } else {
             PlatformOrder::Reboot
--- a/src/maintenance/wave.rs
+++ b/src/maintenance/wave.rs
@@ -6,6 +6,10 @@
 
 use super::{Trail, WaveKind, WaveSpec};
 
+/// Times its declared time that a visit is learnt from: twice what an instance is
+/// given before it is set aside.
+const VISIT_TIMES_MAX: u64 = 16;
+
 /// A maintenance wave and how far it is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Wave {
@@ -133,7 +137,9 @@
             self.done += 1;
             let seen = self.seen.entry(pool.clone()).or_default();
             seen.count += 1;
-            seen.total_ms += at_unix_ms.saturating_sub(since);
+            // A wall clock that jumped must not make all visits look days long.
+            let most_ms = VISIT_TIMES_MAX * self.spec.visit_ms();
+            seen.total_ms += at_unix_ms.saturating_sub(since).min(most_ms);
         }
     }
 }
--- a/tests/maintenance/faults.rs
+++ b/tests/maintenance/faults.rs
@@ -400,3 +400,18 @@
     assert_eq!(why, "put off 3 times: 1 requests run on it");
     assert_eq!(*duty(&world, &name), Duty::Serving);
 }
+
+/// The leader's wall clock jumps a day ahead while instances reboot. By the times
+/// in the log they are a day late; by its own watch they are not. None is set
+/// aside, and what the wave learns of visits stays usable.
+#[test]
+fn wall_clock_of_the_leader_jumps() {
+    let mut world = world(Survive::Instance);
+    start(&mut world, Selection::Pool("pool-00".into()));
+    world.run_until(3 * MINUTE_MS, |_| false);
+    world.clock_error_ms = 24 * 60 * MINUTE_MS;
+    assert!(world.run_until(60 * MINUTE_MS, |w| *state(w) == WaveState::Done));
+    let wave = &world.fleet.waves()["roll"];
+    assert_eq!((wave.done, wave.left_out.len()), (8, 0));
+    assert!(wave.visit_ms() < 60 * MINUTE_MS, "{}", wave.visit_ms());
+}
