--- a/src/load/arrive.rs
+++ b/src/load/arrive.rs
@@ -205,7 +205,8 @@
         } else {
             RefusalReason::QueueFull
         };
-        self.services[service].saw_wait(class, estimated_ms, now_ms - arrived_ms);
+        let waited_ms = now_ms.saturating_sub(arrived_ms);
+        self.services[service].saw_wait(class, estimated_ms, waited_ms);
         self.give_up(now_ms, id, reason, out);
     }
 
--- a/src/load/harness.rs
+++ b/src/load/harness.rs
@@ -341,9 +341,11 @@
         for action in actions {
             self.act(action);
         }
-        let wake = self.sides[entry].next_wake_ms();
-        if let Some(wake) = wake.filter(|&w| w < self.wakes_ms[entry]) {
-            let at_ms = wake.max(self.now_ms + 1);
+        let Some(wake) = self.sides[entry].next_wake_ms() else {
+            return;
+        };
+        let at_ms = wake.max(self.now_ms + 1);
+        if at_ms < self.wakes_ms[entry] {
             self.wakes_ms[entry] = at_ms;
             self.at(at_ms, Event::Wake(entry));
         }
--- a/tests/load_rows.rs
+++ b/tests/load_rows.rs
@@ -4,8 +4,8 @@
 use rosemarygauge::load::harness::{Behaviour, Worker};
 use rosemarygauge::load::scenarios::{Kind, Scenario, Stream, ZONE};
 use rosemarygauge::load::{
-    Action, AttemptId, Dispatcher, Input, LoadSettings, Request, RequestId, View, fleets,
-    harness::Ending,
+    Action, AttemptId, Dispatcher, Input, LoadSettings, Request, RequestId, RetryReason, View,
+    fleets, harness::Ending,
 };
 use rosemarygauge::model::{
     Absence, Capacity, Class, Duty, RefusalReason, Row, RowKey, Standing, UpstreamReport,
@@ -399,6 +399,22 @@
         let second = lose(&mut side, 10 + id, id);
         assert_ne!(rack(sent(&first)[0]), rack(sent(&second)[0]));
     }
+    assert!(side.status(30).retries.contains(&(RetryReason::Lost, 10)));
+    let told: Vec<String> = side
+        .explain(RequestId(3))
+        .iter()
+        .map(|e| e.decision.to_string())
+        .collect();
+    let begins = [
+        "queued",
+        "attempt 1 to pool-",
+        "tried again: lost",
+        "attempt 2 to pool-",
+    ];
+    assert!(
+        told.len() == 4 && told.iter().zip(begins).all(|(t, b)| t.starts_with(b)),
+        "{told:?}"
+    );
 }
 
 #[test]
