Place only changed instances when the replicated state changes

Ruled out: a message that carries only the change, as the driver's interface hands over whole views.

--- a/src/cmd/measure_load.rs
+++ b/src/cmd/measure_load.rs
@@ -9,11 +9,11 @@
 
 use eyre::Result;
 
-use crate::load::harness::Side;
+use crate::load::harness::{Side, Worker};
 use crate::load::plays::{self, Figures, Played};
 use crate::load::scenarios::{Kind, ZONE, side};
 use crate::load::{Action, AttemptId, Input, Request, RequestId, View, fleets};
-use crate::model::{Class, Standing, UpstreamReport};
+use crate::model::{Class, Row, RowKey, Standing, UpstreamReport};
 
 /// Workers in the plays beyond capacity, where the naive queue is slow.
 const FEW: usize = 2;
@@ -172,6 +172,11 @@
             &target,
         );
     }
+    for n in [50, 2_000, 21_000] {
+        let name = format!("change of one row, {n} upstreams");
+        let cost = |kind| format!("{:.0} us", row_us(kind, seed, n));
+        table.row(&name, &cost(Kind::Dispatcher), &cost(Kind::Naive), "");
+    }
     for n in [1_000, 10_000] {
         let name = format!("cancel, of {n} waiting");
         let cost = |kind| format!("{:.2} us", cancel_us(kind, seed, n));
@@ -185,11 +190,16 @@
     }
 }
 
-/// A dispatcher with `n` upstreams of one pool that announced themselves.
-pub fn announced(kind: Kind, seed: u64, n: usize) -> Side {
+fn fleet(n: usize) -> (View, Vec<Worker>) {
     let mut view = View::default();
     let services = vec![fleets::service("check", Class::Urgent, 20)];
     let workers = fleets::pool(&mut view, "pool", services, &[ZONE], n);
+    (view, workers)
+}
+
+/// A dispatcher with `n` upstreams of one pool that announced themselves.
+pub fn announced(kind: Kind, seed: u64, n: usize) -> Side {
+    let (view, workers) = fleet(n);
     let mut side = side(kind, "entry-0", seed);
     side.handle(0, Input::View(view));
     for worker in &workers {
@@ -252,6 +262,30 @@
     start.elapsed().as_secs_f64() * 1e6 / f64::from(rounds)
 }
 
+/// Time to take a view in which one row changed; making the view is not counted.
+fn row_us(kind: Kind, seed: u64, n: usize) -> f64 {
+    const ROUNDS: u32 = 20;
+    let mut side = announced(kind, seed, n);
+    let mut view = fleet(n).0;
+    let mut spent_us = 0.0;
+    for round in 0..ROUNDS {
+        let row = Row {
+            weight: 50 + round,
+            limit_in_flight: 1_000_000,
+            queue_ms: 1_000,
+        };
+        let team = RowKey::Team {
+            team: "team".into(),
+        };
+        view.rows.insert(team, row);
+        let next = Input::View(view.clone());
+        let start = Instant::now();
+        side.handle(1, next);
+        spent_us += start.elapsed().as_secs_f64() * 1e6;
+    }
+    spent_us / f64::from(ROUNDS)
+}
+
 fn cancel_us(kind: Kind, seed: u64, n: u32) -> f64 {
     let mut side = announced(kind, seed, 1);
     for id in 0..u64::from(n) {
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -33,6 +33,7 @@
 mod health;
 mod input;
 mod limit;
+mod membership;
 mod naive;
 mod overview;
 pub mod plays;
--- a/src/load/upstreams.rs
+++ b/src/load/upstreams.rs
@@ -7,9 +7,8 @@
 
 use std::collections::BTreeMap;
 
-use crate::model::{Demand, Duty, EntryName, InstanceName, PoolName, UpstreamReport, ZoneName};
+use crate::model::{Demand, EntryName, InstanceName, PoolName, UpstreamReport, ZoneName};
 
-use super::View;
 use super::group::{Group, PoolLoad};
 use super::health::may_eject;
 use super::ready::ReadySet;
@@ -67,7 +66,7 @@
     pub demand: Demand,
     pub ready: Vec<ReadySet>,
     /// Whether any member could ever carry it; none if it must be counted anew.
-    capable: Option<bool>,
+    pub capable: Option<bool>,
 }
 
 /// Every upstream, pool and availability zone that is known.
@@ -77,8 +76,8 @@
     pub pools: Vec<PoolLoad>,
     pub fits: Vec<Fit>,
     pub list: Vec<Upstream>,
-    names: BTreeMap<InstanceName, usize>,
-    pool_names: BTreeMap<PoolName, usize>,
+    pub names: BTreeMap<InstanceName, usize>,
+    pub pool_names: BTreeMap<PoolName, usize>,
     peers: BTreeMap<EntryName, Vec<usize>>,
     timers: Timers<usize>,
     free: Vec<usize>,
@@ -103,101 +102,6 @@
         }
     }
 
-    /// Takes pools, services (pool, index and demand of each that is carried) and
-    /// instances from the replicated state.
-    pub(super) fn set_view(
-        &mut self,
-        now_ms: u64,
-        view: &View,
-        carried: &[(&PoolName, usize, Demand)],
-    ) {
-        for instance in view.instances.values() {
-            self.zone(&instance.zone);
-        }
-        for pool in view.pools.keys() {
-            self.pool(now_ms, pool);
-        }
-        self.set_services(carried);
-        self.count_members(view);
-        let gone = self.names.values().copied();
-        for at in gone.collect::<Vec<_>>() {
-            let known = view.instances.get(&self.list[at].name);
-            self.set_instance(now_ms, at, known.map(|i| (&i.pool, i.epoch, &i.duty)));
-        }
-        for (name, instance) in &view.instances {
-            if !self.names.contains_key(name) {
-                let at = self.intern(name);
-                let duty = (&instance.pool, instance.epoch, &instance.duty);
-                self.set_instance(now_ms, at, Some(duty));
-            }
-        }
-    }
-
-    fn count_members(&mut self, view: &View) {
-        for group in self.pools.iter_mut().flat_map(|p| &mut p.groups) {
-            group.members = 0;
-        }
-        for instance in view.instances.values() {
-            let zone = self.zone(&instance.zone);
-            if let Some(&pool) = self.pool_names.get(&instance.pool) {
-                self.pools[pool].groups[zone].members += 1;
-            }
-        }
-    }
-
-    fn set_services(&mut self, carried: &[(&PoolName, usize, Demand)]) {
-        for pool in &mut self.pools {
-            pool.services.clear();
-        }
-        for fit in &mut self.fits {
-            fit.pool = None;
-            fit.ready.iter_mut().for_each(|r| *r = ReadySet::default());
-        }
-        for &(pool, service, demand) in carried {
-            let pool = self.pool_names.get(pool).copied();
-            self.set_fit(service, pool, demand);
-            if let Some(pool) = pool {
-                self.pools[pool].services.push(service);
-            }
-        }
-    }
-
-    fn set_fit(&mut self, service: usize, pool: Option<usize>, demand: Demand) {
-        while self.fits.len() <= service {
-            self.fits.push(Fit {
-                pool: None,
-                demand,
-                ready: vec![ReadySet::default(); self.zones.len()],
-                capable: None,
-            });
-        }
-        self.fits[service].pool = pool;
-        self.fits[service].demand = demand;
-        self.fits[service].capable = None;
-    }
-
-    fn set_instance(&mut self, now_ms: u64, at: usize, now: Option<(&PoolName, u64, &Duty)>) {
-        let pool = now.and_then(|(pool, ..)| self.pool_names.get(pool).copied());
-        let old = self.list[at].pool;
-        if old != pool {
-            if let Some(old) = old {
-                self.pools[old].members.remove(&at);
-            }
-            if let Some(pool) = pool {
-                self.pools[pool].members.insert(at);
-            }
-        }
-        let up = &mut self.list[at];
-        // Cold in its new pool, as after a restart.
-        if old.is_some() && old != pool {
-            up.warm_up = Some(1);
-        }
-        up.pool = pool;
-        up.epoch = now.map_or(0, |(_, epoch, _)| epoch);
-        up.serves = now.is_some_and(|(.., duty)| *duty == Duty::Serving);
-        self.refresh(now_ms, at);
-    }
-
     /// Takes a report; returns the pool in which something may start now.
     pub(super) fn report(
         &mut self,
@@ -227,14 +131,14 @@
             up.warm_up = Some(1);
         }
         if change.capacity {
-            self.forget_capable(at);
+            self.forget_capable(self.list[at].pool);
         }
         self.refresh(now_ms, at);
         self.list[at].pool
     }
 
-    fn forget_capable(&mut self, at: usize) {
-        let Some(pool) = self.list[at].pool else {
+    pub(super) fn forget_capable(&mut self, pool: Option<usize>) {
+        let Some(pool) = pool else {
             return;
         };
         for &service in &self.pools[pool].services {
@@ -547,7 +451,7 @@
         n - 1
     }
 
-    fn pool(&mut self, now_ms: u64, pool: &PoolName) -> usize {
+    pub(super) fn pool(&mut self, now_ms: u64, pool: &PoolName) -> usize {
         if let Some(&at) = self.pool_names.get(pool) {
             return at;
         }
@@ -558,7 +462,7 @@
         self.pools.len() - 1
     }
 
-    fn intern(&mut self, name: &InstanceName) -> usize {
+    pub(super) fn intern(&mut self, name: &InstanceName) -> usize {
         if let Some(&at) = self.names.get(name) {
             return at;
         }
