--- a/tests/promise_not_run.rs
+++ b/tests/promise_not_run.rs
@@ -65,13 +65,16 @@
     assert_eq!(account["cut_off"], 0);
 }
 
-// The upstream has run the request and its answer is lost half way: `not-run`
-// would be a lie, a second try a doubled run, and the half a wrong answer.
+// The upstream has run the request and its answer is lost, in its head or in its
+// body: `not-run` would be a lie, a second try a doubled run, and the half a
+// wrong answer.
 #[test]
 fn a_reset_among_the_bytes_of_the_answer() {
-    let account = account(LinkFaults {
-        reset_after_backward_bytes: Some(120),
-        ..LinkFaults::default()
-    });
-    assert!(account["unknown"].as_u64() > Some(0), "{account:#}");
+    for bytes in [10, 120] {
+        let account = account(LinkFaults {
+            reset_after_backward_bytes: Some(bytes),
+            ..LinkFaults::default()
+        });
+        assert!(account["unknown"].as_u64() > Some(0), "{account:#}");
+    }
 }
--- a/tests/promise_planned_stop.rs
+++ b/tests/promise_planned_stop.rs
@@ -116,3 +116,30 @@
     load.kill().unwrap();
     load.wait().unwrap();
 }
+
+// An upstream goes on serving and announces itself no more, as one whose leaving
+// nobody heard. Its lease must run out at every entry instance, also at those
+// that hear of it only through peers.
+#[test]
+fn an_upstream_that_stops_announcing_gets_nothing_new() {
+    let system = System::start(1);
+    system.put_pool(1);
+    let up = Upstreams::start(&["--count", "2", "--entries", &system.announce_to("z1")]);
+    system.await_upstreams(2);
+    let load = [LOAD, &["--duration-ms", "8000"]].concat();
+    let mut load = system.load_process(&[], &load);
+    until(5_000, "it is under load", || {
+        up.instance("w1")["running"] != 0
+    });
+    up.set_faults(&["w1"], serde_json::json!({ "mute": true }));
+    let muted = Instant::now();
+    until(8_000, "four seconds have passed", || {
+        muted.elapsed() > Duration::from_secs(4)
+    });
+    let on = |name: &str| up.runs().iter().filter(|run| run.instance == name).count();
+    let (before, others) = (on("w1"), on("w2"));
+    until(5_000, "the other one goes on", || on("w2") > others + 50);
+    assert_eq!(on("w1"), before);
+    load.kill().unwrap();
+    load.wait().unwrap();
+}
