--- a/src/account/client.rs
+++ b/src/account/client.rs
@@ -44,8 +44,9 @@
         }
     }
 
-    /// Sends a request; also the number of entry instances that refused it.
-    pub fn call(&self, planned: &Planned, deadline_ms: u64) -> (Answer, u64) {
+    /// Sends a request, `again` if an answer to it was lost; also the number of
+    /// entry instances that refused it.
+    pub fn call(&self, planned: &Planned, again: bool, deadline_ms: u64) -> (Answer, u64) {
         let timeout_ms = planned.cancel_after_ms.unwrap_or(deadline_ms + GRACE_MS);
         self.at_next_entry(|entry| {
             let mut request = self
@@ -59,6 +60,10 @@
                 .header("rg-class", planned.class.to_string())
                 .header("rg-idempotent", planned.idempotent.to_string())
                 .header("rg-deadline-ms", deadline_ms.to_string());
+            // An entry instance that cannot know the key must not say `not-run`.
+            if again {
+                request = request.header("rg-resend", "true");
+            }
             if let Some(key) = &planned.key {
                 request = request.header("rg-key", key);
             }
--- a/src/account/runner.rs
+++ b/src/account/runner.rs
@@ -158,7 +158,7 @@
                 thread::sleep(Duration::from_millis(RESEND_PAUSE_MS));
             }
             lock(&self.ledger).send(planned.number, resend > 0);
-            let (answer, refused) = self.client.call(planned, deadline_ms);
+            let (answer, refused) = self.client.call(planned, resend > 0, deadline_ms);
             let lost = matches!(
                 answer,
                 Answer::CutOff | Answer::NoEntry | Answer::Malformed { .. }
--- a/tests/load_tool.rs
+++ b/tests/load_tool.rs
@@ -256,7 +256,14 @@
         let same = calls
             .iter()
             .filter(|call| call.header("rg-key") == Some(key));
-        let bodies: Vec<_> = same.map(|call| &call.body).collect();
-        assert_eq!(bodies, [&dropped.body, &dropped.body]);
+        let sent: Vec<_> = same
+            .map(|call| (&call.body, call.header("rg-resend")))
+            .collect();
+        assert!(sent.iter().all(|(body, _)| *body == &dropped.body));
+        assert_eq!(
+            sent.iter().filter(|(_, resend)| resend.is_some()).count(),
+            1
+        );
+        assert_eq!(sent.len(), 2);
     }
 }
