Say unknown where a key cannot be looked up; give jobs only to starts that are up

Cause 1: an entry instance that is cut off, starting, stopping, or whose claim found no leader told 'not-run' of a key that may have run through another one; a caller who lost that answer books twice. Now 'unknown' with when to ask again, unless the caller vouches that the key is new (rg-resend: false). The same for a key whose answer is no longer kept. Cause 3: an incarnation made of a wall clock that was set back shut a process out. A sheet with wrong cells of several kinds now names all of them.

--- a/src/account/client.rs
+++ b/src/account/client.rs
@@ -22,12 +22,14 @@
 pub struct Client {
     agent: Agent,
     entries: Vec<String>,
+    keys_are_new: bool,
     next: AtomicUsize,
 }
 
 impl Client {
-    /// A client of the entry instances at these addresses.
-    pub fn new(entries: Vec<String>) -> Self {
+    /// A client of the entry instances at these addresses; `keys_are_new` if no
+    /// earlier experiment sent the same keys.
+    pub fn new(entries: Vec<String>, keys_are_new: bool) -> Self {
         let agent = Agent::config_builder()
             .max_redirects(0)
             .http_status_as_error(false)
@@ -40,6 +42,7 @@
         Self {
             agent,
             entries,
+            keys_are_new,
             next: AtomicUsize::new(0),
         }
     }
@@ -60,12 +63,13 @@
                 .header("rg-class", planned.class.to_string())
                 .header("rg-idempotent", planned.idempotent.to_string())
                 .header("rg-deadline-ms", deadline_ms.to_string());
-            // An entry instance that cannot know the key must not say `not-run`.
-            if again {
-                request = request.header("rg-resend", "true");
-            }
             if let Some(key) = &planned.key {
-                request = request.header("rg-key", key);
+                // An entry instance that cannot look the key up says `not-run`
+                // only if it is vouched for as new.
+                let new = self.keys_are_new && !again && !planned.twin;
+                request = request
+                    .header("rg-key", key)
+                    .header("rg-resend", (!new).to_string());
             }
             let called = request.send(planned.body.as_str()).and_then(read);
             match called {
--- a/src/account/runner.rs
+++ b/src/account/runner.rs
@@ -27,6 +27,8 @@
     pub plan: Plan,
     /// Addresses of the entry instances' caller ports.
     pub entries: Vec<String>,
+    /// Whether no earlier experiment sent the same keys.
+    pub keys_are_new: bool,
     /// Deadline of urgent requests in milliseconds.
     pub deadline_ms: u64,
     /// Deadline of patient requests in milliseconds.
@@ -88,7 +90,7 @@
         let threads = self.threads.max(1);
         let settle_ms = self.settle_ms;
         let shared = Shared {
-            client: Client::new(self.entries.clone()),
+            client: Client::new(self.entries.clone(), self.keys_are_new),
             plan: Mutex::new(self.plan.clone()),
             experiment: self,
             start: Instant::now(),
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -336,6 +336,7 @@
         let experiment = Experiment {
             plan: Plan::new(mix, rate, duration_ms, &label, 1),
             entries,
+            keys_are_new: true,
             deadline_ms: 5_000,
             patient_deadline_ms: 600_000,
             resends: 3,
--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -148,6 +148,7 @@
     Ok(Experiment {
         plan: Plan::new(mix, args.rate, args.duration_ms, &label, args.seed),
         entries: args.entry.clone(),
+        keys_are_new: args.label.is_none(),
         deadline_ms: args.deadline_ms,
         patient_deadline_ms: args.patient_deadline_ms,
         resends: args.resend,
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -22,6 +22,8 @@
     pub key: Option<RequestKey>,
     /// Whether it may run twice.
     pub idempotent: bool,
+    /// Whether the caller vouches that it sends its key for the first time.
+    pub first: bool,
     /// How long the answer is of use, in milliseconds from its arrival.
     pub deadline_ms: u64,
     /// The body, passed on as it came.
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -352,6 +352,15 @@
             return;
         }
         let known = self.state.entries().get(&self.settings.me);
+        // The wall clock was set back before this start: under a lower number than
+        // an earlier start's, nothing proposed here would ever count.
+        if let Some(earlier) = known.map(|entry| entry.incarnation)
+            && earlier > self.settings.incarnation
+        {
+            tracing::warn!("entry: the clock was set back, this start is counted on");
+            self.settings.incarnation = earlier + 1;
+        }
+        let known = self.state.entries().get(&self.settings.me);
         let present = known.is_some_and(|entry| {
             entry.incarnation == self.settings.incarnation && !entry.lost && entry.zone.is_some()
         });
--- a/src/entry/node/callers.rs
+++ b/src/entry/node/callers.rs
@@ -33,11 +33,11 @@
 impl Node {
     pub(super) fn call(&mut self, now_ms: u64, id: CallId, call: Call, out: &mut Vec<Effect>) {
         if !self.knows_state {
-            let outcome = not_run(RefusalReason::Starting, Some(STARTING_RETRY_MS));
+            let outcome = unchecked(&call, RefusalReason::Starting, STARTING_RETRY_MS);
             return self.answer_call(id, outcome, out);
         }
         if self.refuses_new() {
-            let outcome = not_run(RefusalReason::Stopping, Some(0));
+            let outcome = unchecked(&call, RefusalReason::Stopping, 0);
             return self.answer_call(id, outcome, out);
         }
         let Some(service) = self.service(&call) else {
@@ -173,13 +173,14 @@
             return self.answer_call(id, outcome, out);
         }
         if self.is_cut_off(now_ms) {
-            let outcome = not_run(RefusalReason::NoQuorum, Some(NO_QUORUM_RETRY_MS));
+            let outcome = unchecked(&call, RefusalReason::NoQuorum, NO_QUORUM_RETRY_MS);
             return self.answer_call(id, outcome, out);
         }
         let patience_ms = call.deadline_ms.min(CLAIM_PATIENCE_MS);
         let hold = ClaimHold {
             key: key.clone(),
             fence: None,
+            unchecked: unchecked(&call, RefusalReason::NoQuorum, NO_QUORUM_RETRY_MS),
         };
         let request = self.open_call(now_ms, id, call, service, Some(hold));
         let change = Change::Claim {
@@ -206,13 +207,12 @@
             }
             Reply::Claim(ClaimReply::InFlight { .. }) => return self.wait_for(request),
             Reply::Claim(ClaimReply::Answered { status, body }) => Outcome::Done { status, body },
-            Reply::Claim(ClaimReply::Unknown) => Outcome::Unknown,
+            // Its answer is no longer kept; that it ran is all that is known.
+            Reply::Claim(ClaimReply::Unknown | ClaimReply::Expired) => Outcome::Unknown,
             Reply::Claim(ClaimReply::Conflict) => not_run(RefusalReason::KeyConflict, None),
-            Reply::Claim(ClaimReply::Expired) => not_run(RefusalReason::KeyExpired, None),
             Reply::Claim(ClaimReply::Full) => not_run(RefusalReason::QueueFull, Some(1_000)),
-            // The claim's fate cannot be told; the key may be held by it, and
-            // nothing was sent.
-            _ => not_run(RefusalReason::NoQuorum, Some(NO_QUORUM_RETRY_MS)),
+            // The claim's fate cannot be told, and so what became of the key.
+            _ => self.unchecked_claim(request),
         };
         self.drop_claim(request);
         self.finish_call(now_ms, request, outcome, out);
@@ -272,16 +272,26 @@
         }
     }
 
-    /// A claim was given up before its answer: nothing was sent, so the request
-    /// did not run. If the claim is granted later it is released then.
+    /// What is told of a request whose claim brought no verdict.
+    fn unchecked_claim(&self, request: RequestId) -> Outcome {
+        match self.requests.get(&request).map(|open| &open.origin) {
+            Some(Origin::Call {
+                claim: Some(hold), ..
+            }) => hold.unchecked.clone(),
+            _ => Outcome::Unknown,
+        }
+    }
+
+    /// A claim was given up before its answer: nothing was sent under it. If it
+    /// is granted later it is released then.
     pub(super) fn claim_given_up(
         &mut self,
         now_ms: u64,
         request: RequestId,
         out: &mut Vec<Effect>,
     ) {
+        let outcome = self.unchecked_claim(request);
         self.drop_claim(request);
-        let outcome = not_run(RefusalReason::NoQuorum, Some(NO_QUORUM_RETRY_MS));
         self.finish_call(now_ms, request, outcome, out);
     }
 
@@ -392,7 +402,7 @@
 
     fn accept_job(&mut self, now_ms: u64, id: CallId, call: &Call, out: &mut Vec<Effect>) {
         if self.is_cut_off(now_ms) {
-            let outcome = not_run(RefusalReason::NoQuorum, Some(NO_QUORUM_RETRY_MS));
+            let outcome = unchecked(call, RefusalReason::NoQuorum, NO_QUORUM_RETRY_MS);
             return self.answer_call(id, outcome, out);
         }
         let limit_bytes = MAX_JOB_PART_BYTES;
@@ -437,7 +447,6 @@
                 return out.push(Effect::AnswerCall { id, answer });
             }
             Reply::Job(JobReply::Conflict) => not_run(RefusalReason::KeyConflict, None),
-            Reply::Job(JobReply::Expired) => not_run(RefusalReason::KeyExpired, None),
             Reply::Job(JobReply::Full) => not_run(RefusalReason::QueueFull, Some(60_000)),
             Reply::Job(JobReply::TooLarge { limit_bytes }) => {
                 let message =
@@ -464,6 +473,21 @@
     times.saturating_add(ATTEMPT_EXTRA_MS)
 }
 
+/// The outcome of a call that is turned away before its key could be looked up.
+///
+/// Nothing was sent for this call. But the same key may have run through another
+/// entry instance, and a caller who lost that answer and is told `not-run` books
+/// anew under another key: two crews at one tunnel. `unknown` is safe, as asking
+/// again under the same key is. A caller who vouches that the key is new, or whose
+/// request may run twice, is told that it did not run.
+fn unchecked(call: &Call, reason: RefusalReason, retry_after_ms: u64) -> Outcome {
+    if call.key.is_none() || call.idempotent || call.first {
+        not_run(reason, Some(retry_after_ms))
+    } else {
+        Outcome::Unknown
+    }
+}
+
 /// The outcome of a request that did not run.
 pub(super) fn not_run(reason: RefusalReason, retry_after_ms: Option<u64>) -> Outcome {
     Outcome::NotRun {
--- a/src/entry/node/leader.rs
+++ b/src/entry/node/leader.rs
@@ -128,12 +128,14 @@
             .entries()
             .iter()
             .filter(|(name, entry)| {
+                // A start that is over runs nothing: one that restarted a moment
+                // ago is heard before the state knows its new start.
                 let alive = if *name == me {
-                    !self.is_stopping()
+                    !self.is_stopping() && entry.incarnation == self.settings.incarnation
                 } else {
-                    self.peers
-                        .get(*name)
-                        .is_some_and(|peer| !peer.gone && !peer.stopping)
+                    self.peers.get(*name).is_some_and(|peer| {
+                        !peer.gone && !peer.stopping && entry.incarnation == peer.incarnation
+                    })
                 };
                 alive
                     && !entry.lost
--- a/src/entry/node/operators.rs
+++ b/src/entry/node/operators.rs
@@ -59,7 +59,12 @@
                     };
                     return self.operator_change(now_ms, id, change, out);
                 }
-                Err(errors) => OperatorAnswer::Refused(errors_json(&errors)),
+                // Refused in any case: print every wrong cell at once, also those
+                // that only the state shows.
+                Err(_) => match table::review(&sheet[..], confirm_jump, &self.state) {
+                    Ok(_) => OperatorAnswer::Refused(json!({ "refused": "send it again" })),
+                    Err(errors) => OperatorAnswer::Refused(errors_json(&errors)),
+                },
             },
             OperatorRequest::Fleet {
                 change,
--- a/src/entry/node/peers.rs
+++ b/src/entry/node/peers.rs
@@ -18,10 +18,9 @@
         let Some(peer) = self.peers.get_mut(from) else {
             return;
         };
-        if frame.incarnation < peer.incarnation {
-            return;
-        }
-        if frame.incarnation > peer.incarnation {
+        // Any other start, not only a higher one: it is made of the wall clock, and
+        // one that was set back must not shut the peer out.
+        if frame.incarnation != peer.incarnation {
             peer.restarted(frame.incarnation);
         }
         peer.newest_sent_ms = peer.newest_sent_ms.max(Some(frame.sent_ms));
--- a/src/entry/open.rs
+++ b/src/entry/open.rs
@@ -63,6 +63,8 @@
     pub key: RequestKey,
     /// The granted fence, none until it is granted.
     pub fence: Option<Fence>,
+    /// What the caller is told if the claim brings no verdict.
+    pub unchecked: Outcome,
 }
 
 /// An outcome that waits for its store, so that a lost answer can be asked for
--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -12,6 +12,9 @@
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 /// Longest deadline a call may name; a longer one is a slip.
 const DEADLINE_MAX_MS: u64 = 600_000;
+/// When to ask again for an outcome that is not known: an election, or the return
+/// of a lost answer's store, is over by then.
+const UNKNOWN_RETRY_S: &str = "2";
 /// Longest key, team and caller.
 const NAME_MAX_BYTES: usize = 128;
 
@@ -154,6 +157,15 @@
                 )
             })?,
     };
+    let first = match incoming.header("rg-resend") {
+        Some("false") => true,
+        None | Some("true") => false,
+        Some(other) => {
+            return Err(format!(
+                "rg-resend: {other:?} is neither true nor false: send one of them or none"
+            ));
+        }
+    };
     let key = name_header(incoming, "rg-key")?.map(RequestKey::from);
     if !idempotent && key.is_none() {
         return Err(
@@ -171,6 +183,7 @@
         class,
         key,
         idempotent,
+        first,
         deadline_ms,
         body: Arc::from(&incoming.body[..]),
     })
@@ -264,6 +277,7 @@
             let line = "unknown: it may have run; ask again under the same key\n";
             let mut reply = text(StatusCode::GATEWAY_TIMEOUT, line);
             set(&mut reply, "rg-outcome", "unknown");
+            set(&mut reply, "retry-after", UNKNOWN_RETRY_S);
             reply
         }
     }
@@ -275,7 +289,6 @@
         RefusalReason::UnknownService => StatusCode::NOT_FOUND,
         RefusalReason::NeverFits => StatusCode::UNPROCESSABLE_ENTITY,
         RefusalReason::KeyConflict => StatusCode::CONFLICT,
-        RefusalReason::KeyExpired => StatusCode::GONE,
         RefusalReason::QueueFull | RefusalReason::TeamQuota => StatusCode::TOO_MANY_REQUESTS,
         RefusalReason::Deadline
         | RefusalReason::RowClosed
--- a/src/load/dispatcher.rs
+++ b/src/load/dispatcher.rs
@@ -531,8 +531,7 @@
         | RefusalReason::NeverFits
         | RefusalReason::Cancelled
         | RefusalReason::BadRequest
-        | RefusalReason::KeyConflict
-        | RefusalReason::KeyExpired => None,
+        | RefusalReason::KeyConflict => None,
         RefusalReason::Deadline
         | RefusalReason::Starting
         | RefusalReason::QueueFull
--- a/src/model/refusal.rs
+++ b/src/model/refusal.rs
@@ -58,14 +58,11 @@
     /// The key is in use for a different request.
     #[display("key-conflict")]
     KeyConflict,
-    /// The key's answer is no longer kept.
-    #[display("key-expired")]
-    KeyExpired,
 }
 
 impl RefusalReason {
     /// Every reason, in the order of the counters.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 14] = [
         Self::UnknownService,
         Self::NeverFits,
         Self::Deadline,
@@ -80,6 +77,5 @@
         Self::Stopping,
         Self::BadRequest,
         Self::KeyConflict,
-        Self::KeyExpired,
     ];
 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -6,8 +6,8 @@
 
 use rosemarygauge::consensus::Recovered;
 use rosemarygauge::entry::{
-    AttemptEnd, Call, CallAnswer, CallId, Effect, Event, Node, NodeSettings, OperatorId,
-    OperatorRequest, Sending,
+    AttemptEnd, Call, CallAnswer, CallId, Effect, Event, Node, NodeSettings, OperatorAnswer,
+    OperatorId, OperatorRequest, Sending, Subject,
 };
 use rosemarygauge::maintenance::FleetCommand;
 use rosemarygauge::model::{
@@ -99,6 +99,7 @@
             class: None,
             key: Some(format!("k{}", self.calls).as_str().into()),
             idempotent,
+            first: false,
             deadline_ms: 5_000,
             body: Arc::from(&b"body"[..]),
         };
@@ -161,16 +162,18 @@
             min_available: 0,
             survive: Survive::None,
         },
-        services: vec![Service {
-            name: "check".into(),
-            class: Class::Urgent,
-            demand: Demand {
-                cores: 1,
-                memory_mib: 1,
-                accelerators: 0,
-                run_ms: 10,
-            },
-        }],
+        services: [("check", Class::Urgent), ("archive", Class::Patient)]
+            .map(|(name, class)| Service {
+                name: name.into(),
+                class,
+                demand: Demand {
+                    cores: 1,
+                    memory_mib: 1,
+                    accelerators: 0,
+                    run_ms: 10,
+                },
+            })
+            .into(),
     }
 }
 
@@ -226,6 +229,7 @@
         class: None,
         key: Some("k1".into()),
         idempotent: false,
+        first: false,
         deadline_ms: 5_000,
         body: Arc::from(&b"body"[..]),
     };
@@ -286,33 +290,21 @@
 
 impl Pair {
     fn start() -> Self {
-        let members: BTreeMap<EntryName, ZoneName> =
-            ["a-1", "a-2"].map(|name| (name.into(), "a".into())).into();
-        let node = |me: &str, incarnation: Option<u64>| {
-            let settings = NodeSettings {
-                me: me.into(),
-                zone: "a".into(),
-                members: members.clone(),
-                voters: vec!["a-1".into()],
-                seed: incarnation.unwrap_or(3),
-                ..NodeSettings::default()
-            };
-            let recovered = Recovered {
-                incarnation,
-                ..Recovered::default()
-            };
-            Bench {
-                node: Node::new(settings, recovered, 1_000_000, 0),
-                now_ms: 0,
-                seen: Vec::new(),
-                calls: 0,
-                reports: 0,
-            }
+        let mut pair = Self {
+            leader: pair_node("a-1", Some(7), 1, 0),
+            learner: pair_node("a-2", None, 1, 0),
         };
-        Self {
-            leader: node("a-1", Some(7)),
-            learner: node("a-2", None),
-        }
+        pair.run_ms(3_000, true);
+        pair.leader.feed(Event::Operator {
+            id: OperatorId(1),
+            request: OperatorRequest::Fleet {
+                change: "c1".into(),
+                operator: "mona".into(),
+                command: FleetCommand::PutPool { pool: pool() },
+            },
+        });
+        pair.run_ms(200, true);
+        pair
     }
 
     /// Runs both, with or without the link between them.
@@ -328,6 +320,30 @@
     }
 }
 
+/// Entry instance `me` of a-1, which votes alone, and a-2, which follows.
+fn pair_node(me: &str, folder: Option<u64>, incarnation: u64, now_ms: u64) -> Bench {
+    let settings = NodeSettings {
+        me: me.into(),
+        incarnation,
+        zone: "a".into(),
+        members: ["a-1", "a-2"].map(|name| (name.into(), "a".into())).into(),
+        voters: vec!["a-1".into()],
+        seed: folder.unwrap_or(3) + incarnation,
+        ..NodeSettings::default()
+    };
+    let recovered = Recovered {
+        incarnation: folder,
+        ..Recovered::default()
+    };
+    Bench {
+        node: Node::new(settings, recovered, 1_000_000, now_ms),
+        now_ms,
+        seen: Vec::new(),
+        calls: 0,
+        reports: 0,
+    }
+}
+
 fn carry(from: &str, sender: &mut Bench, receiver: &mut Bench, linked: bool) {
     let (frames, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut sender.seen)
         .into_iter()
@@ -349,16 +365,6 @@
 #[test]
 fn a_cut_off_entry_tells_a_restarted_upstream_no_epoch() {
     let mut pair = Pair::start();
-    pair.run_ms(3_000, true);
-    pair.leader.feed(Event::Operator {
-        id: OperatorId(1),
-        request: OperatorRequest::Fleet {
-            change: "c1".into(),
-            operator: "mona".into(),
-            command: FleetCommand::PutPool { pool: pool() },
-        },
-    });
-    pair.run_ms(200, true);
     pair.leader.report();
     pair.run_ms(200, true);
     let told = |bench: &mut Bench, incarnation| {
@@ -384,3 +390,60 @@
     pair.run_ms(2_000, false);
     assert_eq!(told(&mut pair.learner, 3), 0, "cut off");
 }
+
+/// An entry instance restarts, and the leader hears its new start before it is in
+/// the replicated state. Jobs given to the old start would run nowhere, and those
+/// that may run only once would end as unknown although nothing was lost.
+#[test]
+fn no_job_is_given_to_a_start_that_is_over() {
+    let mut pair = Pair::start();
+    let now_ms = pair.leader.now_ms;
+    pair.learner = pair_node("a-2", None, 2, now_ms);
+    pair.learner.feed(Event::Tick);
+    let frame = rosemarygauge::entry::PeerFrame {
+        incarnation: 2,
+        sent_ms: now_ms,
+        echo_ms: None,
+        messages: Vec::new(),
+    };
+    let from = "a-2".into();
+    pair.leader.feed(Event::Peer { from, frame });
+    for number in 0..4 {
+        let id = CallId(9_000 + number);
+        let call = Call {
+            service: "archive".into(),
+            team: "t".into(),
+            caller: "c".into(),
+            class: None,
+            key: Some(format!("j{number}").as_str().into()),
+            idempotent: false,
+            first: false,
+            deadline_ms: 5_000,
+            body: Arc::from(&b"body"[..]),
+        };
+        pair.leader.feed(Event::Call { id, call });
+    }
+    pair.run_ms(500, false);
+    for number in 0..4 {
+        let Some(CallAnswer::Accepted { job }) = pair.leader.answer_to(CallId(9_000 + number))
+        else {
+            panic!("job {number} was not accepted");
+        };
+        let id = OperatorId(100 + number);
+        let request = OperatorRequest::Explain(Subject::Request(job));
+        pair.leader.feed(Event::Operator { id, request });
+        let shown = pair
+            .leader
+            .seen
+            .iter()
+            .rev()
+            .find_map(|effect| match effect {
+                Effect::AnswerOperator {
+                    answer: OperatorAnswer::Ok(value),
+                    ..
+                } => Some(value["phase"].to_string()),
+                _ => None,
+            });
+        assert!(!shown.as_ref().unwrap().contains("a-2"), "{shown:?}");
+    }
+}
--- a/tests/promise_cut_off.rs
+++ b/tests/promise_cut_off.rs
@@ -144,3 +144,36 @@
     assert_eq!(again["runs"], first["runs"], "{again:#}");
     assert_eq!(again["done"], again["sent"], "{again:#}");
 }
+
+// A caller's booking runs through zone z1 while z3 is cut off, and its answer is
+// lost. The caller sends the key again, to z3, which cannot know of it. Told
+// `not-run`, the caller would book anew under another key: two crews. It must be
+// told `unknown`, with when to ask again.
+#[test]
+fn a_cut_off_zone_does_not_say_not_run_of_a_key_that_ran_elsewhere() {
+    let (system, _ups) = start();
+    system.cut_off(&[2], &LinkFaults::cut());
+    until(5_000, "z3 knows that it is cut off", || {
+        system.status(2)["health"] == "cut-off"
+    });
+    let call = |i: usize| {
+        let reply = support::agent(10_000)
+            .post(format!("http://{}/call/check", system.entries[i].callers))
+            .header("rg-team", "crews")
+            .header("rg-idempotent", "false")
+            .header("rg-key", "tunnel-2")
+            .send("a booking")
+            .unwrap();
+        let header = |name: &str| {
+            reply
+                .headers()
+                .get(name)
+                .map(|v| v.to_str().unwrap().to_owned())
+        };
+        (header("rg-outcome").unwrap(), header("retry-after"))
+    };
+    assert_eq!(call(0).0, "done");
+    let (outcome, retry_after) = call(2);
+    assert_eq!(outcome, "unknown");
+    assert!(retry_after.is_some());
+}
--- a/tests/promise_once.rs
+++ b/tests/promise_once.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 use serde_json::Value;
-use support::{System, Upstreams, assert_clean};
+use support::{System, Upstreams, assert_clean, read_report, until};
 
 const ONCE: &[&str] = &[
     "--service",
@@ -80,3 +80,22 @@
         "{again:#}"
     );
 }
+
+// The leader is killed under load. Calls through it break off and are sent again
+// under their keys to the others; claims wait for the next leader. A claim that
+// only the dead one knew of must not let its request run again.
+#[test]
+fn calls_are_sent_again_when_the_leader_is_killed() {
+    let (mut system, up) = start();
+    let args = [ONCE, &["--duration-ms", "4000", "--resend", "8"]].concat();
+    let load = system.load_process(&[&up.control], &args);
+    until(5_000, "it is under load", || up.runs().len() > 50);
+    let leader = system.await_leader();
+    system.kill(leader);
+    until(10_000, "there is another leader", || {
+        system.leader().is_some()
+    });
+    system.restart(leader);
+    let report = read_report(&load.wait_with_output().unwrap());
+    assert_clean(&report);
+}
--- a/tests/promise_rows.rs
+++ b/tests/promise_rows.rs
@@ -175,3 +175,16 @@
     }
     throughout(500, "nothing changed", || row(&system, 0) == Some((10, 1)));
 }
+
+// A sheet has one cell that is no number and another that only the state shows to be
+// wrong. The operator is told of both at once, and nothing changes.
+#[test]
+fn every_wrong_cell_is_told_at_once() {
+    let (system, _up) = start(1);
+    assert_eq!(system.put_table(0, "first", &sheet(10, 0)).unwrap().0, 200);
+    let wrong = format!("{}service,archive,z9,many,5,100,0\n", sheet(20, 1));
+    let (status, text) = system.put_table(1, "wrong", &wrong).unwrap();
+    assert!((400..500).contains(&status), "{status} {text}");
+    assert!(text.contains("weight") && text.contains("z9"), "{text}");
+    throughout(500, "nothing changed", || row(&system, 0) == Some((10, 1)));
+}
