--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -12,7 +12,7 @@
 pub use system::{System, assert_clean, read_report};
 pub use upstreams::{Upstreams, controls};
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -60,7 +60,9 @@
             }
         };
         let address = SocketAddr::from(([127, 0, 0, 1], base));
-        if TcpListener::bind(address).is_ok() {
+        // Not by listening for a moment: a child that another test forks then
+        // holds the port until it runs its program, and the port looks taken.
+        if TcpStream::connect(address).is_err() {
             return address;
         }
     }
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -232,6 +232,30 @@
             .unwrap_or_default()
     }
 
+    /// Creates a pool with one urgent service.
+    pub fn put_pool_for(&self, pool: &str, service: &str, min_available: u32) {
+        let demand = json!({ "cores": 1, "memory_mib": 64, "accelerators": 0, "run_ms": 100 });
+        let service = json!({ "name": service, "class": "urgent", "demand": demand });
+        let budget = json!({ "min_available": min_available, "survive": "none" });
+        let pool = json!({ "name": pool, "budget": budget, "services": [service] });
+        self.change_fleet(json!({ "PutPool": { "pool": pool } }));
+    }
+
+    /// Changes pools, instances or waves through the first entry instance.
+    pub fn change_fleet(&self, command: Value) {
+        let change = command.to_string();
+        let id = &change[..change.len().min(120)];
+        let (status, text) = self.put(0, "fleet", id, &command);
+        assert_eq!(status, 200, "{text}");
+    }
+
+    /// A pool as an entry instance knows it; null if it is not known.
+    pub fn pool(&self, i: usize, name: &str) -> Value {
+        let pools = self.get(i, "pools")["pools"].take();
+        let mut pools = pools.as_array().cloned().unwrap_or_default().into_iter();
+        pools.find(|pool| pool["name"] == name).unwrap_or_default()
+    }
+
     /// Creates pool `p` with the urgent service `check` and the patient service
     /// `archive`, and waits until every entry instance carries it.
     pub fn put_pool(&self, min_available: u32) {
