Tell wrong names in the same list as wrong numbers; vouch for new keys in the load tool

A sheet with a cell that is no number and an unknown zone in the same row was told only of the number. The load tool's test counted any rg-resend header; first sends carry it too now, so it counts those that say 'true' and asks that each carries one.

--- a/src/table/check.rs
+++ b/src/table/check.rs
@@ -57,6 +57,15 @@
     check.errors
 }
 
+/// Checks the names of rows that have a wrong cell elsewhere.
+pub(super) fn check_keys(keys: &[(u32, RowKey)], state: &State) -> Vec<CellError> {
+    let mut check = Check::new(&[], false, state);
+    for (number, key) in keys {
+        check.key(*number, key);
+    }
+    check.errors
+}
+
 /// A check under way.
 struct Check<'a> {
     state: &'a State,
--- a/src/table/sheet.rs
+++ b/src/table/sheet.rs
@@ -3,7 +3,7 @@
 use crate::model::{Row, RowKey, VersionedRow};
 use crate::state::{RowChange, State};
 
-use super::check::check_rows;
+use super::check::{check_keys, check_rows};
 use super::{CellError, Column, Fault, MAX_ROWS};
 
 /// Bytes of a sheet. A row has about 50, so this is beyond [`MAX_ROWS`] of
@@ -22,12 +22,46 @@
 /// A row with its number in the sheet.
 type Numbered = (u32, RowChange);
 
+/// What a sheet holds.
+#[derive(Default)]
+struct Parsed {
+    rows: Vec<Numbered>,
+    errors: Vec<CellError>,
+    /// Rows with a wrong cell whose names can be read, so that wrong names are
+    /// told in the same list.
+    unreadable: Vec<(u32, RowKey)>,
+}
+
+impl Parsed {
+    fn wrong(errors: Vec<CellError>) -> Self {
+        Self {
+            errors,
+            ..Self::default()
+        }
+    }
+}
+
+/// A row with a wrong cell.
+struct Unread {
+    key: Option<RowKey>,
+    errors: Vec<CellError>,
+}
+
+impl From<CellError> for Unread {
+    fn from(error: CellError) -> Self {
+        Self {
+            key: None,
+            errors: vec![error],
+        }
+    }
+}
+
 /// Reads the rows of a sheet.
 ///
 /// # Errors
 /// Every wrong cell, or a read that failed.
 pub fn read(rdr: impl Read) -> Result<Vec<RowChange>, Vec<CellError>> {
-    let (rows, errors) = parse(&slurp(rdr)?);
+    let Parsed { rows, errors, .. } = parse(&slurp(rdr)?);
     if errors.is_empty() {
         Ok(rows.into_iter().map(|(_, row)| row).collect())
     } else {
@@ -44,9 +78,14 @@
     confirm_jump: bool,
     state: &State,
 ) -> Result<Vec<RowChange>, Vec<CellError>> {
-    let (rows, mut errors) = parse(&slurp(rdr)?);
+    let Parsed {
+        rows,
+        mut errors,
+        unreadable,
+    } = parse(&slurp(rdr)?);
     let numbered: Vec<(u32, &RowChange)> = rows.iter().map(|(n, row)| (*n, row)).collect();
     errors.extend(check_rows(&numbered, confirm_jump, state));
+    errors.extend(check_keys(&unreadable, state));
     errors.sort_by_key(|e| (e.row, e.column));
     errors.truncate(MAX_ERRORS);
     if errors.is_empty() {
@@ -102,7 +141,7 @@
 ///
 /// The sheet is split into lines before CSV is read, so that a row's number is
 /// the one that the spreadsheet shows, and an open quote spoils one row only.
-fn parse(bytes: &[u8]) -> (Vec<Numbered>, Vec<CellError>) {
+fn parse(bytes: &[u8]) -> Parsed {
     // Spreadsheets put a byte order mark in front of UTF-8.
     let bytes = bytes.strip_prefix(b"\xef\xbb\xbf").unwrap_or(bytes);
     let mut lines: Vec<&[u8]> = bytes
@@ -113,29 +152,33 @@
         lines.pop();
     }
     let (Some(header), rest) = (lines.first(), lines.get(1..).unwrap_or(&[])) else {
-        return (Vec::new(), missing(&Column::SHEET));
+        return Parsed::wrong(missing(&Column::SHEET));
     };
     let order = match columns(header) {
         Ok(order) => order,
-        Err(errors) => return (Vec::new(), errors),
+        Err(errors) => return Parsed::wrong(errors),
     };
     if rest.len() > MAX_ROWS {
         let fault = Fault::TooLarge {
             limit: MAX_ROWS as u64,
             unit: "rows".into(),
         };
-        return (Vec::new(), vec![error(1, Column::Whole, "", fault)]);
+        return Parsed::wrong(vec![error(1, Column::Whole, "", fault)]);
     }
-    let mut rows = Vec::new();
-    let mut errors = Vec::new();
+    let mut parsed = Parsed::default();
     for (number, line) in (2..).zip(rest) {
         match row(number, line, &order) {
-            Ok(row) => rows.push((number, row)),
-            Err(found) => errors.extend(found),
+            Ok(row) => parsed.rows.push((number, row)),
+            Err(unread) => {
+                parsed.errors.extend(unread.errors);
+                parsed
+                    .unreadable
+                    .extend(unread.key.map(|key| (number, key)));
+            }
         }
     }
-    errors.truncate(MAX_ERRORS);
-    (rows, errors)
+    parsed.errors.truncate(MAX_ERRORS);
+    parsed
 }
 
 fn missing(columns: &[Column]) -> Vec<CellError> {
@@ -189,22 +232,22 @@
     Ok(record.iter().map(|cell| cell.trim().to_owned()).collect())
 }
 
-fn row(number: u32, line: &[u8], order: &[Column]) -> Result<RowChange, Vec<CellError>> {
+fn row(number: u32, line: &[u8], order: &[Column]) -> Result<RowChange, Unread> {
     if line
         .iter()
         .all(|b| matches!(b, b',' | b' ' | b'\t' | b'\r'))
     {
         let fault = Fault::EmptyRow;
-        return Err(vec![error(number, Column::Whole, "", fault)]);
+        return Err(error(number, Column::Whole, "", fault).into());
     }
-    let cells = cells(number, line).map_err(|e| vec![e])?;
+    let cells = cells(number, line)?;
     if cells.len() != order.len() {
         let fault = Fault::CellCount {
             cells: u32::try_from(cells.len()).unwrap_or(u32::MAX),
             columns: Column::SHEET.len() as u32,
         };
         let shown = cells.join(",");
-        return Err(vec![error(number, Column::Whole, &shown, fault)]);
+        return Err(error(number, Column::Whole, &shown, fault).into());
     }
     let mut line = Line {
         number,
@@ -221,7 +264,10 @@
             expected_version,
             row,
         }),
-        _ => Err(line.errors),
+        (key, _, _) => Err(Unread {
+            key,
+            errors: line.errors,
+        }),
     }
 }
 
--- a/tests/load_tool.rs
+++ b/tests/load_tool.rs
@@ -261,9 +261,12 @@
             .collect();
         assert!(sent.iter().all(|(body, _)| *body == &dropped.body));
         assert_eq!(
-            sent.iter().filter(|(_, resend)| resend.is_some()).count(),
+            sent.iter()
+                .filter(|(_, resend)| *resend == Some("true"))
+                .count(),
             1
         );
+        assert!(sent.iter().all(|(_, resend)| resend.is_some()));
         assert_eq!(sent.len(), 2);
     }
 }
