Measure what an entry instance costs by the size of the fleet, and say what that means

Cause: nothing told what traffic, processor time, memory and state grow with, so nobody could say what the target size would cost or which part gives way first.

Ruled out: that the loss of a zone rebuilds the view for each of its workers.

Tests: formatter and linter clean.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 pub mod explain;
 pub mod load;
 pub mod measure;
+pub mod measure_capacity;
 pub mod measure_load;
 pub mod measure_log;
 pub mod measure_waves;
