--- a/src/consensus/leading.rs
+++ b/src/consensus/leading.rs
@@ -287,10 +287,10 @@
         let Some(snapshot) = self.snapshot.clone() else {
             return;
         };
-        if let Part::Leader(leading) = &mut self.part {
-            if let Some(peer) = leading.peers.get_mut(to) {
-                peer.mode = Mode::Snapshot { snapshot, bytes: 0 };
-            }
+        if let Part::Leader(leading) = &mut self.part
+            && let Some(peer) = leading.peers.get_mut(to)
+        {
+            peer.mode = Mode::Snapshot { snapshot, bytes: 0 };
         }
         self.send_chunk(now_ms, to);
     }
--- a/src/consensus/progress.rs
+++ b/src/consensus/progress.rs
@@ -111,10 +111,10 @@
 
     /// The peer's log can match at `index` at most; `last_index` is the leader's.
     pub(super) fn conflict(&mut self, index: u64, last_index: u64) {
-        if let Mode::Snapshot { snapshot, bytes } = &self.mode {
-            if *bytes < snapshot.data.len() as u64 {
-                return;
-            }
+        if let Mode::Snapshot { snapshot, bytes } = &self.mode
+            && *bytes < snapshot.data.len() as u64
+        {
+            return;
         }
         // What a folder acknowledged it still has: it went back too far, or its
         // answer was overtaken on the way. A folder that lost it finds that out by
--- a/src/load/harness.rs
+++ b/src/load/harness.rs
@@ -489,10 +489,10 @@
     }
 
     fn relabel(&mut self, id: RequestId) {
-        if let Some(account) = self.accounts.get_mut(&id) {
-            if let Some((_, ending @ Ending::Answered)) = &mut account.ended {
-                *ending = Ending::FailureAnswered;
-            }
+        if let Some(account) = self.accounts.get_mut(&id)
+            && let Some((_, ending @ Ending::Answered)) = &mut account.ended
+        {
+            *ending = Ending::FailureAnswered;
         }
     }
 
--- a/src/load/health.rs
+++ b/src/load/health.rs
@@ -184,10 +184,10 @@
 
     /// Begins the probation once the pause is over.
     pub(super) fn tick(&mut self, now_ms: u64) {
-        if let Health::Ejected { until_ms, .. } = self.health {
-            if until_ms <= now_ms {
-                self.health = Health::Probation { passed: 0 };
-            }
+        if let Health::Ejected { until_ms, .. } = self.health
+            && until_ms <= now_ms
+        {
+            self.health = Health::Probation { passed: 0 };
         }
     }
 }
--- a/src/load/pump.rs
+++ b/src/load/pump.rs
@@ -350,10 +350,10 @@
     }
 
     fn release(&mut self, now_ms: u64, service: usize) {
-        if let Some(at) = self.services[service].reserved.take() {
-            if self.upstreams.unreserve(now_ms, service, at) {
-                self.dirty.extend(self.services[service].pool);
-            }
+        if let Some(at) = self.services[service].reserved.take()
+            && self.upstreams.unreserve(now_ms, service, at)
+        {
+            self.dirty.extend(self.services[service].pool);
         }
     }
 }
--- a/src/maintenance/fleet/waves.rs
+++ b/src/maintenance/fleet/waves.rs
@@ -230,10 +230,10 @@
     /// pool changes with each failure in it.
     fn hold_up(&self, wave: &Wave) -> Option<WaveState> {
         let holds = |pool: &PoolName| self.broken.contains(pool) && wave.pending.contains_key(pool);
-        if let WaveState::Paused { pool, .. } = &wave.state {
-            if holds(pool) {
-                return Some(wave.state.clone());
-            }
+        if let WaveState::Paused { pool, .. } = &wave.state
+            && holds(pool)
+        {
+            return Some(wave.state.clone());
         }
         let pool = self.broken.iter().find(|pool| holds(pool))?.clone();
         let why = self.budget_use(&pool)?.to_string();
--- a/src/state/changes.rs
+++ b/src/state/changes.rs
@@ -35,10 +35,10 @@
 
     /// Keeps the first reply to a change.
     pub fn keep(&mut self, change: &ChangeId, content: Fingerprint, reply: Reply) {
-        if self.order.len() >= CHANGES_KEPT {
-            if let Some(oldest) = self.order.pop_front() {
-                self.first.remove(&oldest);
-            }
+        if self.order.len() >= CHANGES_KEPT
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.first.remove(&oldest);
         }
         self.first.insert(change.clone(), (content, reply));
         self.order.push_back(change.clone());
--- a/src/state/state.rs
+++ b/src/state/state.rs
@@ -223,10 +223,10 @@
                 Some(content) => Some((change, content)),
             },
         };
-        if let Some((change, content)) = used {
-            if let Some(reply) = self.changes.replay(change, content) {
-                return reply;
-            }
+        if let Some((change, content)) = used
+            && let Some(reply) = self.changes.replay(change, content)
+        {
+            return reply;
         }
         let reply = match self.fleet.apply(stamp.at_unix_ms, command) {
             Ok(()) => Reply::Accepted,
--- a/src/storage/disk.rs
+++ b/src/storage/disk.rs
@@ -180,7 +180,6 @@
     }
 }
 
-#[allow(clippy::incompatible_msrv)] // no lock of the standard library before 1.89
 fn lock(folder: &Path) -> Result<File, StorageError> {
     let path = folder.join("lock");
     let file = append_to(&path)?;
--- a/tests/consensus_world/mod.rs
+++ b/tests/consensus_world/mod.rs
@@ -331,7 +331,7 @@
         }
         for name in self.names() {
             self.sync(&name);
-            if self.now_ms % 10 == 0 {
+            if self.now_ms.is_multiple_of(10) {
                 self.input(&name, Input::Tick);
             }
         }
