Measure what an entry instance adds; share the in-process deployment with the demonstration

Tests wait until every entry instance tells the balancer that it is ready: one was asked a moment after a restart, before it had the state, and answered 'unknown' for one of 165 keys, as it must.

--- a/src/cmd/measure.rs
+++ b/src/cmd/measure.rs
@@ -4,7 +4,7 @@
 
 use clap::{Args as ClapArgs, Subcommand};
 
-use super::{Exit, measure_capacity, measure_load, measure_log, measure_waves};
+use super::{Exit, measure_capacity, measure_entry, measure_load, measure_log, measure_waves};
 
 /// What `--help` says.
 pub const HELP: &str = "\
@@ -15,6 +15,8 @@
   waves  maintenance waves beside naive plans and lower bounds, in simulated time
   log    the replicated log on this machine's disk, and its elections in
          simulated time
+  entry  what an entry instance adds to a call, and how long a row takes to be in
+         force on nine of them, over loopback
   capacity  traffic, processor time, memory and state of entry instances by the
          size of the fleet, in one process
 
@@ -49,6 +51,8 @@
         #[arg(long)]
         folder: Option<PathBuf>,
     },
+    /// What entry instances add to a call, and a row's time to force.
+    Entry,
     /// Entry instances by the size of the fleet.
     Capacity,
 }
@@ -61,6 +65,7 @@
     match &args.what {
         What::Load { seed } => measure_load::run(*seed)?,
         What::Waves { seed } => measure_waves::run(*seed)?,
+        What::Entry => measure_entry::run()?,
         What::Capacity => measure_capacity::run()?,
         What::Log { folder: None } => measure_log::run(tempfile::tempdir()?.path())?,
         What::Log {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 pub mod load;
 pub mod measure;
 pub mod measure_capacity;
+pub mod measure_entry;
 pub mod measure_load;
 pub mod measure_log;
 pub mod measure_waves;
@@ -18,6 +19,7 @@
 pub mod serve;
 pub mod status;
 pub mod table;
+pub mod trial;
 pub mod upstream;
 pub mod wave;
 
--- a/tests/promise_cut_off.rs
+++ b/tests/promise_cut_off.rs
@@ -110,13 +110,7 @@
         system.cut_off(&[zone], &LinkFaults::default());
     }
     system.await_leader();
-    // A leader may be known a moment before an entry instance hears it again; until
-    // then it may refuse with when to come back, and says so to the balancer.
-    for i in 0..3 {
-        until(5_000, "it is ready again", || {
-            system.status(i)["health"] == "ready"
-        });
-    }
+    system.await_ready();
     let back = at(&system, 1, &ups, &["--not-idempotent", "100"]);
     assert_eq!(back["done"], back["sent"], "{back:#}");
 }
--- a/tests/promise_once.rs
+++ b/tests/promise_once.rs
@@ -72,6 +72,7 @@
         system.restart(i);
     }
     system.await_leader();
+    system.await_ready();
     system.await_upstreams(4);
     let again = load(&system, &up, &[]);
     assert_eq!(starts(&up), before);
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -160,6 +160,14 @@
         leader.unwrap()
     }
 
+    /// Waits until every entry instance tells the balancer that it is ready. A
+    /// leader may be agreed on a moment before one of them has the state again.
+    pub fn await_ready(&self) {
+        until(10_000, "every entry instance is ready", || {
+            (0..self.entries.len()).all(|i| self.status(i)["health"] == "ready")
+        });
+    }
+
     pub fn process(&mut self, i: usize) -> &mut Process {
         self.entries[i].process.as_mut().unwrap()
     }
