Let a move's slow requests outlive the permissions to dispatch

With the count of running requests left out of the proof, the test with the killed leader still passed: what it took for slow requests ended when their entry instance was gone or gave them up (10 ms and 3.2 s after their start), long before the lease path (some 6 s with an election). They go on as orphans now, for 12 s, as real work does, so that the move must wait for them.

--- a/tests/promise_moves.rs
+++ b/tests/promise_moves.rs
@@ -137,8 +137,9 @@
 }
 
 // The leader is killed while a move waits for slow requests of the old pool. The
-// next leader knows nothing of what the first one had seen: it must prove anew
-// that nothing runs, and finish the move once.
+// next leader knows nothing of what the first one had seen, and the first one
+// acknowledges nothing any more: permissions to dispatch run out while requests
+// still run, also some whose entry instance is gone. The move must wait for these too, and finish once.
 #[test]
 fn a_move_ends_once_although_its_leader_is_killed() {
     let (mut system, up) = start(1, |system| {
@@ -148,18 +149,21 @@
     let leader = system.await_leader();
     let other = (leader + 1) % 3;
     let epoch = explain(&system, other, "w1")["instance"]["epoch"].as_u64();
-    let load = system.load_process(&[&up.control], &[MIX, &["--duration-ms", "10000"]].concat());
-    up.set_faults(&["w1"], json!({ "slow_percent": 800 }));
+    let load = system.load_process(
+        &[&up.control],
+        &[MIX, &["--duration-ms", "17000", "--deadline-ms", "16000"]].concat(),
+    );
+    up.set_faults(&["w1"], json!({ "slow_percent": 6000, "orphans": true }));
     until(5_000, "w1 runs slow requests", || {
         up.instance("w1")["running"].as_u64() > Some(1)
     });
     start_move(&system, "w1");
-    up.set_faults(&["w1"], json!({}));
+    up.set_faults(&["w1"], json!({ "orphans": true }));
     let duty = explain(&system, other, "w1")["instance"]["duty"].to_string();
     assert!(duty.contains("draining"), "{duty}");
     assert_ne!(up.instance("w1")["running"], 0, "too late for this test");
     system.kill(leader);
-    until(15_000, "the move ends", || {
+    until(20_000, "the move ends", || {
         pool_of(&system, other, "w1") == "q"
     });
     until(8_000, "it runs requests of the new pool", || {
