--- a/src/cmd/client.rs
+++ b/src/cmd/client.rs
@@ -1,6 +1,7 @@
 //! What the operators' commands share: where the entry instances are, the
 //! operator's token, and how an answer is asked for and shown.
 
+use std::io::{ErrorKind, Write};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use ureq::Agent;
 
 use super::Exit;
+use super::status::tree;
 
 /// Longest wait for an answer: the entry instance itself gives a change up
 /// after five seconds.
@@ -165,6 +167,30 @@
         .wrap_err("the answer was cut short")
 }
 
+/// Prints an answer: as it came for programs, as a tree for people.
+///
+/// # Errors
+/// The answer is not JSON, or the output cannot be written.
+pub fn show(conn: &Conn, answer: &Answer) -> eyre::Result<()> {
+    if conn.json() {
+        print(&answer.text)
+    } else {
+        print(&tree(&answer.value()?))
+    }
+}
+
+/// Writes to standard output. A reader that has seen enough, as `head` has, is no
+/// fault.
+///
+/// # Errors
+/// The output cannot be written.
+pub fn print(text: &str) -> eyre::Result<()> {
+    match std::io::stdout().write_all(text.as_bytes()) {
+        Err(err) if err.kind() != ErrorKind::BrokenPipe => Err(err.into()),
+        _ => Ok(()),
+    }
+}
+
 /// A change id for a command that was given none: unlike any other.
 pub fn change_id(given: Option<&str>) -> String {
     match given {
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -3,8 +3,7 @@
 use clap::{Args as ClapArgs, ValueEnum};
 
 use super::Exit;
-use super::client::Conn;
-use super::status::print_tree;
+use super::client::{Conn, show};
 
 /// What `--help` says.
 pub const HELP: &str = "\
@@ -59,11 +58,7 @@
     let answer = args
         .conn
         .get(&format!("/explain/{}/{}", args.kind, args.name))?;
-    if args.conn.json() {
-        print!("{}", answer.text);
-    } else {
-        print_tree(&answer.value()?, 0);
-    }
+    show(&args.conn, &answer)?;
     Ok(if answer.accepted {
         Exit::Done
     } else {
--- a/src/cmd/pool.rs
+++ b/src/cmd/pool.rs
@@ -7,7 +7,7 @@
 use eyre::WrapErr;
 
 use super::Exit;
-use super::client::{Conn, change_id, show_change};
+use super::client::{Conn, change_id, print, show_change};
 use crate::maintenance::FleetCommand;
 use crate::model::Pool;
 
@@ -68,14 +68,16 @@
 fn list(conn: &Conn) -> eyre::Result<Exit> {
     let answer = conn.get("/pools")?;
     if conn.json() {
-        print!("{}", answer.text);
+        print(&answer.text)?;
         return Ok(Exit::Done);
     }
     let value = answer.value()?;
+    let mut lines = String::new();
     for pool in value["pools"].as_array().into_iter().flatten() {
         let text = |field: &str| pool[field].as_str().unwrap_or("?").to_owned();
-        println!("{}: {}", text("name"), text("budget_use"));
+        lines += &format!("{}: {}\n", text("name"), text("budget_use"));
     }
+    print(&lines)?;
     Ok(Exit::Done)
 }
 
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -4,7 +4,7 @@
 use serde_json::Value;
 
 use super::Exit;
-use super::client::Conn;
+use super::client::{Conn, show};
 
 /// What `--help` says.
 pub const HELP: &str = "\
@@ -29,35 +29,37 @@
 /// No entry instance answered.
 pub fn run(args: &Args) -> eyre::Result<Exit> {
     let answer = args.conn.get("/status")?;
-    if args.conn.json() {
-        print!("{}", answer.text);
-    } else {
-        print_tree(&answer.value()?, 0);
-    }
+    show(&args.conn, &answer)?;
     Ok(Exit::Done)
 }
 
-/// Prints a value as indented lines, a name and a value each.
-pub fn print_tree(value: &Value, depth: usize) {
+/// A value as indented lines, a name and a value each.
+pub fn tree(value: &Value) -> String {
+    let mut text = String::new();
+    branch(value, 0, &mut text);
+    text
+}
+
+fn branch(value: &Value, depth: usize, text: &mut String) {
     let indent = "  ".repeat(depth);
     let Value::Object(fields) = value else {
-        println!("{indent}{}", plain(value));
+        *text += &format!("{indent}{}\n", plain(value));
         return;
     };
     for (name, value) in fields {
         match value {
             Value::Object(inner) if !inner.is_empty() => {
-                println!("{indent}{name}:");
-                print_tree(value, depth + 1);
+                *text += &format!("{indent}{name}:\n");
+                branch(value, depth + 1, text);
             }
             Value::Array(list) if list.iter().any(Value::is_object) => {
-                println!("{indent}{name}:");
+                *text += &format!("{indent}{name}:\n");
                 for item in list {
-                    print_tree(item, depth + 1);
-                    println!();
+                    branch(item, depth + 1, text);
+                    text.push('\n');
                 }
             }
-            _ => println!("{indent}{name}: {}", plain(value)),
+            _ => *text += &format!("{indent}{name}: {}\n", plain(value)),
         }
     }
 }
--- a/src/cmd/table.rs
+++ b/src/cmd/table.rs
@@ -1,14 +1,13 @@
 //! `table`: the spreadsheet of weights and limits.
 
 use std::fs;
-use std::io::Write;
 use std::path::{Path, PathBuf};
 
 use clap::{Args as ClapArgs, Subcommand};
 use eyre::WrapErr;
 
 use super::Exit;
-use super::client::{Conn, change_id, show_change};
+use super::client::{Conn, change_id, print, show_change};
 
 /// What `--help` says.
 pub const HELP: &str = "\
@@ -89,7 +88,7 @@
 
 fn get(conn: &Conn) -> eyre::Result<Exit> {
     let answer = conn.get("/table")?;
-    std::io::stdout().write_all(answer.text.as_bytes())?;
+    print(&answer.text)?;
     Ok(Exit::Done)
 }
 
--- a/src/cmd/wave.rs
+++ b/src/cmd/wave.rs
@@ -7,9 +7,8 @@
 use eyre::WrapErr;
 
 use super::Exit;
-use super::client::Conn;
+use super::client::{Conn, print, show};
 use super::pool::send_fleet;
-use super::status::print_tree;
 use crate::maintenance::{FleetCommand, WaveSpec};
 use crate::model::WaveName;
 
@@ -96,13 +95,9 @@
 fn plan(file: &Path, conn: &Conn) -> eyre::Result<Exit> {
     let body = serde_json::to_vec(&read(file)?)?;
     let answer = conn.send("/waves/plan", &[], "plan", &body)?;
-    let value = answer.value()?;
-    if conn.json() {
-        println!("{value}");
-    } else if let Some(text) = value["plan"].as_str() {
-        println!("{text}");
-    } else {
-        print_tree(&value, 0);
+    match answer.value()?["plan"].as_str() {
+        Some(text) if !conn.json() => print(text)?,
+        _ => show(conn, &answer)?,
     }
     Ok(if answer.accepted {
         Exit::Done
@@ -119,11 +114,7 @@
 
 fn status(conn: &Conn) -> eyre::Result<Exit> {
     let answer = conn.get("/waves")?;
-    if conn.json() {
-        print!("{}", answer.text);
-    } else {
-        print_tree(&answer.value()?, 0);
-    }
+    show(conn, &answer)?;
     Ok(Exit::Done)
 }
 
--- a/tests/support/system.rs
+++ b/tests/support/system.rs
@@ -160,6 +160,13 @@
         leader.unwrap()
     }
 
+    /// A file with the operator's token.
+    pub fn token_file(&self) -> PathBuf {
+        let path = self.folder.path().join("token");
+        write_private(&path, TOKEN);
+        path
+    }
+
     /// Waits until every entry instance tells the balancer that it is ready. A
     /// leader may be agreed on a moment before one of them has the state again.
     pub fn await_ready(&self) {
