--- a/src/cmd/measure_entry.rs
+++ b/src/cmd/measure_entry.rs
@@ -6,7 +6,7 @@
 
 use eyre::{WrapErr, bail, eyre};
 use hdrhistogram::Histogram;
-use serde_json::json;
+use serde_json::{Value, json};
 use ureq::Agent;
 
 use super::trial::{Entries, Upstreams, ask, change, wait};
@@ -52,7 +52,7 @@
         "{} entry instances, 12 stand-ins, one process",
         entries.callers.len()
     );
-    println!("{:<44}{:>9}{:>9}{:>9}", "", "p50", "p99", "max");
+    println!("{:<52}{:>9}{:>9}{:>9}", "", "p50", "p99", "max");
     let agent = agent();
     show(
         "direct call of a stand-in (us)",
@@ -90,19 +90,24 @@
         .into()
 }
 
-fn direct(agent: &Agent, upstreams: &Upstreams) -> eyre::Result<Histogram<u64>> {
+/// What the first stand-in says of itself.
+fn first_stand_in(agent: &Agent, upstreams: &Upstreams) -> eyre::Result<Value> {
     let text = agent
         .get(format!("http://{}/instances", upstreams.control))
         .call()?
         .body_mut()
         .read_to_string()?;
     let first = text.lines().next().ok_or_else(|| eyre!("no stand-in"))?;
-    let view: serde_json::Value = serde_json::from_str(first)?;
-    let view = if view.is_array() {
-        view[0].clone()
-    } else {
-        view
-    };
+    let view: Value = serde_json::from_str(first)?;
+    Ok(view.get(0).cloned().unwrap_or(view))
+}
+
+fn direct(agent: &Agent, upstreams: &Upstreams) -> eyre::Result<Histogram<u64>> {
+    // It refuses everything until it was told its pool epoch.
+    wait("the stand-in's pool epoch", || {
+        Ok(first_stand_in(agent, upstreams)?["pool_epoch"] != 0)
+    })?;
+    let view = first_stand_in(agent, upstreams)?;
     let address: SocketAddr = view["address"]
         .as_str()
         .ok_or_else(|| eyre!("a stand-in without an address"))?
