Explain a request by the names its caller gave

Cause: a key stands in the state with team and caller in front, so 'explain request' found nothing under any name an operator could know. Test seen failing before.

--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -7,8 +7,8 @@
 
 /// What `--help` says.
 pub const HELP: &str = "\
-Print what was decided about one thing, when and why: a request (by the key its
-caller gave, or a patient job's id), an instance, a pool, a wave, or a row (written
+Print what was decided about one thing, when and why: a request (written
+`team/caller/key`, or a patient job's id), an instance, a pool, a wave, or a row (written
 `service/zone`, or a team's name).
 
 The last decisions are kept, not all: how many were left out is said.
@@ -33,7 +33,7 @@
 /// What can be explained.
 #[derive(Clone, Copy, Debug, ValueEnum, derive_more::Display)]
 enum Kind {
-    /// A request, by its key or job id.
+    /// A request, by team, caller and key, or a job id.
     #[display("request")]
     Request,
     /// An instance.
--- a/src/entry/node/operators.rs
+++ b/src/entry/node/operators.rs
@@ -4,7 +4,7 @@
 
 use crate::maintenance::{FleetCommand, Trail, plan};
 use crate::model::{EntryName, PoolName, RowKey, ServiceName, TeamName, ZoneName};
-use crate::state::{Change, JobId, Reply};
+use crate::state::{Change, JobId, Reply, scoped_key};
 use crate::table;
 
 use super::super::{Effect, OperatorAnswer, OperatorId, OperatorRequest, Subject};
@@ -289,7 +289,9 @@
                 "decisions": job.trail,
             }));
         }
-        let key = name.into();
+        let mut parts = name.splitn(3, '/');
+        let (team, caller, key) = (parts.next()?, parts.next()?, parts.next()?);
+        let key = scoped_key(&team.into(), caller, key);
         let claim = self.state.claim(&key)?;
         Some(json!({
             "phase": claim.phase,
--- a/src/entry/operator.rs
+++ b/src/entry/operator.rs
@@ -55,7 +55,7 @@
 /// What can be explained.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Subject {
-    /// A request by its key or a job by its id.
+    /// A request as `team/caller/key`, or a job by its id.
     Request(String),
     /// An instance.
     Instance(String),
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -238,6 +238,25 @@
     assert_eq!(bench.sent().len(), 1);
 }
 
+/// An operator asks what became of a caller's request, by the names the caller
+/// gave. The key stands in the state with team and caller in front, which nobody
+/// could type.
+#[test]
+fn a_request_is_explained_by_the_names_its_caller_gave() {
+    let mut bench = Bench::start();
+    bench.call(false);
+    let sent = bench.sent();
+    bench.end(&sent[0], whole());
+    let request = OperatorRequest::Explain(Subject::Request("t/c/k1".into()));
+    let id = OperatorId(7);
+    bench.feed(Event::Operator { id, request });
+    let told = bench.seen.iter().any(|effect| {
+        matches!(effect, Effect::AnswerOperator { id: of, answer: OperatorAnswer::Ok(value) }
+            if *of == id && value["phase"].to_string().contains("Answered"))
+    });
+    assert!(told);
+}
+
 /// The upstream gives no whole answer to a request that may run only once. The
 /// caller is told `unknown` at once, and the key never runs again.
 #[test]
