--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -14,6 +14,7 @@
 pub mod measure_log;
 pub mod measure_waves;
 pub mod move_instance;
+pub mod platform;
 pub mod pool;
 pub mod proxy;
 pub mod serve;
--- a/src/consensus/input.rs
+++ b/src/consensus/input.rs
@@ -28,6 +28,11 @@
         /// The change.
         change: VoterChange,
     },
+    /// There is another instance that may vote or follow.
+    Meet {
+        /// Its name.
+        name: EntryName,
+    },
     /// Give up the lead before a planned stop; nothing on one that does not lead.
     Resign,
     /// The disk finished the write with this token, synced.
--- a/src/consensus/leading.rs
+++ b/src/consensus/leading.rs
@@ -141,7 +141,7 @@
 
     /// How long a leader takes a lease to last that a peer holds for
     /// `view_lease_ms`: a tenth more, for clocks that run apart.
-    fn lease_as_granted_ms(&self) -> u64 {
+    pub(super) fn lease_as_granted_ms(&self) -> u64 {
         self.settings.view_lease_ms * 11 / 10
     }
 
--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -15,6 +15,7 @@
 mod journal;
 mod leading;
 mod log;
+mod meeting;
 mod membership;
 mod message;
 mod progress;
--- a/src/consensus/replica.rs
+++ b/src/consensus/replica.rs
@@ -112,10 +112,12 @@
             Input::Message { from, message } => self.message(now_ms, from, message),
             Input::Propose { command } => self.propose(command),
             Input::ChangeVoters { change } => self.change_voters(change),
+            Input::Meet { name } => self.meet(now_ms, name),
             Input::Resign => self.resign(now_ms),
             Input::Persisted { token } => self.persisted(now_ms, token),
             Input::SnapshotTaken { index, data } => self.snapshot_taken(index, data),
         }
+        self.meet_voters(now_ms);
         self.lead_on(now_ms);
         self.out.extend(self.journal.flush());
         std::mem::take(&mut self.out)
--- a/src/consensus/view.rs
+++ b/src/consensus/view.rs
@@ -34,6 +34,27 @@
         status
     }
 
+    /// The leader that it hears, if any.
+    pub fn leader(&self) -> Option<&EntryName> {
+        self.leader.as_ref()
+    }
+
+    /// Whether what it knows is recent; see [`Status::fresh`].
+    pub fn is_fresh(&self, now_ms: u64) -> bool {
+        self.fresh(now_ms)
+    }
+
+    /// Its term, if it leads, a quorum was heard lately, and everything of earlier
+    /// terms is applied.
+    pub fn leading_term(&self, now_ms: u64) -> Option<u64> {
+        (self.leads() && self.fresh(now_ms)).then_some(self.hard.term)
+    }
+
+    /// Whether it leads in this very term.
+    pub fn is_leader_of(&self, term: Option<u64>) -> bool {
+        self.leads() && term == Some(self.hard.term)
+    }
+
     /// What this replica knows of the voters' data folders, for a leader.
     fn voter_states(&self, now_ms: u64, leading: &Leading) -> BTreeMap<EntryName, VoterState> {
         let voters = self.log.membership().iter();
--- /dev/null
+++ b/src/control/configuration.rs
@@ -0,0 +1,84 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use super::{ConfigurationFault, Queue};
+use crate::consensus::COMMAND_LIMIT_BYTES;
+use crate::model::PoolName;
+
+/// Room left in a command of the log for what stands beside the document.
+const COMMAND_REST_BYTES: usize = 64 << 10;
+
+/// A whole configuration: queues and pools under one version.
+///
+/// It is kept twice: as its author sent it, to be read back word for word, and as
+/// what it says.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Configuration {
+    /// The highest version is in force.
+    pub version: u64,
+    /// Where jobs are handed in.
+    pub queues: Vec<Queue>,
+    /// The pools, and whether their machines are off.
+    pub pools: BTreeMap<PoolName, bool>,
+    /// The document as it came.
+    pub document: Vec<u8>,
+}
+
+impl Configuration {
+    /// Checks it.
+    ///
+    /// # Errors
+    /// The first fault found.
+    pub fn check(&self) -> Result<(), ConfigurationFault> {
+        let limit_bytes = COMMAND_LIMIT_BYTES - COMMAND_REST_BYTES;
+        let size_bytes = crate::codec::encode(self).len();
+        if size_bytes > limit_bytes {
+            return Err(ConfigurationFault::TooLarge {
+                size_bytes,
+                limit_bytes,
+            });
+        }
+        let mut places = BTreeMap::new();
+        for queue in &self.queues {
+            if !self.pools.contains_key(&queue.pool) {
+                return Err(ConfigurationFault::UnknownPool {
+                    queue: queue.name.clone(),
+                    pool: queue.pool.to_string(),
+                });
+            }
+            if queue.timeout_ms == 0 {
+                return Err(ConfigurationFault::NoTimeout {
+                    queue: queue.name.clone(),
+                });
+            }
+            let place = (queue.host.to_ascii_lowercase(), &queue.path_prefix);
+            if let Some(first) = places.insert(place, &queue.name) {
+                return Err(ConfigurationFault::SamePlace {
+                    first: first.clone(),
+                    second: queue.name.clone(),
+                });
+            }
+        }
+        Ok(())
+    }
+
+    /// The queue with the longest prefix of the path at this host.
+    pub fn queue_at(&self, host: &str, path: &str) -> Option<&Queue> {
+        self.queues
+            .iter()
+            .filter(|q| q.host.eq_ignore_ascii_case(host) && path.starts_with(&q.path_prefix))
+            .max_by_key(|q| q.path_prefix.len())
+    }
+
+    /// The queue with this name.
+    pub fn queue(&self, name: &str) -> Option<&Queue> {
+        self.queues.iter().find(|q| q.name == name)
+    }
+
+    /// The pools whose machines are off until they are needed.
+    pub fn standby(&self) -> BTreeSet<&PoolName> {
+        let standby = self.pools.iter().filter(|(_, standby)| **standby);
+        standby.map(|(pool, _)| pool).collect()
+    }
+}
--- /dev/null
+++ b/src/control/configuration_fault.rs
@@ -0,0 +1,40 @@
+/// What is wrong with a configuration, with the remedy.
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub enum ConfigurationFault {
+    /// It cannot be read.
+    #[display("it cannot be read in full ({cause}): send it whole")]
+    Unreadable {
+        /// Why.
+        cause: String,
+    },
+    /// A queue of a pool that is not there.
+    #[display("queue {queue} names the pool {pool}, which is not listed: add it")]
+    UnknownPool {
+        /// The queue.
+        queue: String,
+        /// What it names.
+        pool: String,
+    },
+    /// Two queues in one place.
+    #[display("queues {first} and {second} share host and prefix: change one")]
+    SamePlace {
+        /// One of them.
+        first: String,
+        /// The other.
+        second: String,
+    },
+    /// A timeout of nothing.
+    #[display("queue {queue} has a timeout of 0: give it at least 1 ms")]
+    NoTimeout {
+        /// The queue.
+        queue: String,
+    },
+    /// It does not fit into the log.
+    #[display("it has {size_bytes} bytes: {limit_bytes} are the most")]
+    TooLarge {
+        /// Its size.
+        size_bytes: usize,
+        /// The limit.
+        limit_bytes: usize,
+    },
+}
--- /dev/null
+++ b/src/control/fleet.rs
@@ -0,0 +1,78 @@
+use std::collections::BTreeMap;
+
+use super::{RunPhase, RunView, State, WorkerLink};
+use crate::jobs::TaskId;
+use crate::model::InstanceName;
+
+/// The leader's links to all workers that the state knows.
+#[derive(Debug)]
+pub struct Fleet {
+    lease_ms: u64,
+    links: BTreeMap<InstanceName, WorkerLink>,
+}
+
+impl Fleet {
+    /// The links of a leader that begins: what runs is an earlier leader's.
+    pub fn new(now_ms: u64, lease_ms: u64, state: &State) -> Self {
+        let names = state.workers().keys().cloned();
+        let mut links: BTreeMap<_, _> = names
+            .map(|name| (name, WorkerLink::new(now_ms, lease_ms)))
+            .collect();
+        for (task, run) in state.active().flat_map(|job| job.runs()) {
+            let link = links
+                .entry(run.worker.clone())
+                .or_insert_with(|| WorkerLink::new(now_ms, lease_ms));
+            link.runs
+                .insert((task, run.attempt), RunView::new(RunPhase::Inherited));
+        }
+        Self { lease_ms, links }
+    }
+
+    /// Begins a link if there is none.
+    pub fn meet(&mut self, now_ms: u64, name: &InstanceName) {
+        if !self.links.contains_key(name) {
+            let link = WorkerLink::new(now_ms, self.lease_ms);
+            self.links.insert(name.clone(), link);
+        }
+    }
+
+    /// Ends a link with all its runs.
+    pub fn part(&mut self, name: &InstanceName) {
+        self.links.remove(name);
+    }
+
+    /// A worker's link.
+    pub fn link(&self, name: &InstanceName) -> Option<&WorkerLink> {
+        self.links.get(name)
+    }
+
+    /// A worker's link, to change.
+    pub fn link_mut(&mut self, name: &InstanceName) -> Option<&mut WorkerLink> {
+        self.links.get_mut(name)
+    }
+
+    /// All links.
+    pub fn links(&self) -> impl Iterator<Item = (&InstanceName, &WorkerLink)> {
+        self.links.iter()
+    }
+
+    /// All links, to change.
+    pub fn links_mut(&mut self) -> impl Iterator<Item = (&InstanceName, &mut WorkerLink)> {
+        self.links.iter_mut()
+    }
+
+    /// What is known of a run.
+    pub fn run(&self, worker: &InstanceName, task: TaskId, attempt: u32) -> Option<&RunView> {
+        self.links.get(worker)?.runs.get(&(task, attempt))
+    }
+
+    /// What is known of a run, to change.
+    pub fn run_mut(
+        &mut self,
+        worker: &InstanceName,
+        task: TaskId,
+        attempt: u32,
+    ) -> Option<&mut RunView> {
+        self.links.get_mut(worker)?.runs.get_mut(&(task, attempt))
+    }
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,70 @@
+//! Control: one leader among the control instances decides where every task runs.
+//!
+//! What must survive lies in [`State`], changed by [`Change`]s of the replicated
+//! log. What the leader believes of its workers (their clocks, leases and what
+//! runs there) lies in [`Fleet`] and is learnt anew by each leader. [`Node`] ties
+//! both together: events in, effects out, with `now_ms` as an argument. Entry
+//! instances and followers hand calls on to the leader with a [`Relay`].
+
+mod answer;
+mod call;
+mod change;
+mod clock;
+mod configuration;
+mod configuration_fault;
+mod desk;
+mod driver;
+mod effect;
+mod event;
+mod fleet;
+mod gateway;
+mod machine_order;
+mod node;
+mod order;
+mod pace;
+mod peer_message;
+mod pending;
+mod placement;
+mod queue;
+mod ranking;
+mod relay;
+mod report;
+mod reports;
+mod state;
+mod steady;
+mod timing;
+mod upkeep;
+mod wave;
+mod worker;
+mod worker_link;
+
+pub use answer::{Answer, Refusal};
+pub use call::{Call, Place};
+pub use change::{Change, Command};
+pub use clock::Clock;
+pub use configuration::Configuration;
+pub use configuration_fault::ConfigurationFault;
+pub use desk::{Board, Desk, Incoming};
+pub use driver::{Driver, Links, Local, Outside, Signal, unix_ms};
+pub use effect::Effect;
+pub use event::Event;
+pub use fleet::Fleet;
+pub use gateway::{Gateway, GatewayEffect};
+pub use machine_order::{MachineOrder, MachineOrderKind, MachineOutcome};
+pub use node::{Node, NodeSettings};
+pub use order::{Ended, Order, OrderKind, OrderOutcome, Rejection, Running};
+pub use pace::Throttle;
+pub use peer_message::PeerMessage;
+pub use placement::{Placement, Scheduler};
+pub use queue::{Advice, Queue};
+pub use ranking::{Rank, rank};
+pub use relay::{Relay, RelayStep};
+pub use report::{Phase, Report};
+pub use reports::Reports;
+pub use state::State;
+pub use steady::steady_ms;
+pub use timing::Timing;
+pub use upkeep::{Upkeep, UpkeepStep};
+pub use wave::Wave;
+pub use worker::Worker;
+pub use worker_link::{RunPhase, RunView, WorkerLink};
--- /dev/null
+++ b/src/control/node/members.rs
@@ -0,0 +1,107 @@
+//! How control instances find each other, and which of them vote.
+//!
+//! The settings name three addresses at most, the same on all at the first start.
+//! Everyone says hello to those it knows, and learns of others from the answers. The
+//! leader makes voters of instances with a data folder until there are as many as
+//! the losses to be borne need, and replaces a voter that stays away once another
+//! is there to take its place: first the new one is added, then the old removed, so
+//! that no quorum is ever smaller than the losses allow.
+
+use super::super::PeerMessage;
+use super::Node;
+use crate::consensus::{Input, VoterChange};
+use crate::model::EntryName;
+
+/// How often instances greet those that they know.
+const HELLO_MS: u64 = 800;
+/// An instance that said hello within this time is there.
+const THERE_MS: u64 = 2_500;
+/// A voter that did not answer for this long is away: longer than a planned
+/// restart or a short cut takes, so that these cost no change of voters.
+const AWAY_MS: u64 = 8_000;
+
+impl Node {
+    /// Knows of an instance from now on.
+    pub(super) fn meet(&mut self, now_ms: u64, name: &EntryName) {
+        if *name == self.settings.me || self.relay.members().contains(name) {
+            return;
+        }
+        tracing::info!(%name, "control: another control instance is known");
+        let mut members = self.relay.members().to_vec();
+        members.push(name.clone());
+        self.relay.set_members(members);
+        self.log(now_ms, Input::Meet { name: name.clone() });
+    }
+
+    /// Says hello to everyone known.
+    pub(super) fn greet(&mut self, now_ms: u64) {
+        if now_ms < self.hello_ms {
+            return;
+        }
+        self.hello_ms = now_ms + HELLO_MS;
+        for to in self.relay.members().to_vec() {
+            if to != self.settings.me {
+                self.send(to, PeerMessage::Hello { has_folder: true });
+            }
+        }
+        self.change_voters(now_ms);
+    }
+
+    pub(super) fn hello(&mut self, now_ms: u64, from: EntryName, has_folder: bool) {
+        if has_folder {
+            self.meet(now_ms, &from);
+            self.met.insert(from.clone(), now_ms);
+        }
+        let mut members = self.relay.members().to_vec();
+        if !members.contains(&self.settings.me) {
+            members.push(self.settings.me.clone());
+        }
+        let leader = self.leader();
+        self.send(from, PeerMessage::Welcome { leader, members });
+    }
+
+    /// The leader, as far as is known here.
+    pub(super) fn leader(&self) -> Option<EntryName> {
+        if self.lead.is_some() {
+            return Some(self.settings.me.clone());
+        }
+        // One whose log leads but who has not begun does not answer calls yet.
+        let leader = self.replica.leader()?;
+        (*leader != self.settings.me).then(|| leader.clone())
+    }
+
+    /// On the leader: adds voters while there are too few, removes those that stay
+    /// away while there are more than enough.
+    fn change_voters(&mut self, now_ms: u64) {
+        if !self.leads(now_ms) {
+            return;
+        }
+        let status = self.replica.status(now_ms);
+        let wanted = self.settings.voters_wanted();
+        let away: Vec<&EntryName> = status
+            .voter_states
+            .iter()
+            .filter(|(_, voter)| voter.heard_age_ms.is_none_or(|age| age > AWAY_MS))
+            .map(|(name, _)| name)
+            .collect();
+        let change = if status.voters.len() > wanted {
+            away.first()
+                .map(|name| VoterChange::Remove((*name).clone()))
+        } else if status.voters.len() < wanted || !away.is_empty() {
+            let candidates = self.met.iter().filter(|(_, at)| now_ms < *at + THERE_MS);
+            let mut candidates = candidates.map(|(name, _)| name);
+            let next = candidates.find(|name| !status.voters.contains(name));
+            next.map(|name| VoterChange::Add(name.clone()))
+        } else {
+            None
+        };
+        if let Some(change) = change {
+            tracing::info!(
+                ?change,
+                voters = status.voters.len(),
+                "control: voters change"
+            );
+            self.log(now_ms, Input::ChangeVoters { change });
+        }
+    }
+}
--- /dev/null
+++ b/src/control/node/renewals.rs
@@ -0,0 +1,228 @@
+//! Renewals of workers' leases, which also list what runs and what ended.
+
+use super::super::{
+    Change, Ended, OrderKind, OrderOutcome, Placement, Rejection, Running, Throttle,
+};
+use super::Node;
+use super::lead::Waiter;
+use super::orders::Sent;
+use crate::jobs::Ending;
+use crate::model::InstanceName;
+
+/// How long a renewal waits at the worker for an end. An end is told at once; a
+/// quiet worker costs one call in this time, and its lease, several times as long,
+/// outlives some lost ones.
+const RENEWAL_WAIT_MS: u64 = 1_000;
+/// What a renewal's answer may take beyond its wait.
+const RENEWAL_SLACK_MS: u64 = 500;
+/// Between two renewals of a worker at least: ends gather, so that a busy worker
+/// costs no more calls than this allows.
+const RENEWAL_GAP_MS: u64 = 15;
+/// If the ends of a listing are not durable by then, the worker is asked anyway, as
+/// its lease must not run out.
+const ENDS_PATIENCE_MS: u64 = 700;
+
+impl Node {
+    pub(super) fn renew_leases(&mut self, now_ms: u64) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let state = &self.state;
+        let mut due = Vec::new();
+        for (name, link) in lead.fleet.links_mut() {
+            let stays = state.worker(name).is_some_and(|w| !w.leaving);
+            if link.renewal_sent_ms.is_some() || now_ms < link.renew_ms || !stays {
+                continue;
+            }
+            link.renewal_sent_ms = Some(now_ms);
+            let wait_ms = if link.is_confirmed() {
+                RENEWAL_WAIT_MS
+            } else {
+                0
+            };
+            let kind = OrderKind::Renew {
+                lease_end_ms: link.grant(now_ms),
+                acknowledged: link.acknowledged,
+                wait_ms,
+            };
+            due.push((name.clone(), kind, wait_ms + RENEWAL_SLACK_MS));
+        }
+        for (name, kind, timeout_ms) in due {
+            self.order(Sent::Renew(name), kind, timeout_ms);
+        }
+    }
+
+    pub(super) fn renewed(&mut self, now_ms: u64, worker: &InstanceName, outcome: OrderOutcome) {
+        let OrderOutcome::Listed {
+            clock_ms,
+            running,
+            ended,
+        } = outcome
+        else {
+            return self.not_renewed(now_ms, worker, &outcome);
+        };
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let Some(link) = lead.fleet.link_mut(worker) else {
+            return;
+        };
+        if !link.is_heard(now_ms) || !link.is_confirmed() {
+            lead.dirty = true;
+            tracing::info!(%worker, running = running.len(), ended = ended.len(), "worker: heard");
+        }
+        let absent = link.listed(now_ms, clock_ms, &running, &ended);
+        let fresh: Vec<Ended> = ended
+            .into_iter()
+            .filter(|end| end.number > link.proposed)
+            .collect();
+        link.renew_ms = now_ms + RENEWAL_GAP_MS;
+        if let Some(last) = fresh.iter().map(|end| end.number).max() {
+            link.proposed = last;
+        }
+        if link.proposed > link.acknowledged {
+            link.renew_ms = now_ms + ENDS_PATIENCE_MS;
+        }
+        for (task, attempt) in absent {
+            tracing::info!(%task, attempt, %worker, "task: it is not there and will not start");
+            let worker = worker.clone();
+            let change = Change::Unplace {
+                task,
+                attempt,
+                worker,
+            };
+            self.propose(change, None);
+        }
+        for end in fresh {
+            self.run_ended(now_ms, worker, end);
+        }
+        self.stop_strangers(worker, &running);
+        self.set_shares(now_ms, worker);
+    }
+
+    fn not_renewed(&mut self, now_ms: u64, worker: &InstanceName, outcome: &OrderOutcome) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let Some(link) = lead.fleet.link_mut(worker) else {
+            return;
+        };
+        if link.is_heard(now_ms) {
+            tracing::info!(%worker, ?outcome, "worker: a renewal failed");
+        }
+        link.renewal_failed(now_ms);
+        if let OrderOutcome::Rejected {
+            reason: Rejection::Fence,
+            ..
+        } = outcome
+        {
+            tracing::warn!(%worker, term = lead.term, "worker: another leader was there");
+        }
+    }
+
+    fn run_ended(&mut self, now_ms: u64, worker: &InstanceName, end: Ended) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        if let Some(link) = lead.fleet.link_mut(worker)
+            && link.runs.contains_key(&(end.task, end.attempt))
+        {
+            match end.ending {
+                Ending::Done => link.run_done(now_ms),
+                Ending::Failed => link.run_failed(now_ms),
+                Ending::Stopped | Ending::Lapsed | Ending::Broken | Ending::Alone => {}
+            }
+        }
+        tracing::info!(
+            task = %end.task, attempt = end.attempt, %worker, ending = %end.ending,
+            "task: a run ended"
+        );
+        let change = Change::End {
+            task: end.task,
+            attempt: end.attempt,
+            worker: worker.clone(),
+            ending: end.ending,
+            checkpoint: end.checkpoint,
+        };
+        let waiter = Waiter::Ended {
+            worker: worker.clone(),
+            number: end.number,
+        };
+        self.propose(change, Some(waiter));
+    }
+
+    /// Stops runs that the state knows nothing of: whoever started them, nobody
+    /// waits for them, and they take room that is given to others.
+    fn stop_strangers(&mut self, worker: &InstanceName, running: &[Running]) {
+        let Some(lead) = &self.lead else {
+            return;
+        };
+        let Some(link) = lead.fleet.link(worker) else {
+            return;
+        };
+        let strangers: Vec<Placement> = running
+            .iter()
+            .filter(|run| !link.runs.contains_key(&(run.task, run.attempt)))
+            .map(|run| Placement {
+                task: run.task,
+                attempt: run.attempt,
+                worker: worker.clone(),
+            })
+            .collect();
+        for run in strangers {
+            tracing::info!(task = %run.task, attempt = run.attempt, %worker, "task: nobody wants it");
+            let kind = OrderKind::Stop {
+                task: run.task,
+                attempt: run.attempt,
+            };
+            self.order(Sent::Stop(run), kind, STRANGER_TIMEOUT_MS);
+        }
+    }
+
+    /// Sets the speed of best-effort tasks by the tails of those that serve.
+    fn set_shares(&mut self, now_ms: u64, worker: &InstanceName) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let Some(link) = lead.fleet.link(worker) else {
+            return;
+        };
+        let mut worst: Option<f64> = None;
+        let mut filling = Vec::new();
+        for ((task, attempt), view) in &link.runs {
+            let job = self.state.job(task.job);
+            let Some(step) = job.and_then(|j| j.spec.steps.get(usize::from(task.step))) else {
+                continue;
+            };
+            if step.best_effort {
+                filling.push((*task, *attempt, view.share_percent, view.is_stopping()));
+            } else if let (Some(target_ms), Some(tail_ms)) = (step.tail_target_ms, view.gauge) {
+                let part = tail_ms as f64 / target_ms.max(1) as f64;
+                worst = Some(worst.map_or(part, |w| w.max(part)));
+            }
+        }
+        if filling.is_empty() {
+            lead.throttles.remove(worker);
+            return;
+        }
+        let throttle = lead
+            .throttles
+            .entry(worker.clone())
+            .or_insert_with(|| Throttle::new(now_ms));
+        throttle.observe(now_ms, worst.unwrap_or(0.0));
+        let percent = throttle.percent();
+        for (task, attempt, share, stopping) in filling {
+            if share != percent && !stopping {
+                let run = Placement {
+                    task,
+                    attempt,
+                    worker: worker.clone(),
+                };
+                self.throttle(run, percent);
+            }
+        }
+    }
+}
+
+/// How long the answer to the stop of a run that nobody wants is waited for.
+const STRANGER_TIMEOUT_MS: u64 = 400;
--- /dev/null
+++ b/src/control/pending.rs
@@ -0,0 +1,74 @@
+use std::collections::BTreeMap;
+
+use super::{Change, Command};
+use crate::model::EntryName;
+
+/// Commands that may be on their way into the log at once. While they are, new
+/// changes gather for the next, so one sync carries many; two keep the disk busy.
+const IN_FLIGHT_MAX: usize = 2;
+/// Changes in one command; with payloads of 4 kB it stays below the log's limit.
+const CHANGES_MAX: usize = 100;
+
+/// Changes on their way into the log, each with what waits for it.
+#[derive(Debug)]
+pub struct Pending<W> {
+    by: EntryName,
+    start: u64,
+    next: u64,
+    gathering: Vec<(Change, Option<W>)>,
+    in_flight: BTreeMap<u64, Vec<Option<W>>>,
+}
+
+impl<W> Pending<W> {
+    /// Nothing is on its way. `start` tells this leader's commands from others.
+    pub fn new(by: EntryName, start: u64) -> Self {
+        Self {
+            by,
+            start,
+            next: 1,
+            gathering: Vec::new(),
+            in_flight: BTreeMap::new(),
+        }
+    }
+
+    /// Adds a change.
+    pub fn add(&mut self, change: Change, waiter: Option<W>) {
+        self.gathering.push((change, waiter));
+    }
+
+    /// The next command to propose, if it is time.
+    pub fn next(&mut self, at_unix_ms: u64) -> Option<Command> {
+        if self.gathering.is_empty() || self.in_flight.len() >= IN_FLIGHT_MAX {
+            return None;
+        }
+        let count = self.gathering.len().min(CHANGES_MAX);
+        let rest = self.gathering.split_off(count);
+        let taken = std::mem::replace(&mut self.gathering, rest);
+        let (changes, waiters) = taken.into_iter().unzip();
+        let sequence = self.next;
+        self.next += 1;
+        self.in_flight.insert(sequence, waiters);
+        Some(Command {
+            by: self.by.clone(),
+            start: self.start,
+            sequence,
+            at_unix_ms,
+            changes,
+        })
+    }
+
+    /// A command was applied; what waited for its changes, in their order.
+    pub fn applied(&mut self, command: &Command) -> Vec<Option<W>> {
+        if command.by != self.by || command.start != self.start {
+            return Vec::new();
+        }
+        self.in_flight.remove(&command.sequence).unwrap_or_default()
+    }
+
+    /// Everything that waits, when its leader leads no more.
+    pub fn into_waiters(self) -> impl Iterator<Item = W> {
+        let gathering = self.gathering.into_iter().filter_map(|(_, w)| w);
+        let in_flight = self.in_flight.into_values().flatten().flatten();
+        gathering.chain(in_flight)
+    }
+}
--- /dev/null
+++ b/src/control/placement.rs
@@ -0,0 +1,452 @@
+//! Where tasks go: a pass over what waits and what is free.
+//!
+//! Answers mixed work on workers of limited room. A task goes only where it fits
+//! beside everything that may still run there, stops included; lasting tasks are
+//! spread, and those that serve users are kept apart from best-effort ones, which
+//! slow them down by amounts that nobody declares.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{Fleet, Queue, Rank, State, rank};
+use crate::jobs::{Job, Occurrence, Room, Step, TaskId};
+use crate::model::{InstanceName, PoolName};
+
+/// A start that should be ordered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Placement {
+    /// Of this task.
+    pub task: TaskId,
+    /// The number of the start.
+    pub attempt: u32,
+    /// Where.
+    pub worker: InstanceName,
+}
+
+/// What the scheduler must know beside state and links.
+#[derive(Debug, Default)]
+pub struct Scheduler {
+    /// Starts that are on their way into the log.
+    pub(super) proposed: BTreeMap<TaskId, Placement>,
+    /// Machines that are being emptied.
+    pub(super) closed: BTreeSet<InstanceName>,
+    /// Machines that are due for upkeep: lasting tasks had better not go there.
+    pub(super) due: BTreeSet<InstanceName>,
+    /// Tickets by step (job, occurrence, step, index 0) and worker.
+    pub(super) tickets: BTreeMap<TaskId, BTreeMap<InstanceName, Ticket>>,
+    /// Steps whose advice is missing, with the workers to ask about.
+    pub(super) unadvised: BTreeMap<TaskId, Vec<InstanceName>>,
+}
+
+/// The advisor's word on a worker for a step.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Ticket {
+    /// None if the worker may not run the step.
+    pub(super) text: Option<String>,
+    /// Up to when it holds.
+    pub(super) until_ms: u64,
+}
+
+/// A worker with what is left of its room in this pass.
+#[derive(Debug)]
+struct Candidate<'a> {
+    name: &'a InstanceName,
+    rack: Option<&'a str>,
+    labels: &'a [String],
+    free: Room,
+    serving: u32,
+    best_effort: u32,
+    lasting: u32,
+    due: bool,
+    failures: f64,
+}
+
+/// Moves a lasting task away from where it would disturb or be disturbed; larger
+/// than any difference in load.
+const APART_COST: f64 = 1_000.0;
+/// Moves a lasting task away from a machine that is due for upkeep.
+const DUE_COST: f64 = 300.0;
+/// Spreads lasting tasks.
+const LASTING_COST: f64 = 50.0;
+/// Moves work away from a worker with recent failures.
+const FAILURE_COST: f64 = 200.0;
+/// Work far from its data takes a multiple of the time.
+const FAR_COST: f64 = 500.0;
+/// Passes over at most so many waiting tasks of one pool, so that a burst of
+/// thousands cannot hold up the leader; those behind wait for the next pass.
+const TASKS_PER_PASS: usize = 400;
+
+impl Scheduler {
+    /// The starts to order now.
+    pub fn pass(
+        &mut self,
+        now_ms: u64,
+        now_unix_ms: u64,
+        state: &State,
+        fleet: &Fleet,
+    ) -> Vec<Placement> {
+        self.unadvised.clear();
+        let mut pools = self.candidates(now_ms, state, fleet);
+        let mut order: Vec<(Rank, &Job, u32, usize)> = Vec::new();
+        for job in state.active().filter(|job| job.verdict.is_none()) {
+            self.waiting_steps(now_unix_ms, state, job, &mut order);
+        }
+        order.sort_by(|a, b| a.0.compare(&b.0).then(a.1.id.cmp(&b.1.id)));
+        let mut starts = Vec::new();
+        for (_, job, k, step) in order {
+            let Some(pool) = pools.get_mut(&job.pool) else {
+                continue;
+            };
+            let Some(occurrence) = job.occurrence(k) else {
+                continue;
+            };
+            if starts.len() < TASKS_PER_PASS {
+                let queue = state.configuration().and_then(|c| c.queue(&job.queue));
+                let place = StepPlace {
+                    job,
+                    k,
+                    step,
+                    occurrence,
+                };
+                self.place_step(now_ms, &place, queue, pool, &mut starts);
+            }
+        }
+        for start in &starts {
+            self.proposed.insert(start.task, start.clone());
+        }
+        starts
+    }
+
+    fn waiting_steps<'a>(
+        &self,
+        now_unix_ms: u64,
+        state: &'a State,
+        job: &'a Job,
+        order: &mut Vec<(Rank, &'a Job, u32, usize)>,
+    ) {
+        let queue = state.configuration().and_then(|c| c.queue(&job.queue));
+        let mut chains = None;
+        for (k, occurrence) in job.occurrences() {
+            for step in 0..job.spec.steps.len() {
+                let waits = occurrence.step(step).iter().any(|t| t.is_waiting());
+                if !waits || !occurrence.may_start(&job.spec, step) {
+                    continue;
+                }
+                let chains = chains.get_or_insert_with(|| job.spec.chains_ms());
+                let chain_ms = chains.iter().copied().max().unwrap_or(0);
+                let recurrence = job.spec.recurrence;
+                let due_unix_ms = recurrence.map_or(job.accepted_unix_ms, |r| r.due_unix_ms(k));
+                let left_ms = chains[step];
+                let work = work_left(job, occurrence);
+                let rank = rank(
+                    now_unix_ms,
+                    job,
+                    queue,
+                    due_unix_ms,
+                    chain_ms,
+                    left_ms,
+                    work,
+                );
+                order.push((rank, job, k, step));
+            }
+        }
+    }
+
+    fn candidates<'a>(
+        &self,
+        now_ms: u64,
+        state: &'a State,
+        fleet: &Fleet,
+    ) -> BTreeMap<PoolName, Vec<Candidate<'a>>> {
+        let mut all: BTreeMap<&InstanceName, Candidate> = BTreeMap::new();
+        for (name, worker) in state.workers() {
+            let usable = fleet.link(name).is_some_and(|link| link.takes_work(now_ms));
+            if !usable || !worker.takes_work() || self.closed.contains(name) {
+                continue;
+            }
+            let candidate = Candidate {
+                name,
+                rack: worker.report.rack.as_ref().map(|r| r.as_str()),
+                labels: &worker.report.labels,
+                free: worker.report.capacity,
+                serving: 0,
+                best_effort: 0,
+                lasting: 0,
+                due: self.due.contains(name),
+                failures: fleet.link(name).map_or(0.0, |l| l.failures()),
+            };
+            all.insert(name, candidate);
+        }
+        for job in state.active() {
+            for (task, run) in job.runs() {
+                if let Some(candidate) = all.get_mut(&run.worker) {
+                    candidate.take(&job.spec.steps[usize::from(task.step)]);
+                }
+            }
+        }
+        for start in self.proposed.values() {
+            let step = state
+                .job(start.task.job)
+                .and_then(|job| job.spec.steps.get(usize::from(start.task.step)));
+            if let (Some(step), Some(candidate)) = (step, all.get_mut(&start.worker)) {
+                candidate.take(step);
+            }
+        }
+        let mut pools: BTreeMap<PoolName, Vec<Candidate>> = BTreeMap::new();
+        for (name, candidate) in all {
+            if let Some(worker) = state.worker(name) {
+                let pool = worker.report.pool.clone();
+                pools.entry(pool).or_default().push(candidate);
+            }
+        }
+        pools
+    }
+
+    fn place_step(
+        &mut self,
+        now_ms: u64,
+        place: &StepPlace,
+        queue: Option<&Queue>,
+        pool: &mut [Candidate],
+        starts: &mut Vec<Placement>,
+    ) {
+        let step = &place.job.spec.steps[place.step];
+        let demand = step.reserved();
+        let waiting: Vec<u16> = place.waiting(&self.proposed);
+        if !pool.iter().any(|c| c.free.holds(&demand)) || waiting.is_empty() {
+            return;
+        }
+        let advised = queue.is_some_and(|q| q.advice.is_some());
+        if advised && !self.is_advised(now_ms, place, pool) {
+            return;
+        }
+        let mut counts = place.counts(&self.proposed);
+        let mut chosen = Vec::new();
+        let rack = step.rack_local.then(|| best_rack(pool, &demand)).flatten();
+        for index in waiting {
+            let task = place.task(index);
+            let avoid = place
+                .occurrence
+                .task(task.step, index)
+                .and_then(|t| t.failed_on.as_ref());
+            let tickets = self.tickets.get(&place.task(0));
+            let best = pool
+                .iter_mut()
+                .filter(|c| c.free.holds(&demand) && c.suits(step, &counts))
+                .filter(|c| !advised || is_allowed(now_ms, tickets, c.name))
+                .filter(|c| !step.gang || rack.is_none() || c.rack == rack.as_deref())
+                .min_by(|a, b| {
+                    let cost = |c: &Candidate| c.cost(step, avoid, rack.as_deref());
+                    cost(a).total_cmp(&cost(b))
+                });
+            let Some(best) = best else {
+                if step.gang {
+                    // A part of a gang would wait in vain for the rest.
+                    for (name, _) in &chosen {
+                        if let Some(c) = pool.iter_mut().find(|c| c.name == *name) {
+                            c.give_back(step);
+                        }
+                    }
+                    return;
+                }
+                break;
+            };
+            best.take(step);
+            *counts.entry(best.name.clone()).or_default() += 1;
+            chosen.push((best.name, task));
+        }
+        let together = place.gang_attempt();
+        for (name, task) in chosen {
+            let own = place.occurrence.task(task.step, task.index);
+            let attempt = own.map_or(0, |t| t.attempt) + 1;
+            starts.push(Placement {
+                task,
+                attempt: if step.gang { together } else { attempt },
+                worker: name.clone(),
+            });
+        }
+    }
+
+    /// Whether the advisor's word on enough workers is at hand; else notes what to
+    /// ask.
+    fn is_advised(&mut self, now_ms: u64, place: &StepPlace, pool: &[Candidate]) -> bool {
+        let key = place.task(0);
+        let tickets = self.tickets.entry(key).or_default();
+        let unknown: Vec<InstanceName> = pool
+            .iter()
+            .filter(|c| tickets.get(c.name).is_none_or(|t| now_ms >= t.until_ms))
+            .map(|c| c.name.clone())
+            .collect();
+        let any = pool
+            .iter()
+            .any(|c| is_allowed(now_ms, Some(tickets), c.name));
+        if !unknown.is_empty() {
+            self.unadvised.insert(key, unknown);
+        }
+        any
+    }
+}
+
+fn is_allowed(
+    now_ms: u64,
+    tickets: Option<&BTreeMap<InstanceName, Ticket>>,
+    name: &InstanceName,
+) -> bool {
+    tickets
+        .and_then(|tickets| tickets.get(name))
+        .is_some_and(|t| t.text.is_some() && now_ms < t.until_ms)
+}
+
+/// The rack with the most room.
+fn best_rack(pool: &[Candidate], demand: &Room) -> Option<String> {
+    let mut room: BTreeMap<&str, u64> = BTreeMap::new();
+    for candidate in pool.iter().filter(|c| c.free.holds(demand)) {
+        if let Some(rack) = candidate.rack {
+            *room.entry(rack).or_default() += u64::from(candidate.free.cpu_milli);
+        }
+    }
+    let best = room.into_iter().max_by_key(|(_, free)| *free);
+    best.map(|(rack, _)| rack.to_owned())
+}
+
+/// The core-milliseconds that an occurrence still needs.
+fn work_left(job: &Job, occurrence: &Occurrence) -> f64 {
+    let steps = job.spec.steps.iter().enumerate();
+    steps
+        .map(|(step, spec)| {
+            let left = occurrence.step(step).iter().filter(|t| !t.done).count();
+            left as f64 * f64::from(spec.demand.cpu_milli) * spec.estimate_ms as f64 / 1_000.0
+        })
+        .sum()
+}
+
+/// A step of an occurrence of a job.
+struct StepPlace<'a> {
+    job: &'a Job,
+    k: u32,
+    step: usize,
+    occurrence: &'a Occurrence,
+}
+
+impl StepPlace<'_> {
+    fn task(&self, index: u16) -> TaskId {
+        TaskId {
+            job: self.job.id,
+            occurrence: self.k,
+            step: self.step as u16,
+            index,
+        }
+    }
+
+    fn waiting(&self, proposed: &BTreeMap<TaskId, Placement>) -> Vec<u16> {
+        let tasks = self.occurrence.step(self.step).iter().enumerate();
+        let waiting: Vec<u16> = tasks
+            .filter(|(_, task)| task.is_waiting())
+            .map(|(index, _)| index as u16)
+            .filter(|index| !proposed.contains_key(&self.task(*index)))
+            .collect();
+        let step = &self.job.spec.steps[self.step];
+        // A gang starts whole or not at all.
+        if step.gang && waiting.len() < usize::from(step.tasks) {
+            return Vec::new();
+        }
+        waiting
+    }
+
+    fn gang_attempt(&self) -> u32 {
+        let tasks = self.occurrence.step(self.step).iter();
+        tasks.map(|t| t.attempt).max().unwrap_or(0) + 1
+    }
+
+    /// Runs of the step on each worker.
+    fn counts(&self, proposed: &BTreeMap<TaskId, Placement>) -> BTreeMap<InstanceName, u16> {
+        let mut counts: BTreeMap<InstanceName, u16> = BTreeMap::new();
+        for run in self.occurrence.step(self.step).iter().flat_map(|t| &t.runs) {
+            *counts.entry(run.worker.clone()).or_default() += 1;
+        }
+        let first = self.task(0);
+        let last = self.task(u16::MAX);
+        for (_, start) in proposed.range(first..=last) {
+            *counts.entry(start.worker.clone()).or_default() += 1;
+        }
+        counts
+    }
+}
+
+impl Candidate<'_> {
+    fn suits(&self, step: &Step, counts: &BTreeMap<InstanceName, u16>) -> bool {
+        let labelled = step
+            .label
+            .as_ref()
+            .is_none_or(|label| self.labels.contains(label));
+        let here = counts.get(self.name).copied().unwrap_or(0);
+        labelled && step.per_worker_max.is_none_or(|max| here < max)
+    }
+
+    fn cost(&self, step: &Step, avoid: Option<&InstanceName>, rack: Option<&str>) -> f64 {
+        let mut cost = -f64::from(self.free.cpu_milli) / 1_000.0;
+        cost += self.failures * FAILURE_COST;
+        if avoid == Some(self.name) {
+            cost += APART_COST;
+        }
+        if step.data_rack.is_some() && step.data_rack.as_deref() != self.rack {
+            cost += FAR_COST;
+        }
+        if rack.is_some() && rack != self.rack {
+            cost += FAR_COST;
+        }
+        if step.lasting {
+            cost += f64::from(self.lasting) * LASTING_COST;
+            cost += if self.due { DUE_COST } else { 0.0 };
+        }
+        if step.best_effort {
+            cost += f64::from(self.serving) * APART_COST;
+        } else if step.tail_target_ms.is_some() {
+            cost += f64::from(self.best_effort) * APART_COST;
+        }
+        cost
+    }
+
+    fn take(&mut self, step: &Step) {
+        self.free = self.free.less(&step.reserved());
+        self.lasting += u32::from(step.lasting);
+        self.best_effort += u32::from(step.best_effort);
+        self.serving += u32::from(step.tail_target_ms.is_some() && !step.best_effort);
+    }
+
+    fn give_back(&mut self, step: &Step) {
+        self.free = self.free.plus(&step.reserved());
+        self.lasting -= u32::from(step.lasting);
+        self.best_effort -= u32::from(step.best_effort);
+        self.serving -= u32::from(step.tail_target_ms.is_some() && !step.best_effort);
+    }
+}
+
+impl Scheduler {
+    /// Takes the advisor's word on a step: tickets for the allowed workers, and the
+    /// lasting knowledge that the others are not.
+    pub(super) fn take_advice(
+        &mut self,
+        now_ms: u64,
+        step: TaskId,
+        asked: &[InstanceName],
+        allowed: Vec<(InstanceName, String)>,
+        until_ms: u64,
+        refusal_ms: u64,
+    ) {
+        let tickets = self.tickets.entry(step).or_default();
+        for name in asked {
+            let ticket = Ticket {
+                text: None,
+                until_ms: now_ms + refusal_ms,
+            };
+            tickets.insert(name.clone(), ticket);
+        }
+        for (name, text) in allowed {
+            let ticket = Ticket {
+                text: Some(text),
+                until_ms,
+            };
+            tickets.insert(name, ticket);
+        }
+    }
+}
--- /dev/null
+++ b/src/control/ranking.rs
@@ -0,0 +1,75 @@
+//! Which job comes first when a pool has room for few.
+//!
+//! Answers demand that rises to several times a pool's room for some seconds. First
+//! come, first served makes every job late then: each waits behind all before it,
+//! and the room goes to jobs that are worth little by the time they end. Here a job
+//! that can still be on time goes before one that cannot, and among those that can
+//! the one with the least work left goes first, as it frees its room soonest; so
+//! the jobs that lose are few and large instead of all.
+
+use super::Queue;
+use crate::jobs::Job;
+
+/// The place of a job in the order; the smallest comes first.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct Rank {
+    /// The queue's priority.
+    priority: u32,
+    /// Lasting jobs, jobs that can be on time, jobs that are late, hopeless ones.
+    class: u8,
+    /// Within the class.
+    key: f64,
+}
+
+/// Up to so many times its objective a job is still worth something to its caller.
+const LATE_FACTOR: f64 = 3.0;
+
+/// Where a job with this much left to do stands.
+///
+/// `chain_ms` is its longest chain of estimated run times, `left_ms` what is left of
+/// that, `work` the core-milliseconds that are left.
+pub fn rank(
+    now_unix_ms: u64,
+    job: &Job,
+    queue: Option<&Queue>,
+    due_unix_ms: u64,
+    chain_ms: u64,
+    left_ms: u64,
+    work: f64,
+) -> Rank {
+    let priority = queue.map_or(u32::MAX, |q| q.priority);
+    if job.spec.lasts() {
+        return Rank {
+            priority: 0,
+            class: 0,
+            key: job.accepted_unix_ms as f64,
+        };
+    }
+    let slack = queue.map_or(1.0, |q| q.slack_factor);
+    let target_ms = queue.map_or(0, |q| q.target_latency_ms) as f64;
+    let objective_ms = slack * chain_ms as f64 + target_ms;
+    let passed_ms = now_unix_ms.saturating_sub(due_unix_ms) as f64;
+    let ends_ms = passed_ms + left_ms as f64;
+    let (class, key) = if ends_ms <= objective_ms {
+        (1, work)
+    } else if ends_ms <= objective_ms * LATE_FACTOR {
+        (2, work)
+    } else {
+        (3, work)
+    };
+    Rank {
+        priority,
+        class,
+        key,
+    }
+}
+
+impl Rank {
+    /// Orders by priority, class, then key.
+    pub fn compare(&self, other: &Self) -> std::cmp::Ordering {
+        self.priority
+            .cmp(&other.priority)
+            .then(self.class.cmp(&other.class))
+            .then(self.key.total_cmp(&other.key))
+    }
+}
--- /dev/null
+++ b/src/control/relay.rs
@@ -0,0 +1,201 @@
+//! Hands calls on to the leader, whoever that is at present.
+//!
+//! Every call may be carried out twice without harm, so one that is not answered
+//! in time is sent again, to another control instance if need be. A caller is only
+//! told "not run" by a leader; what has left this instance unanswered ends as
+//! unknown.
+
+use std::collections::BTreeMap;
+
+use super::{Answer, Call};
+use crate::model::EntryName;
+
+/// Silence after which a call is sent again elsewhere. Several round trips and
+/// syncs of a healthy leader (about 10 ms), and below the second after which
+/// callers themselves try elsewhere.
+const RESEND_MS: u64 = 500;
+/// Pause before an instance that knows no leader is asked again: a tenth of the
+/// shortest election.
+const NO_LEADER_MS: u64 = 100;
+
+/// What a relay wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RelayStep {
+    /// Send the call to a control instance.
+    Send {
+        /// Which.
+        to: EntryName,
+        /// Names the call.
+        id: u64,
+        /// The call.
+        call: Call,
+    },
+    /// Answer the caller.
+    Answer {
+        /// Names the call.
+        id: u64,
+        /// The answer.
+        answer: Answer,
+    },
+}
+
+/// The calls that wait for the leader.
+#[derive(Debug, Default)]
+pub struct Relay {
+    members: Vec<EntryName>,
+    leader: Option<EntryName>,
+    open: BTreeMap<u64, Open>,
+    turn: usize,
+}
+
+#[derive(Debug)]
+struct Open {
+    call: Call,
+    give_up_ms: u64,
+    next_ms: u64,
+    sent: bool,
+}
+
+impl Relay {
+    /// The control instances that calls may be sent to.
+    pub fn set_members(&mut self, members: Vec<EntryName>) {
+        self.members = members;
+    }
+
+    /// The control instances that are known.
+    pub fn members(&self) -> &[EntryName] {
+        &self.members
+    }
+
+    /// The leader that is known; calls that wait are sent to it at once.
+    pub fn set_leader(&mut self, now_ms: u64, leader: Option<EntryName>) -> Vec<RelayStep> {
+        if self.leader == leader {
+            return Vec::new();
+        }
+        self.leader = leader;
+        if self.leader.is_none() {
+            return Vec::new();
+        }
+        for open in self.open.values_mut() {
+            open.next_ms = now_ms;
+        }
+        self.tick(now_ms)
+    }
+
+    /// The leader that is known.
+    pub fn leader(&self) -> Option<&EntryName> {
+        self.leader.as_ref()
+    }
+
+    /// How many calls wait.
+    pub fn waiting(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Takes a call, to be given up at `give_up_ms`.
+    pub fn open(&mut self, now_ms: u64, id: u64, call: Call, give_up_ms: u64) -> Vec<RelayStep> {
+        let open = Open {
+            call,
+            give_up_ms,
+            next_ms: now_ms,
+            sent: false,
+        };
+        self.open.insert(id, open);
+        self.tick(now_ms)
+    }
+
+    /// Takes an answer from a control instance.
+    pub fn answered(&mut self, now_ms: u64, id: u64, answer: Answer) -> Vec<RelayStep> {
+        let Some(open) = self.open.get_mut(&id) else {
+            return Vec::new();
+        };
+        let Answer::NotLeader { leader } = answer else {
+            self.open.remove(&id);
+            return vec![RelayStep::Answer { id, answer }];
+        };
+        let news = leader.is_some() && leader != self.leader;
+        open.next_ms = if news { now_ms } else { now_ms + NO_LEADER_MS };
+        self.leader = leader;
+        self.tick(now_ms)
+    }
+
+    /// Forgets a call whose caller left.
+    pub fn forget(&mut self, id: u64) {
+        self.open.remove(&id);
+    }
+
+    /// All calls that wait, for an instance that leads by now.
+    pub fn take_all(&mut self) -> Vec<(u64, Call)> {
+        let open = std::mem::take(&mut self.open);
+        open.into_iter().map(|(id, open)| (id, open.call)).collect()
+    }
+
+    /// Sends what is due and gives up what is over.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<RelayStep> {
+        let mut steps = Vec::new();
+        let over: Vec<u64> = self
+            .open
+            .iter()
+            .filter(|(_, open)| now_ms >= open.give_up_ms)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in over {
+            let sent = self.open.remove(&id).is_some_and(|open| open.sent);
+            steps.push(RelayStep::Answer {
+                id,
+                answer: given_up(sent),
+            });
+        }
+        let due: Vec<u64> = self
+            .open
+            .iter()
+            .filter(|(_, open)| now_ms >= open.next_ms)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in due {
+            steps.extend(self.send(now_ms, id));
+        }
+        steps
+    }
+
+    fn send(&mut self, now_ms: u64, id: u64) -> Option<RelayStep> {
+        let again = self.open.get(&id).is_some_and(|open| open.sent);
+        if again
+            && self
+                .open
+                .get(&id)
+                .is_some_and(|o| now_ms >= o.next_ms + RESEND_MS)
+        {
+            self.leader = None;
+        }
+        let to = self.target()?;
+        let open = self.open.get_mut(&id)?;
+        open.sent = true;
+        open.next_ms = now_ms + RESEND_MS;
+        Some(RelayStep::Send {
+            to,
+            id,
+            call: open.call.clone(),
+        })
+    }
+
+    /// The leader, else the control instances in turn.
+    fn target(&mut self) -> Option<EntryName> {
+        if let Some(leader) = &self.leader {
+            return Some(leader.clone());
+        }
+        self.turn = self.turn.wrapping_add(1);
+        let place = self.turn.checked_rem(self.members.len())?;
+        self.members.get(place).cloned()
+    }
+}
+
+/// A call that never left certainly has no effect; one that left may have one.
+fn given_up(sent: bool) -> Answer {
+    if sent {
+        return Answer::Unknown;
+    }
+    Answer::Refused(super::Refusal::Busy {
+        retry_after_ms: RESEND_MS,
+    })
+}
--- /dev/null
+++ b/src/control/state.rs
@@ -0,0 +1,217 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Change, Command, Configuration, Report, Wave, Worker};
+use crate::codec::CodecError;
+use crate::jobs::{Job, JobId, JobSpec, JobState};
+use crate::model::{InstanceName, PoolName};
+
+/// All that must survive: the configuration, the jobs, the workers that are known
+/// and the waves. The same on every control instance after the same commands.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    configuration: Option<Arc<Configuration>>,
+    jobs: BTreeMap<JobId, Job>,
+    /// Jobs of which something may still start or run.
+    active: BTreeSet<JobId>,
+    workers: BTreeMap<InstanceName, Worker>,
+    waves: BTreeMap<u64, Wave>,
+}
+
+impl State {
+    /// Carries out a command.
+    pub fn apply(&mut self, command: &Command) {
+        for change in &command.changes {
+            self.change(command.at_unix_ms, change);
+        }
+    }
+
+    /// The configuration in force; none before the first.
+    pub fn configuration(&self) -> Option<&Configuration> {
+        self.configuration.as_deref()
+    }
+
+    /// A job, while it is remembered.
+    pub fn job(&self, id: JobId) -> Option<&Job> {
+        self.jobs.get(&id)
+    }
+
+    /// The jobs of which something may still start or run.
+    pub fn active(&self) -> impl Iterator<Item = &Job> {
+        self.active.iter().filter_map(|id| self.jobs.get(id))
+    }
+
+    /// How many accepted jobs of a queue that runs them at once have not started.
+    pub fn pending(&self, queue: &str) -> usize {
+        self.active()
+            .filter(|job| job.queue == queue && job.spec.recurrence.is_none())
+            .filter(|job| job.state() == JobState::Queued)
+            .count()
+    }
+
+    /// The workers by their incarnations.
+    pub fn workers(&self) -> &BTreeMap<InstanceName, Worker> {
+        &self.workers
+    }
+
+    /// A worker, while its incarnation is not over.
+    pub fn worker(&self, name: &InstanceName) -> Option<&Worker> {
+        self.workers.get(name)
+    }
+
+    /// The waves by their numbers.
+    pub fn waves(&self) -> &BTreeMap<u64, Wave> {
+        &self.waves
+    }
+
+    /// The bytes of a snapshot.
+    pub fn encode(&self) -> Vec<u8> {
+        crate::codec::encode(self)
+    }
+
+    /// The state in a snapshot.
+    ///
+    /// # Errors
+    /// The bytes are no snapshot.
+    pub fn decode(bytes: &[u8]) -> Result<Self, CodecError> {
+        crate::codec::decode(bytes)
+    }
+
+    fn change(&mut self, at_unix_ms: u64, change: &Change) {
+        match change {
+            Change::Configure(configuration) => self.configure(configuration),
+            Change::Accept { job, queue, spec } => self.accept(at_unix_ms, *job, queue, spec),
+            Change::Cancel { job } => self.with_job(at_unix_ms, *job, |job| {
+                job.verdict.get_or_insert(JobState::Cancelled);
+            }),
+            Change::Due { job, occurrence } => {
+                self.with_job(at_unix_ms, *job, |job| job.make_due(*occurrence));
+            }
+            Change::Place {
+                task,
+                attempt,
+                worker,
+            } => self.with_job(at_unix_ms, task.job, |job| {
+                job.place(*task, *attempt, worker);
+            }),
+            Change::Unplace {
+                task,
+                attempt,
+                worker,
+            } => self.with_job(at_unix_ms, task.job, |job| {
+                job.unplace(*task, *attempt, worker);
+            }),
+            Change::End {
+                task,
+                attempt,
+                worker,
+                ending,
+                checkpoint,
+            } => self.with_job(at_unix_ms, task.job, |job| {
+                job.end(*task, *attempt, worker, *ending, checkpoint);
+            }),
+            Change::Report(report) => self.report(report),
+            Change::Leave { worker } => {
+                if let Some(worker) = self.workers.get_mut(worker) {
+                    worker.leaving = true;
+                }
+            }
+            Change::Lapse { worker } => self.lapse(at_unix_ms, worker),
+            Change::Gone { worker } => {
+                self.workers.remove(worker);
+                self.lapse(at_unix_ms, worker);
+            }
+            Change::Wave(wave) => {
+                self.waves
+                    .entry(wave.number)
+                    .or_insert_with(|| wave.clone());
+            }
+            Change::UpkeepBegun { wave, machine } => {
+                if let Some(wave) = self.waves.get_mut(wave) {
+                    wave.begun.insert(machine.clone());
+                }
+            }
+            Change::Forget { before_unix_ms } => {
+                let active = &self.active;
+                self.jobs.retain(|id, job| {
+                    active.contains(id) || job.ended_unix_ms.is_none_or(|at| at >= *before_unix_ms)
+                });
+            }
+        }
+    }
+
+    fn configure(&mut self, configuration: &Arc<Configuration>) {
+        let held = self.configuration.as_ref().map(|c| c.version);
+        if held.is_some_and(|held| configuration.version <= held) {
+            return;
+        }
+        // Jobs that wait follow their queue to another pool.
+        for id in &self.active {
+            if let Some(job) = self.jobs.get_mut(id)
+                && let Some(queue) = configuration.queue(&job.queue)
+            {
+                job.pool = queue.pool.clone();
+                job.attempts_max = queue.attempts_max;
+            }
+        }
+        self.configuration = Some(Arc::clone(configuration));
+    }
+
+    fn accept(&mut self, at_unix_ms: u64, id: JobId, queue: &str, spec: &Arc<JobSpec>) {
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let known = self.configuration.as_ref().and_then(|c| c.queue(queue));
+        let (pool, attempts_max) = known.map_or_else(
+            || (PoolName::from(""), 1),
+            |q| (q.pool.clone(), q.attempts_max),
+        );
+        let mut job = Job::new(
+            id,
+            queue.to_owned(),
+            pool,
+            Arc::clone(spec),
+            attempts_max,
+            at_unix_ms,
+        );
+        if spec.recurrence.is_none() {
+            job.make_due(0);
+        }
+        self.jobs.insert(id, job);
+        self.active.insert(id);
+    }
+
+    fn report(&mut self, report: &Arc<Report>) {
+        let worker = Worker {
+            report: Report::clone(report),
+            leaving: false,
+        };
+        let known = self
+            .workers
+            .entry(report.worker.clone())
+            .or_insert_with(|| worker.clone());
+        known.report = worker.report;
+    }
+
+    fn lapse(&mut self, at_unix_ms: u64, worker: &InstanceName) {
+        let ids: Vec<JobId> = self.active.iter().copied().collect();
+        for id in ids {
+            self.with_job(at_unix_ms, id, |job| {
+                job.lapse(worker);
+            });
+        }
+    }
+
+    fn with_job(&mut self, at_unix_ms: u64, id: JobId, change: impl FnOnce(&mut Job)) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        change(job);
+        job.settle(at_unix_ms);
+        if job.verdict.is_some() && job.is_quiet() {
+            self.active.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/src/control/upkeep.rs
@@ -0,0 +1,337 @@
+//! Maintenance waves: which machine is emptied next, and when its upkeep begins.
+//!
+//! Answers a wave that is due while the pools work. Machines are emptied one after
+//! the other: closed for new tasks, their lasting tasks stopped within each step's
+//! disruption budget, their other tasks given some time to end. Emptying the next
+//! goes on while others are down, so that the wave keeps its time with no more
+//! machines down than it allows.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{Fleet, RunPhase, State, Timing, Wave};
+use crate::jobs::{Job, TaskId};
+use crate::model::InstanceName;
+
+/// How long tasks that end by themselves are waited for. Most run a second or two;
+/// what is left then is stopped with its progress saved.
+const PATIENCE_MS: u64 = 2_500;
+/// How long a machine may be down beyond its upkeep before it no longer blocks
+/// others in the plan. Its place in the wave's limit stays taken.
+const BACK_LATE_MS: u64 = 1_500;
+/// Pause after a refusal by the platform.
+const RETRY_MS: u64 = 500;
+
+/// What the leader wants done for waves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum UpkeepStep {
+    /// Stop a run, to start it elsewhere.
+    Stop {
+        /// Where it runs.
+        worker: InstanceName,
+        /// The task.
+        task: TaskId,
+        /// The number of its start.
+        attempt: u32,
+    },
+    /// Begin the upkeep of a machine that is empty.
+    Begin {
+        /// The wave's number.
+        wave: u64,
+        /// The machine.
+        machine: String,
+    },
+}
+
+/// The leader's plan for the waves.
+#[derive(Debug, Default)]
+pub struct Upkeep {
+    /// Machines that are being emptied: since when, and for which wave.
+    emptying: BTreeMap<String, Emptying>,
+    /// Machines whose upkeep has begun and that are not back: since when.
+    down: BTreeMap<String, u64>,
+}
+
+#[derive(Debug)]
+struct Emptying {
+    wave: u64,
+    worker: InstanceName,
+    since_ms: u64,
+    begin: Begin,
+    /// Whether an order was ever left unanswered.
+    doubted: bool,
+    retry_ms: u64,
+}
+
+/// How far the order to begin an upkeep is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Begin {
+    /// Not given, or refused.
+    No,
+    /// On its way.
+    Asked,
+    /// Not answered: it may have begun, so it counts as down until it is known.
+    Doubtful,
+}
+
+impl Upkeep {
+    /// The plan of a leader that begins: a machine whose upkeep has begun and that
+    /// has no worker is down.
+    pub fn new(now_ms: u64, state: &State) -> Self {
+        let back: BTreeSet<&String> = machines(state).map(|(machine, _)| machine).collect();
+        let begun = state.waves().values().flat_map(|w| &w.begun);
+        let down = begun
+            .filter(|machine| !back.contains(machine))
+            .map(|machine| (machine.clone(), now_ms))
+            .collect();
+        Self {
+            emptying: BTreeMap::new(),
+            down,
+        }
+    }
+
+    /// The workers that take no new tasks.
+    pub fn closed(&self) -> impl Iterator<Item = &InstanceName> {
+        self.emptying.values().map(|e| &e.worker)
+    }
+
+    /// The workers whose machines are due for upkeep.
+    pub fn due(state: &State) -> BTreeSet<InstanceName> {
+        let due: BTreeSet<&String> = state.waves().values().flat_map(Wave::due).collect();
+        machines(state)
+            .filter(|(machine, _)| due.contains(machine))
+            .map(|(_, worker)| worker.clone())
+            .collect()
+    }
+
+    /// The upkeep of a machine has begun, or it is gone for good.
+    pub fn begun(&mut self, now_ms: u64, machine: &str) {
+        self.emptying.remove(machine);
+        self.down.insert(machine.to_owned(), now_ms);
+    }
+
+    /// The platform refused the order or did not answer; it is given again soon.
+    pub fn not_begun(&mut self, now_ms: u64, machine: &str, refused: bool) {
+        if let Some(emptying) = self.emptying.get_mut(machine) {
+            let doubtful = !refused || emptying.doubted;
+            emptying.doubted = doubtful;
+            emptying.begin = if doubtful { Begin::Doubtful } else { Begin::No };
+            emptying.retry_ms = now_ms + RETRY_MS;
+        }
+    }
+
+    /// What to do now.
+    pub fn tick(
+        &mut self,
+        now_ms: u64,
+        state: &State,
+        fleet: &Fleet,
+        timing: &Timing,
+    ) -> Vec<UpkeepStep> {
+        let known: BTreeMap<&String, &InstanceName> = machines(state).collect();
+        self.down.retain(|machine, _| !known.contains_key(machine));
+        self.emptying
+            .retain(|machine, e| known.get(machine) == Some(&&e.worker));
+        let mut steps = Vec::new();
+        let mut budget = Budget::new(now_ms, state, fleet);
+        for wave in state.waves().values().filter(|w| !w.is_completed()) {
+            self.choose(now_ms, wave, &known, &budget, state, fleet, timing);
+            self.empty(now_ms, wave, state, fleet, &mut budget, &mut steps);
+        }
+        steps
+    }
+
+    /// Takes up machines to empty, as many as may be down at once.
+    #[allow(clippy::too_many_arguments)]
+    fn choose(
+        &mut self,
+        now_ms: u64,
+        wave: &Wave,
+        known: &BTreeMap<&String, &InstanceName>,
+        budget: &Budget,
+        state: &State,
+        fleet: &Fleet,
+        timing: &Timing,
+    ) {
+        let late = |since_ms: &u64| now_ms > since_ms + timing.upkeep_ms + BACK_LATE_MS;
+        let down = wave.begun.iter().filter_map(|m| self.down.get(m));
+        let soon_back = down.filter(|since| !late(since)).count();
+        let mine = self
+            .emptying
+            .values()
+            .filter(|e| e.wave == wave.number)
+            .count();
+        let at_once = wave.down_max.max(1);
+        // Emptying takes about as long as an upkeep: that many beside those down.
+        let room = (2 * at_once).saturating_sub(mine + soon_back).min(at_once);
+        let mut free: Vec<(&String, &InstanceName)> = wave
+            .due()
+            .filter(|machine| !self.emptying.contains_key(*machine))
+            .filter_map(|machine| Some((machine, *known.get(machine)?)))
+            .filter(|(_, worker)| fleet.link(worker).is_some_and(|l| l.is_heard(now_ms)))
+            .collect();
+        free.sort_by_key(|(machine, worker)| {
+            (
+                budget.obstacles(state, worker),
+                load(state, worker),
+                *machine,
+            )
+        });
+        for (machine, worker) in free.into_iter().take(room) {
+            let emptying = Emptying {
+                wave: wave.number,
+                worker: worker.clone(),
+                since_ms: now_ms,
+                begin: Begin::No,
+                doubted: false,
+                retry_ms: now_ms,
+            };
+            tracing::info!(wave = wave.number, machine, %worker, "upkeep: emptying begins");
+            self.emptying.insert(machine.clone(), emptying);
+        }
+    }
+
+    fn empty(
+        &mut self,
+        now_ms: u64,
+        wave: &Wave,
+        state: &State,
+        fleet: &Fleet,
+        budget: &mut Budget,
+        steps: &mut Vec<UpkeepStep>,
+    ) {
+        let down = wave
+            .begun
+            .iter()
+            .filter(|m| self.down.contains_key(*m))
+            .count();
+        let begins = |e: &&Emptying| e.begin != Begin::No && e.wave == wave.number;
+        let mut busy = down + self.emptying.values().filter(begins).count();
+        for (machine, emptying) in &mut self.emptying {
+            if emptying.wave != wave.number || emptying.begin == Begin::Asked {
+                continue;
+            }
+            let patient = now_ms < emptying.since_ms + PATIENCE_MS;
+            let mut empty = true;
+            for (job, task, attempt) in runs_on(state, &emptying.worker) {
+                empty = false;
+                let step = &job.spec.steps[usize::from(task.step)];
+                let view = fleet.run(&emptying.worker, task, attempt);
+                let stopping = view.is_none_or(|v| v.is_stopping());
+                let starting = view.is_some_and(|v| matches!(v.phase, RunPhase::Starting { .. }));
+                if stopping || starting || (patient && !step.lasting) {
+                    continue;
+                }
+                if budget.take(job, task) {
+                    steps.push(UpkeepStep::Stop {
+                        worker: emptying.worker.clone(),
+                        task,
+                        attempt,
+                    });
+                }
+            }
+            let doubtful = emptying.begin == Begin::Doubtful;
+            let room = doubtful || busy < wave.down_max;
+            if empty && room && now_ms >= emptying.retry_ms {
+                emptying.begin = Begin::Asked;
+                busy += usize::from(!doubtful);
+                steps.push(UpkeepStep::Begin {
+                    wave: wave.number,
+                    machine: machine.clone(),
+                });
+            }
+        }
+    }
+}
+
+/// How many tasks of each lasting step are away, and may be.
+pub(super) struct Budget<'a> {
+    now_ms: u64,
+    fleet: &'a Fleet,
+    /// Tasks that this pass takes away, by step (index 0).
+    taken: BTreeMap<TaskId, usize>,
+}
+
+impl<'a> Budget<'a> {
+    pub(super) fn new(now_ms: u64, _state: &State, fleet: &'a Fleet) -> Self {
+        Self {
+            now_ms,
+            fleet,
+            taken: BTreeMap::new(),
+        }
+    }
+
+    /// Whether the task may be taken away by an order now; counts it if so.
+    ///
+    /// All causes count together: tasks that crashed, start up, are being stopped or
+    /// were not listed lately are away as well. Else a stop on top of a crash takes
+    /// more of a step away than its owner allowed.
+    pub(super) fn take(&mut self, job: &Job, task: TaskId) -> bool {
+        let step = &job.spec.steps[usize::from(task.step)];
+        let (Some(max), true) = (step.disruption_budget, step.lasting) else {
+            return true;
+        };
+        let key = TaskId { index: 0, ..task };
+        let taken = self.taken.get(&key).copied().unwrap_or(0);
+        let allowed = self.away(job, task) + taken < usize::from(max);
+        if allowed {
+            self.taken.insert(key, taken + 1);
+        }
+        allowed
+    }
+
+    /// The other tasks of the step that are not at work.
+    fn away(&self, job: &Job, task: TaskId) -> usize {
+        let Some(occurrence) = job.occurrence(task.occurrence) else {
+            return 0;
+        };
+        let tasks = occurrence.step(usize::from(task.step)).iter().enumerate();
+        tasks
+            .filter(|(index, _)| *index != usize::from(task.index))
+            .filter(|(index, other)| {
+                let id = TaskId {
+                    index: *index as u16,
+                    ..task
+                };
+                !other.runs.iter().any(|run| {
+                    let view = self.fleet.run(&run.worker, id, run.attempt);
+                    view.is_some_and(|v| v.is_at_work(self.now_ms))
+                })
+            })
+            .count()
+    }
+
+    /// Tasks on a worker that may not be taken away at present.
+    fn obstacles(&self, state: &State, worker: &InstanceName) -> usize {
+        runs_on(state, worker)
+            .filter(|(job, task, _)| {
+                let step = &job.spec.steps[usize::from(task.step)];
+                let max = step.disruption_budget.map_or(usize::MAX, usize::from);
+                step.lasting && self.away(job, *task) >= max
+            })
+            .count()
+    }
+}
+
+/// The runs on a worker with their jobs.
+pub(super) fn runs_on<'a>(
+    state: &'a State,
+    worker: &'a InstanceName,
+) -> impl Iterator<Item = (&'a Job, TaskId, u32)> {
+    state.active().flat_map(move |job| {
+        job.runs()
+            .filter(move |(_, run)| run.worker == *worker)
+            .map(move |(task, run)| (job, task, run.attempt))
+    })
+}
+
+fn load(state: &State, worker: &InstanceName) -> usize {
+    runs_on(state, worker).count()
+}
+
+fn machines(state: &State) -> impl Iterator<Item = (&String, &InstanceName)> {
+    state
+        .workers()
+        .iter()
+        .filter(|(_, worker)| !worker.leaving)
+        .filter_map(|(name, worker)| Some((worker.report.machine.as_ref()?, name)))
+}
--- /dev/null
+++ b/src/control/wave.rs
@@ -0,0 +1,32 @@
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+/// A maintenance wave: machines that are each due for upkeep.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wave {
+    /// Its number, chosen by the operator.
+    pub number: u64,
+    /// The machines.
+    pub machines: BTreeSet<String>,
+    /// In what time all of them are due.
+    pub duration_ms: u64,
+    /// How many may be down for it at once.
+    pub down_max: usize,
+    /// When it was accepted, in milliseconds since 1970.
+    pub accepted_unix_ms: u64,
+    /// The machines whose upkeep has begun or that are gone for good.
+    pub begun: BTreeSet<String>,
+}
+
+impl Wave {
+    /// Whether the upkeep of all machines has begun.
+    pub fn is_completed(&self) -> bool {
+        self.machines.is_subset(&self.begun)
+    }
+
+    /// The machines whose upkeep has not begun.
+    pub fn due(&self) -> impl Iterator<Item = &String> {
+        self.machines.difference(&self.begun)
+    }
+}
--- /dev/null
+++ b/src/control/worker_link.rs
@@ -0,0 +1,298 @@
+use std::collections::BTreeMap;
+
+use super::{Ended, Running};
+use crate::jobs::TaskId;
+
+/// What the leader believes of a worker: its clock, its lease, and what runs there.
+///
+/// Nothing here is durable. Another leader begins with an unconfirmed link, which
+/// takes no work until the worker has listed what it has under the new fencing
+/// token: from then on no order of an earlier leader can start anything there.
+#[derive(Debug)]
+pub struct WorkerLink {
+    /// When this leader began to care for it.
+    since_ms: u64,
+    /// The worker's clock, and when it was read.
+    clock: Option<(u64, u64)>,
+    /// The latest lease end that the worker may hold, on its clock.
+    lease_end_ms: u64,
+    lease_ms: u64,
+    /// Whether it has listed everything under this leader's token.
+    confirmed: bool,
+    /// Ends that are durable.
+    pub(super) acknowledged: u64,
+    /// Ends that are on their way into the log.
+    pub(super) proposed: u64,
+    /// When the renewal under way was sent.
+    pub(super) renewal_sent_ms: Option<u64>,
+    /// When the next renewal is due.
+    pub(super) renew_ms: u64,
+    /// Renewals in a row that were not answered.
+    silent: u32,
+    /// No work before this: it refused some, or failed a lot.
+    cooling_until_ms: u64,
+    /// Failures of distinct runs lately.
+    failures: f64,
+    failures_at_ms: u64,
+    /// The runs that the replicated state has there.
+    pub(super) runs: BTreeMap<(TaskId, u32), RunView>,
+}
+
+/// What the leader knows of one run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunView {
+    /// How far the orders are.
+    pub phase: RunPhase,
+    /// How far it is up, 0 to 100, as listed last.
+    pub percent: u8,
+    /// Its tail latency or its processor use, as listed last.
+    pub gauge: Option<u64>,
+    /// When it was listed last.
+    pub listed_ms: Option<u64>,
+    /// The share of its speed that it was given last.
+    pub share_percent: u8,
+}
+
+/// How far the orders for a run are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunPhase {
+    /// An earlier leader's; whether it ever started is not known.
+    Inherited,
+    /// A start is on its way.
+    Starting {
+        /// Starts that were not answered.
+        unanswered: u32,
+    },
+    /// It runs.
+    Running {
+        /// Since when, at the latest.
+        since_ms: u64,
+    },
+    /// It is to be stopped; an order may be on its way.
+    Stopping {
+        /// Whether an order is on its way.
+        ordered: bool,
+        /// When to order it again.
+        again_ms: u64,
+    },
+    /// The worker has taken the stop: it will not start any more.
+    Stopped {
+        /// When.
+        at_ms: u64,
+    },
+}
+
+impl RunView {
+    /// One in this phase, not listed yet.
+    pub fn new(phase: RunPhase) -> Self {
+        Self {
+            phase,
+            percent: 0,
+            gauge: None,
+            listed_ms: None,
+            share_percent: 100,
+        }
+    }
+
+    /// Whether a stop was ordered.
+    pub fn is_stopping(&self) -> bool {
+        matches!(
+            self.phase,
+            RunPhase::Stopping { .. } | RunPhase::Stopped { .. }
+        )
+    }
+
+    /// Whether it is at work, as far as is known.
+    pub fn is_at_work(&self, now_ms: u64) -> bool {
+        let running = matches!(self.phase, RunPhase::Running { .. });
+        let recent = self.listed_ms.is_some_and(|at| now_ms < at + VIEW_MS);
+        running && recent && self.percent >= 100
+    }
+}
+
+/// Age up to which a listing says what is at work: two renewals.
+const VIEW_MS: u64 = 2_500;
+/// The worker's clock runs slower than the leader's by 2 % at most, as promised.
+const SLOWEST_PERCENT: u64 = 98;
+/// Added to a lease that an earlier leader granted, whose end is not known: its
+/// estimate of the worker's clock was off by no more than a call takes.
+const LEASE_DOUBT_MS: u64 = 400;
+/// Pauses after renewals that were not answered: the first retry is quick, for a
+/// connection that broke; later ones cost little while a worker is down.
+const RETRY_MS: [u64; 4] = [50, 200, 500, 1_000];
+/// A worker that was not heard for this long gets no work: a renewal answers
+/// within a second and some.
+const SILENT_MS: u64 = 2_200;
+/// Failures fade by half in this time.
+const FAILURES_HALVE_MS: f64 = 6_000.0;
+/// With this many recent failures a worker rests: two tasks in a row that fail by
+/// their own fault on one worker are rare (one in 500 fails so).
+const FAILURES_MAX: f64 = 2.5;
+/// How long it rests; then one more failure sends it back.
+const FAILURES_REST_MS: u64 = 4_000;
+
+impl WorkerLink {
+    /// A link that this leader begins; runs may be there from earlier leaders.
+    pub fn new(now_ms: u64, lease_ms: u64) -> Self {
+        Self {
+            since_ms: now_ms,
+            clock: None,
+            lease_end_ms: 0,
+            lease_ms,
+            confirmed: false,
+            acknowledged: 0,
+            proposed: 0,
+            renewal_sent_ms: None,
+            renew_ms: now_ms,
+            silent: 0,
+            cooling_until_ms: 0,
+            failures: 0.0,
+            failures_at_ms: now_ms,
+            runs: BTreeMap::new(),
+        }
+    }
+
+    /// Whether it may get work now.
+    pub fn takes_work(&self, now_ms: u64) -> bool {
+        self.confirmed && self.is_heard(now_ms) && now_ms >= self.cooling_until_ms
+    }
+
+    /// Whether it was heard lately.
+    pub fn is_heard(&self, now_ms: u64) -> bool {
+        let heard = self.clock.is_some_and(|(_, at)| now_ms < at + SILENT_MS);
+        heard && self.silent < 2
+    }
+
+    /// When it was heard last, if ever.
+    pub fn heard_ms(&self) -> Option<u64> {
+        self.clock.map(|(_, at_ms)| at_ms)
+    }
+
+    /// Whether it has listed everything under this leader's token.
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed
+    }
+
+    /// The lease end for an order that leaves now; none while the worker's clock is
+    /// not known. It counts from then on, answered or not.
+    pub fn grant(&mut self, now_ms: u64) -> Option<u64> {
+        let (clock_ms, at_ms) = self.clock?;
+        let end_ms = clock_ms + now_ms.saturating_sub(at_ms) + self.lease_ms;
+        self.lease_end_ms = self.lease_end_ms.max(end_ms);
+        Some(end_ms)
+    }
+
+    /// Whether every lease that the worker may hold has run out for certain, even
+    /// if its clock is the slowest that may be.
+    pub fn has_lapsed(&self, now_ms: u64) -> bool {
+        match self.clock {
+            Some((clock_ms, at_ms)) => {
+                let passed_ms = now_ms.saturating_sub(at_ms) * SLOWEST_PERCENT / 100;
+                clock_ms + passed_ms > self.lease_end_ms
+            }
+            None => {
+                let doubt_ms = self.lease_ms + LEASE_DOUBT_MS;
+                now_ms > self.since_ms + doubt_ms * 100 / SLOWEST_PERCENT
+            }
+        }
+    }
+
+    /// Takes its clock from an answer.
+    pub fn heard(&mut self, now_ms: u64, clock_ms: u64) {
+        if self.clock.is_none() {
+            // What an earlier leader granted ends by then.
+            self.lease_end_ms = clock_ms + self.lease_ms + LEASE_DOUBT_MS;
+        }
+        // Answers may overtake each other.
+        if self.clock.is_none_or(|(known_ms, _)| clock_ms >= known_ms) {
+            self.clock = Some((clock_ms, now_ms));
+        }
+    }
+
+    /// A renewal was not answered.
+    pub fn renewal_failed(&mut self, now_ms: u64) {
+        self.renewal_sent_ms = None;
+        let step = (self.silent as usize).min(RETRY_MS.len() - 1);
+        self.renew_ms = now_ms + RETRY_MS[step];
+        self.silent = self.silent.saturating_add(1);
+    }
+
+    /// A renewal was answered: takes the listing. Returns the runs that provably
+    /// are not there and will not start, and whether the runs it lists that nobody
+    /// wants should be stopped is the caller's to say.
+    pub fn listed(
+        &mut self,
+        now_ms: u64,
+        clock_ms: u64,
+        running: &[Running],
+        ended: &[Ended],
+    ) -> Vec<(TaskId, u32)> {
+        let sent_ms = self.renewal_sent_ms.take().unwrap_or(now_ms);
+        self.heard(now_ms, clock_ms);
+        self.silent = 0;
+        self.confirmed = true;
+        for run in running {
+            if let Some(view) = self.runs.get_mut(&(run.task, run.attempt)) {
+                view.percent = run.percent;
+                view.gauge = run.gauge;
+                view.listed_ms = Some(now_ms);
+                if matches!(view.phase, RunPhase::Inherited | RunPhase::Starting { .. }) {
+                    view.phase = RunPhase::Running { since_ms: now_ms };
+                }
+            }
+        }
+        let listed = |key: &(TaskId, u32)| {
+            running.iter().any(|r| (r.task, r.attempt) == *key)
+                || ended.iter().any(|e| (e.task, e.attempt) == *key)
+        };
+        let absent = |key: &(TaskId, u32), view: &RunView| {
+            let settled = match view.phase {
+                RunPhase::Inherited => true,
+                RunPhase::Running { since_ms } => since_ms < sent_ms,
+                RunPhase::Stopped { at_ms } => at_ms < sent_ms,
+                RunPhase::Starting { .. } | RunPhase::Stopping { .. } => false,
+            };
+            settled && !listed(key)
+        };
+        self.runs
+            .iter()
+            .filter(|(key, view)| absent(key, view))
+            .map(|(key, _)| *key)
+            .collect()
+    }
+
+    /// Gives it no work for a while.
+    pub fn cool(&mut self, now_ms: u64, for_ms: u64) {
+        self.cooling_until_ms = self.cooling_until_ms.max(now_ms + for_ms);
+    }
+
+    /// Notes that a run failed there.
+    ///
+    /// A worker that fails everything at once looks the freest of all and draws all
+    /// work to itself: jobs use up their attempts there within a second. So it
+    /// rests after a few failures.
+    pub fn run_failed(&mut self, now_ms: u64) {
+        self.fade(now_ms);
+        self.failures += 1.0;
+        if self.failures >= FAILURES_MAX {
+            self.cool(now_ms, FAILURES_REST_MS);
+        }
+    }
+
+    /// Notes that a run was done there: it works.
+    pub fn run_done(&mut self, now_ms: u64) {
+        self.fade(now_ms);
+        self.failures *= 0.5;
+    }
+
+    /// Recent failures, fading.
+    pub fn failures(&self) -> f64 {
+        self.failures
+    }
+
+    fn fade(&mut self, now_ms: u64) {
+        let passed_ms = now_ms.saturating_sub(self.failures_at_ms) as f64;
+        self.failures *= 0.5_f64.powf(passed_ms / FAILURES_HALVE_MS);
+        self.failures_at_ms = now_ms;
+    }
+}
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -7,13 +7,13 @@
 
 use tokio::sync::watch;
 
-use super::{Effect, Event, Node, NodeSettings};
+use super::{Effect, Event, Node, NodeSettings, PeerFrame};
 use crate::consensus::Recovered;
 use crate::http::{
     Callers, HealthBoard, HttpServer, Limits, OperatorKeys, Operators, Outgoing, OutgoingError,
     Upstreams,
 };
-use crate::link::{LinkError, Links, LinksConfig, PeerKey};
+use crate::link::{Directory, LinkError, Links, LinksConfig, PeerKey};
 use crate::model::EntryName;
 use crate::storage::{self, Disk, StorageError};
 
@@ -122,7 +122,7 @@
         let conf = LinksConfig {
             me: node.me.clone(),
             key: settings.key,
-            peers: settings.peers,
+            peers: Directory::Listed(settings.peers),
         };
         let links = Links::start(conf, listeners.peers, move |from, frame| {
             sink(Event::Peer { from, frame })
@@ -222,7 +222,7 @@
     upstreams: Arc<Upstreams>,
     operators: Arc<Operators>,
     outgoing: Outgoing,
-    links: Links,
+    links: Links<PeerFrame>,
     health: Arc<HealthBoard>,
     disk: Option<Sender<storage::Job>>,
     stop_callers: watch::Sender<bool>,
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -20,5 +20,6 @@
 pub use limits::Limits;
 pub use operators::{OperatorKeys, Operators};
 pub use outgoing::{Outgoing, OutgoingError};
+pub use reply::{Reply, json, set, text, with_type};
 pub use server::{Handler, HttpServer, Incoming};
 pub use upstreams::Upstreams;
--- /dev/null
+++ b/src/jobs/room.rs
@@ -0,0 +1,39 @@
+use serde::{Deserialize, Serialize};
+
+/// What a task asks for or a worker has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Room {
+    /// Thousandths of a core.
+    pub cpu_milli: u32,
+    /// Memory in mebibytes.
+    pub memory_mb: u32,
+    /// Accelerators.
+    pub accelerators: u32,
+}
+
+impl Room {
+    /// Whether `other` fits in.
+    pub fn holds(&self, other: &Self) -> bool {
+        other.cpu_milli <= self.cpu_milli
+            && other.memory_mb <= self.memory_mb
+            && other.accelerators <= self.accelerators
+    }
+
+    /// What is left when `other` is taken out; never below nothing.
+    pub fn less(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// Both together.
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+}
--- /dev/null
+++ b/src/jobs/spec.rs
@@ -0,0 +1,78 @@
+use serde::{Deserialize, Serialize};
+
+use super::{Recurrence, SpecFault, Step};
+
+/// The largest payload, in bytes, as promised to callers.
+pub const PAYLOAD_LIMIT_BYTES: usize = 4000;
+
+/// The most tasks of one occurrence: one command of the log has to hold them, and
+/// several hundred times today's widest job.
+const TASKS_MAX: usize = 10_000;
+
+/// A job as its caller hands it in.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobSpec {
+    /// Handed to each task as it is.
+    pub payload: String,
+    /// The steps, each after those that it depends on.
+    pub steps: Vec<Step>,
+    /// When it recurs; none for a job that runs once, now.
+    pub recurrence: Option<Recurrence>,
+}
+
+impl JobSpec {
+    /// Checks it.
+    ///
+    /// # Errors
+    /// The first fault found.
+    pub fn check(&self) -> Result<(), SpecFault> {
+        if self.payload.len() > PAYLOAD_LIMIT_BYTES {
+            return Err(SpecFault::LargePayload {
+                size_bytes: self.payload.len(),
+                limit_bytes: PAYLOAD_LIMIT_BYTES,
+            });
+        }
+        if self.steps.is_empty() {
+            return Err(SpecFault::NoStep);
+        }
+        let tasks = self.steps.iter().map(|s| usize::from(s.tasks)).sum();
+        if tasks > TASKS_MAX {
+            return Err(SpecFault::ManyTasks {
+                tasks,
+                limit: TASKS_MAX,
+            });
+        }
+        for (step, spec) in self.steps.iter().enumerate() {
+            if spec.tasks == 0 {
+                return Err(SpecFault::NoTask { step });
+            }
+            if let Some(on) = spec.after.iter().find(|on| usize::from(**on) >= step) {
+                return Err(SpecFault::WrongOrder { step, on: *on });
+            }
+        }
+        Ok(())
+    }
+
+    /// How many occurrences it has.
+    pub fn occurrences(&self) -> u32 {
+        self.recurrence.map_or(1, |r| r.times)
+    }
+
+    /// Whether a step of it lasts until the job is cancelled.
+    pub fn lasts(&self) -> bool {
+        self.steps.iter().any(|s| s.lasting)
+    }
+
+    /// The longest chain of estimated run times from each step to the end, in
+    /// milliseconds.
+    pub fn chains_ms(&self) -> Vec<u64> {
+        let mut chains: Vec<u64> = self.steps.iter().map(|s| s.estimate_ms).collect();
+        for step in (0..self.steps.len()).rev() {
+            for on in &self.steps[step].after {
+                let on = usize::from(*on);
+                chains[on] = chains[on].max(self.steps[on].estimate_ms + chains[step]);
+            }
+        }
+        chains
+    }
+}
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -18,4 +18,4 @@
 
 pub use error::LinkError;
 pub use peer_key::PeerKey;
-pub use runtime::{Links, LinksConfig};
+pub use runtime::{Directory, Links, LinksConfig};
--- a/src/link/receiver.rs
+++ b/src/link/receiver.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
@@ -10,7 +11,6 @@
 use super::frame::Opener;
 use super::peer_key::Place;
 use super::runtime::LinksConfig;
-use crate::entry::PeerFrame;
 use crate::model::EntryName;
 
 /// How long a connection may be silent: the sender pings about three times in
@@ -21,10 +21,10 @@
 const CONNECTIONS_MAX: usize = 64;
 
 /// Hands frames from all peers to `sink` until it says that it is closed.
-pub async fn run(
+pub async fn run<F: DeserializeOwned + Send + 'static>(
     conf: LinksConfig,
     listener: TcpListener,
-    sink: Arc<dyn Fn(EntryName, PeerFrame) -> bool + Send + Sync>,
+    sink: Arc<dyn Fn(EntryName, F) -> bool + Send + Sync>,
 ) {
     let room = Arc::new(Semaphore::new(CONNECTIONS_MAX));
     loop {
@@ -49,10 +49,10 @@
     }
 }
 
-async fn session(
+async fn session<F: DeserializeOwned>(
     conf: LinksConfig,
     stream: TcpStream,
-    sink: Arc<dyn Fn(EntryName, PeerFrame) -> bool + Send + Sync>,
+    sink: Arc<dyn Fn(EntryName, F) -> bool + Send + Sync>,
 ) -> Result<(), LinkError> {
     stream.set_nodelay(true)?;
     let mut connection = timeout(SILENCE, h2::server::handshake(stream))
@@ -86,11 +86,11 @@
     }
 }
 
-async fn read_frames(
+async fn read_frames<F: DeserializeOwned>(
     from: EntryName,
     mut body: h2::RecvStream,
     mut opener: Opener,
-    sink: Arc<dyn Fn(EntryName, PeerFrame) -> bool + Send + Sync>,
+    sink: Arc<dyn Fn(EntryName, F) -> bool + Send + Sync>,
 ) -> Result<(), LinkError> {
     loop {
         let data: Bytes = timeout(SILENCE, body.data())
@@ -100,7 +100,7 @@
         opener.push(&data);
         body.flow_control().release_capacity(data.len())?;
         while let Some(payload) = opener.next()? {
-            let frame = crate::codec::decode::<PeerFrame>(&payload)?;
+            let frame = crate::codec::decode::<F>(&payload)?;
             if !sink(from.clone(), frame) {
                 return Ok(());
             }
--- a/src/link/sender.rs
+++ b/src/link/sender.rs
@@ -1,5 +1,5 @@
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use h2::client::SendRequest;
@@ -18,6 +18,10 @@
 /// Pause between two tries to connect; short, so that a cut that ends is noticed
 /// well before leases run out.
 const RETRY: Duration = Duration::from_millis(100);
+/// A peer found by its address that was not reached for this long is given up; the
+/// next frame for it begins anew. Else a machine that was removed would be called
+/// for ever.
+const GIVE_UP: Duration = Duration::from_secs(5);
 /// How often the peer is asked for a sign of life. A connection that something
 /// in between has forgotten stays open and swallows everything; only a missing
 /// answer shows it.
@@ -32,11 +36,20 @@
     address: SocketAddr,
     mut queue: mpsc::Receiver<Vec<u8>>,
 ) {
+    let mut up = Instant::now();
     loop {
+        let began = Instant::now();
         match session(&conf, &peer, address, &mut queue).await {
             Ok(()) => return,
             Err(err) => tracing::debug!("link: to {peer} ended: {err}"),
         }
+        if began.elapsed() > GIVE_UP {
+            up = Instant::now();
+        }
+        if conf.gives_up() && up.elapsed() > GIVE_UP {
+            tracing::info!(%peer, "link: given up until there is something to send");
+            return;
+        }
         // What was queued while the link was down is old: the log sends again
         // what is missing, and gossip repeats itself.
         while queue.try_recv().is_ok() {}
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,14 +1,25 @@
-//! Logs: short sentences on standard error, each with the prefix of its part.
+//! Logs: short sentences on standard error, each with the prefix of its part; or, on
+//! machines that collect them, JSON lines on standard output.
+
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 
 use tracing_subscriber::EnvFilter;
-use tracing_subscriber::fmt;
+use tracing_subscriber::fmt::MakeWriter;
 
 use crate::config::{LogFormat, LogSettings};
 
+/// Lines that may wait for standard output. A reader that stalls costs at most this
+/// many lines of some 200 bytes of memory; what comes beyond is dropped and counted.
+const QUEUE_LINES: usize = 4_096;
+/// The level of a process on collected logs, unless `RUST_LOG` says otherwise.
+const DEFAULT_LEVEL: &str = "info";
+
 /// Starts logging; a second call changes nothing.
 pub fn start(settings: &LogSettings) {
     let filter = EnvFilter::try_new(&settings.level).unwrap_or_else(|_| EnvFilter::new("info"));
-    let lines = fmt()
+    let lines = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_writer(std::io::stderr)
         .with_target(false);
@@ -18,3 +29,88 @@
         LogFormat::Json => lines.json().try_init(),
     };
 }
+
+/// Starts logging JSON lines on standard output without ever waiting for it; a
+/// second call changes nothing.
+pub fn start_lines() {
+    let filter =
+        EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(DEFAULT_LEVEL));
+    let lines = tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_env_filter(filter)
+        .with_target(false)
+        .with_writer(Lines::to(io::stdout()));
+    // An error means that logging was started before, as in a test.
+    let _ = lines.try_init();
+}
+
+/// Hands lines to a thread that writes them, and drops those for which there is no
+/// room.
+///
+/// A write to a full pipe waits for its reader. On the thread that makes decisions
+/// this stalls every caller, and leases run out, because a log collector hangs.
+#[derive(Clone, Debug)]
+pub struct Lines {
+    queue: SyncSender<Vec<u8>>,
+    dropped: std::sync::Arc<AtomicU64>,
+}
+
+impl Lines {
+    /// Lines to this writer, written by a thread of their own.
+    pub fn to(writer: impl Write + Send + 'static) -> Self {
+        let (queue, lines) = sync_channel(QUEUE_LINES);
+        let dropped = std::sync::Arc::new(AtomicU64::new(0));
+        let counted = std::sync::Arc::clone(&dropped);
+        let thread = std::thread::Builder::new()
+            .name("logs".into())
+            .spawn(move || write_lines(&lines, &counted, writer));
+        if let Err(err) = thread {
+            eprintln!("logs: no thread to write them: {err}");
+        }
+        Self { queue, dropped }
+    }
+
+    /// Lines dropped since the last one that said how many.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+}
+
+fn write_lines(lines: &Receiver<Vec<u8>>, dropped: &AtomicU64, mut writer: impl Write) {
+    while let Ok(line) = lines.recv() {
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        let said = match lost {
+            0 => Ok(()),
+            lost => writeln!(
+                writer,
+                "{{\"level\":\"WARN\",\"message\":\"logs: lines were dropped\",\"lines\":{lost}}}"
+            ),
+        };
+        // Nobody reads any more: there is nowhere left to say so.
+        if said.and_then(|()| writer.write_all(&line)).is_err() {
+            return;
+        }
+    }
+}
+
+impl Write for Lines {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        if let Err(TrySendError::Full(_)) = self.queue.try_send(line.to_vec()) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl<'a> MakeWriter<'a> for Lines {
+    type Writer = Self;
+
+    fn make_writer(&'a self) -> Self {
+        self.clone()
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -25,6 +25,9 @@
     /// Run an entry instance.
     #[command(long_about = cmd::serve::HELP)]
     Serve(cmd::serve::Args),
+    /// Run an instance on machines whose platform writes its settings.
+    #[command(long_about = cmd::platform::HELP)]
+    Platform(cmd::platform::Args),
     /// Check a settings file.
     #[command(long_about = cmd::check::HELP)]
     Check(cmd::check::Args),
@@ -77,6 +80,7 @@
     match command {
         Command::Demo(args) => cmd::demo::run(args),
         Command::Serve(args) => cmd::serve::run(args),
+        Command::Platform(args) => cmd::platform::run(args),
         Command::Check(args) => cmd::check::run(args),
         Command::Table(args) => cmd::table::run(args),
         Command::Pool(args) => cmd::pool::run(args),
--- /dev/null
+++ b/src/platform/entry_calls.rs
@@ -0,0 +1,105 @@
+use std::sync::Arc;
+
+use http::{Method, StatusCode};
+use serde_json::json;
+
+use super::incoming::{done, refused, unknown};
+use super::read_job;
+use crate::control::{Answer, Call, Desk, Place};
+use crate::http::{Handler, Incoming, Reply, text};
+use crate::jobs::JobState;
+
+/// How long a caller waits, in milliseconds.
+const DEADLINE_HEADER: &str = "deadline-ms";
+/// If the caller does not say: the shortest time that queues usually allow.
+const PATIENCE_MS: u64 = 2_500;
+/// Kept for the answer's way back.
+const RESERVE_MS: u64 = 150;
+
+/// Callers' calls at an entry instance.
+#[derive(Debug)]
+pub struct EntryCalls {
+    desk: Arc<Desk>,
+}
+
+impl EntryCalls {
+    /// Calls that are handed in at a desk.
+    pub fn new(desk: Arc<Desk>) -> Self {
+        Self { desk }
+    }
+
+    /// What answers callers.
+    pub fn handler(self) -> Handler {
+        let calls = Arc::new(self);
+        Arc::new(move |incoming| {
+            let calls = Arc::clone(&calls);
+            Box::pin(async move { calls.answer(incoming).await })
+        })
+    }
+
+    async fn answer(&self, incoming: Incoming) -> Reply {
+        let patience_ms = incoming
+            .header(DEADLINE_HEADER)
+            .and_then(|text| text.parse::<u64>().ok())
+            .unwrap_or(PATIENCE_MS);
+        let patience_ms = patience_ms.saturating_sub(RESERVE_MS).max(RESERVE_MS);
+        let place = Place {
+            host: host(&incoming),
+            path: incoming.head.uri.path().to_owned(),
+        };
+        let method = incoming.head.method.clone();
+        let call = match method {
+            Method::POST => Call::Submit {
+                place,
+                spec: read_spec(&incoming.body),
+            },
+            Method::GET => Call::Look { place },
+            Method::DELETE => Call::Cancel { place },
+            _ => return text(StatusCode::METHOD_NOT_ALLOWED, "use POST, GET or DELETE\n"),
+        };
+        let answer = self.desk.call(call, patience_ms).await;
+        reply(&method, &answer)
+    }
+}
+
+fn read_spec(body: &[u8]) -> Option<Arc<crate::jobs::JobSpec>> {
+    match read_job(body) {
+        Ok(spec) => Some(Arc::new(spec)),
+        Err(err) => {
+            tracing::info!(%err, "entry: a job cannot be read");
+            None
+        }
+    }
+}
+
+fn host(incoming: &Incoming) -> String {
+    let named = incoming.header("host").unwrap_or("");
+    let host = named.rsplit_once(':').map_or(named, |(host, _)| host);
+    host.to_owned()
+}
+
+fn reply(method: &Method, answer: &Answer) -> Reply {
+    match answer {
+        Answer::Done => done(&json!({})),
+        Answer::Job(state) => done(&json!({ "state": state_name(*state) })),
+        Answer::Pending(count) => done(&json!({ "pending": count })),
+        Answer::Refused(refusal) if *method == Method::POST => {
+            refused(refusal, StatusCode::BAD_REQUEST)
+        }
+        Answer::Refused(refusal) => refused(refusal, StatusCode::GONE),
+        Answer::Unknown
+        | Answer::NotLeader { .. }
+        | Answer::Configuration(_)
+        | Answer::Wave { .. } => unknown(StatusCode::GATEWAY_TIMEOUT),
+    }
+}
+
+fn state_name(state: JobState) -> &'static str {
+    match state {
+        JobState::Queued => "queued",
+        JobState::Running => "running",
+        JobState::Completed => "completed",
+        JobState::Failed => "failed",
+        JobState::Cancelled => "cancelled",
+    }
+}
--- /dev/null
+++ b/src/platform/jobs.rs
@@ -0,0 +1,107 @@
+//! Jobs as callers write them.
+
+use serde::Deserialize;
+
+use crate::jobs::{JobSpec, Recurrence, Room, Step};
+
+/// A job; fields that are 0, false or empty are left out on the wire.
+#[derive(Deserialize)]
+struct WireJob {
+    /// Handed to the tasks as it is; not a specification.
+    #[serde(default)]
+    spec: String,
+    /// The steps.
+    phases: Vec<WireStep>,
+    #[serde(default)]
+    times: u32,
+    #[serde(default)]
+    start_at_ms: u64,
+    #[serde(default)]
+    interval_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct WireStep {
+    #[serde(default)]
+    count: u16,
+    #[serde(default)]
+    cpu: u32,
+    #[serde(default)]
+    mem_mb: u32,
+    #[serde(default)]
+    gpu: u32,
+    #[serde(default)]
+    estimate_ms: u64,
+    #[serde(default)]
+    depends_on: Vec<u16>,
+    #[serde(default)]
+    checkpointing: bool,
+    #[serde(default)]
+    gang: bool,
+    #[serde(default)]
+    rack_local: bool,
+    #[serde(default)]
+    required_label: String,
+    #[serde(default)]
+    data_rack: String,
+    #[serde(default)]
+    max_per_server: u16,
+    /// Copies may run in parallel.
+    #[serde(default)]
+    speculative: bool,
+    #[serde(default)]
+    long_running: bool,
+    #[serde(default)]
+    image: String,
+    #[serde(default)]
+    target_ms: u64,
+    /// Gets only the processor time that others leave.
+    #[serde(default)]
+    fills: bool,
+    /// Absent and 0 differ: 0 allows no disruption at all.
+    missable: Option<u16>,
+}
+
+/// Reads a job.
+///
+/// # Errors
+/// It is no JSON, or a field is of another type.
+pub fn read_job(body: &[u8]) -> Result<JobSpec, serde_json::Error> {
+    let job: WireJob = serde_json::from_slice(body)?;
+    let recurrence = (job.times > 0).then_some(Recurrence {
+        times: job.times,
+        start_unix_ms: job.start_at_ms,
+        interval_ms: job.interval_ms,
+    });
+    Ok(JobSpec {
+        payload: job.spec,
+        steps: job.phases.into_iter().map(step).collect(),
+        recurrence,
+    })
+}
+
+fn step(wire: WireStep) -> Step {
+    let text = |text: String| (!text.is_empty()).then_some(text);
+    Step {
+        tasks: wire.count,
+        demand: Room {
+            cpu_milli: wire.cpu,
+            memory_mb: wire.mem_mb,
+            accelerators: wire.gpu,
+        },
+        estimate_ms: wire.estimate_ms,
+        after: wire.depends_on,
+        checkpoints: wire.checkpointing,
+        gang: wire.gang,
+        rack_local: wire.rack_local,
+        label: text(wire.required_label),
+        data_rack: text(wire.data_rack),
+        per_worker_max: (wire.max_per_server > 0).then_some(wire.max_per_server),
+        copies: wire.speculative,
+        lasting: wire.long_running,
+        image: wire.image,
+        tail_target_ms: (wire.target_ms > 0).then_some(wire.target_ms),
+        best_effort: wire.fills,
+        disruption_budget: wire.long_running.then(|| wire.missable.unwrap_or(0)),
+    }
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,32 @@
+//! The adapter to the users' machines: their names, formats and calls.
+//!
+//! Nothing here decides. What comes in is decoded once into the product's own types,
+//! whose fields say what they hold; what goes out is encoded from them. No other
+//! module knows the platform's names.
+
+mod advisor;
+mod client;
+mod configuration;
+mod control_calls;
+mod entry_calls;
+mod incoming;
+mod jobs;
+mod machines;
+mod outside;
+mod reader;
+mod reports;
+mod serve;
+mod settings;
+mod settings_fault;
+mod workers;
+
+pub use client::{Client, ClientError};
+pub use configuration::read_configuration;
+pub use control_calls::ControlCalls;
+pub use entry_calls::EntryCalls;
+pub use jobs::read_job;
+pub use outside::Platform;
+pub use reports::read_report;
+pub use serve::{ServeError, serve_control, serve_entry};
+pub use settings::{SETTINGS_VARIABLE, Settings};
+pub use settings_fault::SettingsFault;
--- /dev/null
+++ b/src/platform/outside.rs
@@ -0,0 +1,61 @@
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::{Client, Settings, advisor, machines, workers};
+use crate::control::{Local, MachineOrder, MachineOutcome, Order, OrderOutcome, Outside};
+use crate::jobs::TaskId;
+use crate::model::InstanceName;
+
+/// The users' platform as the control instances see it.
+#[derive(Debug)]
+pub struct Platform {
+    client: Rc<Client>,
+    holder: String,
+    keeper: Option<SocketAddr>,
+    advisor: Option<SocketAddr>,
+}
+
+impl Platform {
+    /// The platform that the settings tell of.
+    pub fn new(settings: &Settings) -> Self {
+        Self {
+            client: Rc::default(),
+            holder: settings.node.clone(),
+            keeper: settings.keeper,
+            advisor: settings.advisor,
+        }
+    }
+}
+
+impl Outside for Platform {
+    fn order(&self, order: Order) -> Local<OrderOutcome> {
+        let client = Rc::clone(&self.client);
+        Box::pin(async move { workers::order(&client, order).await })
+    }
+
+    fn order_machine(&self, order: MachineOrder) -> Local<MachineOutcome> {
+        let client = Rc::clone(&self.client);
+        let (keeper, holder) = (self.keeper, self.holder.clone());
+        Box::pin(async move {
+            match keeper {
+                Some(keeper) => machines::order(&client, keeper, &holder, order).await,
+                None => MachineOutcome::Overloaded,
+            }
+        })
+    }
+
+    fn advise(
+        &self,
+        step: TaskId,
+        workers: Vec<InstanceName>,
+        timeout_ms: u64,
+    ) -> Local<Option<Vec<(InstanceName, String)>>> {
+        let client = Rc::clone(&self.client);
+        let advisor = self.advisor;
+        Box::pin(async move {
+            let limit = Duration::from_millis(timeout_ms);
+            advisor::ask(&client, advisor?, step, &workers, limit).await
+        })
+    }
+}
--- /dev/null
+++ b/src/platform/serve.rs
@@ -0,0 +1,266 @@
+//! Puts the pieces of a process together on the users' machines.
+
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::time::Duration;
+
+use http::StatusCode;
+use signal_hook::consts::{SIGHUP, SIGTERM};
+use signal_hook::iterator::Signals;
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+
+use super::{ControlCalls, EntryCalls, Platform, Settings, SettingsFault};
+use crate::control::{
+    self, Desk, Driver, Gateway, Node, NodeSettings, PeerMessage, Signal, steady_ms, unix_ms,
+};
+use crate::http::{Handler, HttpServer, Limits, text};
+use crate::link::{Directory, LinkError, Links, LinksConfig, PeerKey};
+use crate::model::EntryName;
+use crate::storage::{self, Disk, StorageError};
+
+/// The platform hands out no secret that only instances share, so the key only
+/// tells this protocol from others that knock at its port.
+const LINK_KEY: &[u8] = b"rosemarygauge links, version 1";
+/// The largest body at a control instance: a report has 4 MiB at most.
+const CONTROL_BODY_BYTES: usize = 4 << 20;
+/// An idle connection is kept for as long as the callers' side promises.
+const IDLE: Duration = Duration::from_secs(15);
+/// The last moments of a planned stop, for answers on their way.
+const LINGER: Duration = Duration::from_millis(150);
+
+/// Why a process cannot go on.
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+pub enum ServeError {
+    /// The settings are wrong; all that is.
+    #[display("{}", list(_0))]
+    #[error(ignore)]
+    #[from(skip)]
+    Settings(Vec<SettingsFault>),
+    /// A listener, thread or runtime cannot be set up.
+    #[display("{_0}")]
+    Io(std::io::Error),
+    /// The links cannot be set up.
+    #[display("{_0}")]
+    Link(LinkError),
+    /// The data folder cannot be used.
+    #[display("{_0}")]
+    Storage(StorageError),
+}
+
+fn list(faults: &[SettingsFault]) -> String {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+struct PeerLinks(Links<PeerMessage>);
+
+impl control::Links for PeerLinks {
+    fn send(&self, to: &EntryName, message: &PeerMessage) {
+        self.0.send(to, message);
+    }
+}
+
+/// Runs a control instance until its planned stop.
+///
+/// # Errors
+/// It cannot be set up, or its data folder failed.
+pub fn serve_control(settings: Settings) -> Result<(), ServeError> {
+    let folder = settings.data_folder.clone();
+    let folder = folder.ok_or_else(|| missing("data_dir", "the folder of a control instance"))?;
+    let control = settings
+        .control
+        .ok_or_else(|| missing("listen.control", "an address IP:PORT"))?;
+    let (disk, recovered) = Disk::open(&folder)?;
+    let (signals, signalled) = unbounded_channel();
+    let disk = start_disk(disk, signals.clone())?;
+    let links = start_links(&settings, signals.clone())?;
+    let (desk, calls) = Desk::new(rand::random::<u64>() >> 1);
+    let node = NodeSettings {
+        me: settings.me(),
+        seeds: settings.seed_names(),
+        first_start: settings.first_start,
+        losses_borne: settings.losses_borne,
+        timing: settings.timing,
+        seed: rand::random(),
+    };
+    let node = Node::new(node, recovered, unix_ms(), steady_ms());
+    let outside = Rc::new(Platform::new(&settings));
+    let handler = ControlCalls::new(Arc::clone(&desk), settings.clone()).handler();
+    watch_signals(signals)?;
+    run(async move {
+        let (stop, stopped) = watch::channel(false);
+        let limits = Limits {
+            body_bytes: CONTROL_BODY_BYTES,
+            head_timeout: IDLE,
+            ..Limits::default()
+        };
+        let server = tokio::task::spawn_local(
+            server("control", listen(control)?, limits, handler).run(stopped),
+        );
+        tracing::info!(%control, "serve: a control instance is up");
+        let driver = Driver::new(desk, calls, signalled, links);
+        driver.run_control(node, disk, outside).await?;
+        stop.send_replace(true);
+        let _ = tokio::time::timeout(LINGER, server).await;
+        Ok(())
+    })
+}
+
+/// Runs an entry instance until its planned stop.
+///
+/// # Errors
+/// It cannot be set up.
+pub fn serve_entry(settings: Settings) -> Result<(), ServeError> {
+    let wanted = "an address IP:PORT";
+    let front = settings
+        .front
+        .ok_or_else(|| missing("listen.front", wanted))?;
+    let ready = settings
+        .ready
+        .ok_or_else(|| missing("listen.ready", wanted))?;
+    let (signals, signalled) = unbounded_channel();
+    let links = start_links(&settings, signals.clone())?;
+    let (desk, calls) = Desk::new(rand::random::<u64>() >> 1);
+    let gateway = Gateway::new(settings.seed_names());
+    let grace_ms = settings.timing.grace_ms;
+    watch_signals(signals)?;
+    run(async move {
+        let (stop, stopped) = watch::channel(false);
+        let limits = Limits {
+            head_timeout: IDLE,
+            ..Limits::default()
+        };
+        let callers = EntryCalls::new(Arc::clone(&desk)).handler();
+        let health = health(Arc::clone(&desk));
+        let callers = server("callers", listen(front)?, limits, callers).run(stopped.clone());
+        let callers = tokio::task::spawn_local(callers);
+        let health = server("health", listen(ready)?, limits, health).run(stopped);
+        tokio::task::spawn_local(health);
+        tracing::info!(%front, "serve: an entry instance is up");
+        let driver = Driver::new(desk, calls, signalled, links);
+        driver.run_entry(gateway, grace_ms).await;
+        stop.send_replace(true);
+        let _ = tokio::time::timeout(LINGER, callers).await;
+        Ok(())
+    })
+}
+
+fn run(work: impl Future<Output = Result<(), ServeError>>) -> Result<(), ServeError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let ended = LocalSet::new().block_on(&runtime, work);
+    tracing::info!("serve: stopped");
+    ended
+}
+
+fn missing(field: &str, wanted: &'static str) -> ServeError {
+    ServeError::Settings(vec![SettingsFault::Missing {
+        field: field.to_owned(),
+        wanted,
+    }])
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, ServeError> {
+    Ok(TcpListener::bind(address)?)
+}
+
+fn server(
+    name: &'static str,
+    listener: TcpListener,
+    limits: Limits,
+    handler: Handler,
+) -> HttpServer {
+    HttpServer {
+        name,
+        listener,
+        limits,
+        handler,
+    }
+}
+
+fn health(desk: Arc<Desk>) -> Handler {
+    Arc::new(move |_| {
+        let ready = desk.board().ready;
+        Box::pin(async move {
+            match ready {
+                true => text(StatusCode::OK, "ready\n"),
+                false => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            }
+        })
+    })
+}
+
+fn start_links(
+    settings: &Settings,
+    signals: UnboundedSender<Signal>,
+) -> Result<PeerLinks, ServeError> {
+    let conf = LinksConfig {
+        me: settings.me(),
+        key: PeerKey::from(LINK_KEY.to_vec()),
+        peers: Directory::ByAddress {
+            port: settings.link_port,
+        },
+    };
+    let listener = listen((settings.ip, settings.link_port).into())?;
+    let links = Links::start(conf, listener, move |from, message| {
+        signals.send(Signal::Peer(from, message)).is_ok()
+    })?;
+    Ok(PeerLinks(links))
+}
+
+fn start_disk(
+    disk: Disk,
+    signals: UnboundedSender<Signal>,
+) -> Result<mpsc::Sender<storage::Job>, ServeError> {
+    let (tx, rx) = mpsc::channel();
+    storage::spawn(disk, rx, move |synced| {
+        let signal = match synced {
+            Ok(token) => Signal::Persisted(token),
+            Err(err) => Signal::DiskFailed(err),
+        };
+        // The loop has ended if nobody takes it.
+        let _ = signals.send(signal);
+    })?;
+    Ok(tx)
+}
+
+/// Hands planned stops and changed settings to the loop.
+fn watch_signals(signals: UnboundedSender<Signal>) -> Result<(), ServeError> {
+    let mut watched = Signals::new([SIGTERM, SIGHUP])?;
+    std::thread::Builder::new()
+        .name("signals".into())
+        .spawn(move || {
+            for signal in watched.forever() {
+                let signal = match signal {
+                    SIGHUP => reload(),
+                    _ => Some(Signal::Stop),
+                };
+                if signal.is_some_and(|signal| signals.send(signal).is_err()) {
+                    return;
+                }
+            }
+        })?;
+    Ok(())
+}
+
+/// Reads the settings again; wrong ones change nothing.
+fn reload() -> Option<Signal> {
+    match Settings::load() {
+        Ok(settings) => {
+            tracing::info!(seeds = ?settings.seeds, "serve: the settings are read again");
+            Some(Signal::Found(settings.seed_names()))
+        }
+        Err(faults) => {
+            tracing::error!(
+                faults = list(&faults),
+                "serve: the changed settings are wrong"
+            );
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/workers.rs
@@ -0,0 +1,236 @@
+//! Orders to workers: how each is written, and how the answer is read.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use super::Client;
+use crate::control::{Ended, Order, OrderKind, OrderOutcome, Rejection, Running};
+use crate::jobs::Ending;
+
+/// Names the incarnation that an order is meant for.
+const INCARNATION_HEADER: &str = "expect-instance";
+
+#[derive(Serialize)]
+struct StartBody<'a> {
+    task: String,
+    attempt: u32,
+    spec: &'a str,
+    /// The end of the worker's lease, on its clock; not a deadline of the task.
+    deadline_ms: u64,
+    fencing_token: u64,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    checkpoint: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ticket: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+struct StopBody {
+    task: String,
+    attempt: u32,
+    fencing_token: u64,
+}
+
+#[derive(Serialize)]
+struct RenewBody {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    deadline_ms: Option<u64>,
+    fencing_token: u64,
+    ack_seq: u64,
+    wait_ms: u64,
+}
+
+#[derive(Serialize)]
+struct PaceBody {
+    task: String,
+    attempt: u32,
+    percent: u8,
+    fencing_token: u64,
+}
+
+#[derive(Default, Deserialize)]
+struct ShortAnswer {
+    clock_ms: Option<u64>,
+    reason: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Listing {
+    clock_ms: u64,
+    #[serde(default)]
+    running: Vec<Value>,
+    #[serde(default)]
+    finished: Vec<Value>,
+}
+
+/// Carries out an order.
+pub(super) async fn order(client: &Client, order: Order) -> OrderOutcome {
+    let (path, body) = written(&order);
+    let request = Request::post(path)
+        .header("host", order.address.to_string())
+        .header("content-type", "application/json")
+        .header(INCARNATION_HEADER, order.worker.as_str())
+        .body(Full::new(Bytes::from(body)));
+    let Ok(request) = request else {
+        tracing::error!(worker = %order.worker, "worker: an order cannot be written");
+        return OrderOutcome::Unanswered;
+    };
+    let limit = Duration::from_millis(order.timeout_ms);
+    match client.call(order.address, request, limit).await {
+        Ok((status, body)) => read(&order.kind, status, &body),
+        Err(err) => {
+            tracing::debug!(worker = %order.worker, %err, "worker: an order is not answered");
+            OrderOutcome::Unanswered
+        }
+    }
+}
+
+fn written(order: &Order) -> (&'static str, Vec<u8>) {
+    let fencing_token = order.fence;
+    let (path, body) = match &order.kind {
+        OrderKind::Start {
+            task,
+            attempt,
+            payload,
+            lease_end_ms,
+            checkpoint,
+            ticket,
+        } => (
+            "/run-start",
+            serde_json::to_vec(&StartBody {
+                task: task.to_string(),
+                attempt: *attempt,
+                spec: payload,
+                deadline_ms: *lease_end_ms,
+                fencing_token,
+                checkpoint,
+                ticket: ticket.as_deref(),
+            }),
+        ),
+        OrderKind::Stop { task, attempt } => (
+            "/run-stop",
+            serde_json::to_vec(&StopBody {
+                task: task.to_string(),
+                attempt: *attempt,
+                fencing_token,
+            }),
+        ),
+        OrderKind::Renew {
+            lease_end_ms,
+            acknowledged,
+            wait_ms,
+        } => (
+            "/hold",
+            serde_json::to_vec(&RenewBody {
+                deadline_ms: *lease_end_ms,
+                fencing_token,
+                ack_seq: *acknowledged,
+                wait_ms: *wait_ms,
+            }),
+        ),
+        OrderKind::Throttle {
+            task,
+            attempt,
+            percent,
+        } => (
+            "/pace",
+            serde_json::to_vec(&PaceBody {
+                task: task.to_string(),
+                attempt: *attempt,
+                percent: *percent,
+                fencing_token,
+            }),
+        ),
+    };
+    (path, body.expect("plain data always becomes JSON"))
+}
+
+fn read(kind: &OrderKind, status: StatusCode, body: &[u8]) -> OrderOutcome {
+    if status.is_success() && matches!(kind, OrderKind::Renew { .. }) {
+        return read_listing(body);
+    }
+    let answer: ShortAnswer = serde_json::from_slice(body).unwrap_or_default();
+    let clock_ms = answer.clock_ms;
+    if status.is_success() {
+        return OrderOutcome::Done { clock_ms };
+    }
+    let reason = match (status.as_u16(), answer.reason.as_deref()) {
+        (409, Some("fence")) => Rejection::Fence,
+        (409, Some("old")) => Rejection::Old,
+        (409, Some("late")) => Rejection::Late,
+        (409, Some("room")) => Rejection::Room,
+        (409, Some("ticket")) => Rejection::Ticket,
+        (421, _) => Rejection::Incarnation,
+        (429 | 503, _) => Rejection::Unhealthy,
+        (400, _) => Rejection::Malformed,
+        (code, reason) => {
+            tracing::warn!(code, reason, "worker: an answer is of no known kind");
+            return OrderOutcome::Unanswered;
+        }
+    };
+    OrderOutcome::Rejected { reason, clock_ms }
+}
+
+fn read_listing(body: &[u8]) -> OrderOutcome {
+    match serde_json::from_slice::<Listing>(body) {
+        Ok(listing) => OrderOutcome::Listed {
+            clock_ms: listing.clock_ms,
+            running: rows(&listing.running, read_running),
+            ended: rows(&listing.finished, read_ended),
+        },
+        Err(err) => {
+            tracing::warn!(%err, "worker: a listing cannot be read");
+            OrderOutcome::Unanswered
+        }
+    }
+}
+
+fn rows<T>(rows: &[Value], read: impl Fn(&Value) -> Option<T>) -> Vec<T> {
+    let read = |row| {
+        let found = read(row);
+        if found.is_none() {
+            tracing::warn!(%row, "worker: a row of a listing cannot be read");
+        }
+        found
+    };
+    rows.iter().filter_map(read).collect()
+}
+
+/// A row: task, attempt, saved progress, percent, gauge.
+fn read_running(row: &Value) -> Option<Running> {
+    Some(Running {
+        task: row.get(0)?.as_str()?.parse().ok()?,
+        attempt: u32::try_from(row.get(1)?.as_u64()?).ok()?,
+        checkpoint: row.get(2)?.as_str()?.to_owned(),
+        percent: row.get(3)?.as_f64()?.clamp(0.0, 100.0) as u8,
+        gauge: row
+            .get(4)
+            .and_then(Value::as_f64)
+            .map(|g| g.max(0.0) as u64),
+    })
+}
+
+/// A row: number, task, attempt, how it ended, saved progress.
+fn read_ended(row: &Value) -> Option<Ended> {
+    let ending = match row.get(3)?.as_str()? {
+        "done" => Ending::Done,
+        "failed" => Ending::Failed,
+        "stopped" => Ending::Stopped,
+        "lapsed" => Ending::Lapsed,
+        "broken" => Ending::Broken,
+        "alone" => Ending::Alone,
+        _ => return None,
+    };
+    Some(Ended {
+        number: row.get(0)?.as_u64()?,
+        task: row.get(1)?.as_str()?.parse().ok()?,
+        attempt: u32::try_from(row.get(2)?.as_u64()?).ok()?,
+        ending,
+        checkpoint: row.get(4).and_then(Value::as_str).unwrap_or("").to_owned(),
+    })
+}
