Let lost workers' leases run out; make an upkeep durable before it is ordered

Retries carry no lease now. The order is durable first, and a machine is back only with another incarnation.

--- a/src/control/change.rs
+++ b/src/control/change.rs
@@ -100,6 +100,13 @@
     },
     /// A maintenance wave is accepted, unless one of its number is.
     Wave(Wave),
+    /// The upkeep of a machine is about to be ordered.
+    UpkeepAsked {
+        /// The wave's number.
+        wave: u64,
+        /// The machine.
+        machine: String,
+    },
     /// The upkeep of a machine has begun, or the machine is gone for good.
     UpkeepBegun {
         /// The wave's number.
--- a/src/control/node/lead.rs
+++ b/src/control/node/lead.rs
@@ -41,6 +41,13 @@
     },
     /// A start, to be ordered.
     Place(Placement),
+    /// The upkeep of a machine, to be ordered.
+    Upkeep {
+        /// The wave's number.
+        wave: u64,
+        /// The machine.
+        machine: String,
+    },
     /// An end, to be acknowledged to the worker.
     Ended {
         /// The worker.
@@ -141,7 +148,7 @@
         for waiter in lead.pending.into_waiters() {
             let caller = match waiter {
                 Waiter::Call(caller) | Waiter::Accept { caller, .. } => caller,
-                Waiter::Place(_) | Waiter::Ended { .. } => continue,
+                Waiter::Place(_) | Waiter::Upkeep { .. } | Waiter::Ended { .. } => continue,
             };
             let answer = match caller {
                 Caller::Here(_) => Answer::Unknown,
@@ -265,6 +272,7 @@
             | Change::Place { .. }
             | Change::Leave { .. }
             | Change::Wave(_)
+            | Change::UpkeepAsked { .. }
             | Change::Forget { .. } => {}
         }
     }
@@ -281,6 +289,7 @@
                 self.answer(&caller, answer);
             }
             Waiter::Place(start) => self.start(now_ms, &start),
+            Waiter::Upkeep { wave, machine } => self.begin_upkeep(wave, machine),
             Waiter::Ended { worker, number } => {
                 if let Some(lead) = &mut self.lead
                     && let Some(link) = lead.fleet.link_mut(&worker)
@@ -414,21 +423,33 @@
                     want_stop(now_ms, lead.fleet.run_mut(&worker, task, attempt));
                 }
                 UpkeepStep::Begin { wave, machine } => {
-                    let id = lead.draw_id();
-                    tracing::info!(wave, machine, "upkeep: begins");
-                    lead.machine_orders.insert(id, (wave, machine.clone()));
-                    self.out.push(Effect::OrderMachine(MachineOrder {
-                        id,
-                        fence: lead.term,
-                        machine,
-                        kind: MachineOrderKind::Upkeep { wave },
-                    }));
+                    let waiter = Waiter::Upkeep {
+                        wave,
+                        machine: machine.clone(),
+                    };
+                    let change = Change::UpkeepAsked { wave, machine };
+                    lead.pending.add(change, Some(waiter));
                 }
             }
         }
         self.order_stops(now_ms);
     }
 
+    fn begin_upkeep(&mut self, wave: u64, machine: String) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let id = lead.draw_id();
+        tracing::info!(wave, machine, "upkeep: begins");
+        lead.machine_orders.insert(id, (wave, machine.clone()));
+        self.out.push(Effect::OrderMachine(MachineOrder {
+            id,
+            fence: lead.term,
+            machine,
+            kind: MachineOrderKind::Upkeep { wave },
+        }));
+    }
+
     pub(super) fn machine_ordered(&mut self, now_ms: u64, id: u64, outcome: MachineOutcome) {
         let Some(lead) = &mut self.lead else {
             return;
@@ -439,7 +460,6 @@
         tracing::info!(wave, machine, %outcome, "upkeep: the platform answers");
         match outcome {
             MachineOutcome::Done | MachineOutcome::NoSuchMachine => {
-                lead.upkeep.begun(now_ms, &machine);
                 let worker = self
                     .state
                     .workers()
--- a/src/control/node/renewals.rs
+++ b/src/control/node/renewals.rs
@@ -41,7 +41,7 @@
                 0
             };
             let kind = OrderKind::Renew {
-                lease_end_ms: link.grant(now_ms),
+                lease_end_ms: link.renewal_end(now_ms),
                 acknowledged: link.acknowledged,
                 wait_ms,
             };
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -128,6 +128,11 @@
                     .entry(wave.number)
                     .or_insert_with(|| wave.clone());
             }
+            Change::UpkeepAsked { wave, machine } => {
+                if let Some(wave) = self.waves.get_mut(wave) {
+                    wave.asked.insert(machine.clone());
+                }
+            }
             Change::UpkeepBegun { wave, machine } => {
                 if let Some(wave) = self.waves.get_mut(wave) {
                     wave.begun.insert(machine.clone());
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -48,7 +48,15 @@
     /// Machines that are being emptied: since when, and for which wave.
     emptying: BTreeMap<String, Emptying>,
     /// Machines whose upkeep has begun and that are not back: since when.
-    down: BTreeMap<String, u64>,
+    down: BTreeMap<String, Down>,
+}
+
+/// A machine that is down for its upkeep.
+#[derive(Debug)]
+struct Down {
+    since_ms: u64,
+    /// The incarnation that ended with it: the machine is back with the next one.
+    before: Option<InstanceName>,
 }
 
 #[derive(Debug)]
@@ -75,18 +83,39 @@
 
 impl Upkeep {
     /// The plan of a leader that begins: a machine whose upkeep has begun and that
-    /// has no worker is down.
+    /// has no worker is down; one whose upkeep an earlier leader ordered may be.
     pub fn new(now_ms: u64, state: &State) -> Self {
-        let back: BTreeSet<&String> = machines(state).map(|(machine, _)| machine).collect();
+        let known: BTreeMap<&String, &InstanceName> = machines(state).collect();
         let begun = state.waves().values().flat_map(|w| &w.begun);
         let down = begun
-            .filter(|machine| !back.contains(machine))
-            .map(|machine| (machine.clone(), now_ms))
+            .filter(|machine| !known.contains_key(machine))
+            .map(|machine| {
+                let down = Down {
+                    since_ms: now_ms,
+                    before: None,
+                };
+                (machine.clone(), down)
+            })
             .collect();
-        Self {
-            emptying: BTreeMap::new(),
-            down,
-        }
+        let ordered = state
+            .waves()
+            .values()
+            .flat_map(|wave| wave.ordered().map(move |machine| (wave.number, machine)));
+        let emptying = ordered
+            .filter_map(|(wave, machine)| {
+                let worker = known.get(machine)?;
+                let emptying = Emptying {
+                    wave,
+                    worker: InstanceName::clone(worker),
+                    since_ms: now_ms,
+                    begin: Begin::Doubtful,
+                    doubted: true,
+                    retry_ms: now_ms,
+                };
+                Some((machine.clone(), emptying))
+            })
+            .collect();
+        Self { emptying, down }
     }
 
     /// The workers that take no new tasks.
@@ -105,8 +134,12 @@
 
     /// The upkeep of a machine has begun, or it is gone for good.
     pub fn begun(&mut self, now_ms: u64, machine: &str) {
-        self.emptying.remove(machine);
-        self.down.insert(machine.to_owned(), now_ms);
+        let emptying = self.emptying.remove(machine);
+        let down = Down {
+            since_ms: now_ms,
+            before: emptying.map(|e| e.worker),
+        };
+        self.down.insert(machine.to_owned(), down);
     }
 
     /// The platform refused the order or did not answer; it is given again soon.
@@ -128,7 +161,10 @@
         timing: &Timing,
     ) -> Vec<UpkeepStep> {
         let known: BTreeMap<&String, &InstanceName> = machines(state).collect();
-        self.down.retain(|machine, _| !known.contains_key(machine));
+        self.down.retain(|machine, down| {
+            let worker = known.get(machine);
+            worker.is_none_or(|worker| down.before.as_ref() == Some(*worker))
+        });
         self.emptying
             .retain(|machine, e| known.get(machine) == Some(&&e.worker));
         let mut steps = Vec::new();
@@ -152,9 +188,9 @@
         fleet: &Fleet,
         timing: &Timing,
     ) {
-        let late = |since_ms: &u64| now_ms > since_ms + timing.upkeep_ms + BACK_LATE_MS;
+        let late = |down: &&Down| now_ms > down.since_ms + timing.upkeep_ms + BACK_LATE_MS;
         let down = wave.begun.iter().filter_map(|m| self.down.get(m));
-        let soon_back = down.filter(|since| !late(since)).count();
+        let soon_back = down.filter(|down| !late(down)).count();
         let mine = self
             .emptying
             .values()
--- a/src/control/wave.rs
+++ b/src/control/wave.rs
@@ -17,6 +17,10 @@
     pub accepted_unix_ms: u64,
     /// The machines whose upkeep has begun or that are gone for good.
     pub begun: BTreeSet<String>,
+    /// The machines whose upkeep a leader is about to order or has ordered. Written
+    /// before the order leaves: a new leader that did not know would take down one
+    /// machine more than the wave allows.
+    pub asked: BTreeSet<String>,
 }
 
 impl Wave {
@@ -25,6 +29,11 @@
         self.machines.is_subset(&self.begun)
     }
 
+    /// The machines whose upkeep was ordered and is not known to have begun.
+    pub fn ordered(&self) -> impl Iterator<Item = &String> {
+        self.asked.difference(&self.begun)
+    }
+
     /// The machines whose upkeep has not begun.
     pub fn due(&self) -> impl Iterator<Item = &String> {
         self.machines.difference(&self.begun)
--- a/src/control/worker_link.rs
+++ b/src/control/worker_link.rs
@@ -182,6 +182,18 @@
         Some(end_ms)
     }
 
+    /// The lease end for the next renewal; none for a worker that does not answer.
+    ///
+    /// A renewal that is not answered may still arrive and extend the lease. If every
+    /// retry carried a later end, the lease of a lost worker would never certainly run
+    /// out, and its tasks would not start elsewhere.
+    pub fn renewal_end(&mut self, now_ms: u64) -> Option<u64> {
+        if self.silent > 0 {
+            return None;
+        }
+        self.grant(now_ms)
+    }
+
     /// Whether every lease that the worker may hold has run out for certain, even
     /// if its clock is the slowest that may be.
     pub fn has_lapsed(&self, now_ms: u64) -> bool {
--- a/src/platform/control_calls.rs
+++ b/src/platform/control_calls.rs
@@ -118,5 +118,6 @@
         down_max: wire.max_count,
         accepted_unix_ms: 0,
         begun: BTreeSet::new(),
+        asked: BTreeSet::new(),
     })
 }
