Move machines between pools by demand; pace waves and take off machines first

A job's work is wanted within its chain of run times, and the pool that lacks the largest part of its need is served first.

--- /dev/null
+++ b/src/control/demand.rs
@@ -0,0 +1,123 @@
+//! How much each pool has to do, in cores and machines.
+
+use std::collections::BTreeMap;
+
+use super::{Fleet, Queue, State};
+use crate::jobs::Job;
+use crate::model::{InstanceName, PoolName};
+
+/// A job's work is wanted within the time that its chain of steps takes, as it cannot
+/// be done sooner, but not within less than this: a move of a machine takes longer.
+const SHORTEST_MS: u64 = 1_000;
+/// Work that nobody waits for any more is wanted within this time: it fills what the
+/// rest leaves.
+const HOPELESS_MS: f64 = 10_000.0;
+
+/// What a pool has and needs.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PoolDemand {
+    /// Cores that get the work at hand done in time, without lasting tasks.
+    pub work_cores: f64,
+    /// Cores that lasting tasks hold.
+    pub lasting_cores: f64,
+    /// Workers that can be used.
+    pub workers: Vec<WorkerUse>,
+    /// Cores of those workers.
+    pub cores: f64,
+}
+
+/// How a worker is used.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkerUse {
+    /// Its incarnation.
+    pub worker: InstanceName,
+    /// Its machine.
+    pub machine: Option<String>,
+    /// Runs of lasting tasks.
+    pub lasting: usize,
+    /// Other runs.
+    pub passing: usize,
+}
+
+impl PoolDemand {
+    /// The cores that are needed to get through the work in time.
+    pub fn needed_cores(&self) -> f64 {
+        self.lasting_cores + self.work_cores
+    }
+
+    /// The machines that are needed, of the size that it has.
+    pub fn needed_machines(&self, cores_per_machine: f64) -> usize {
+        (self.needed_cores() / cores_per_machine.max(1.0)).ceil() as usize
+    }
+}
+
+/// The demand of all pools.
+pub fn demand(
+    now_ms: u64,
+    now_unix_ms: u64,
+    state: &State,
+    fleet: &Fleet,
+) -> BTreeMap<PoolName, PoolDemand> {
+    let mut pools: BTreeMap<PoolName, PoolDemand> = BTreeMap::new();
+    let mut uses: BTreeMap<&InstanceName, (usize, usize)> = BTreeMap::new();
+    for job in state.active() {
+        let pool = pools.entry(job.pool.clone()).or_default();
+        if job.verdict.is_none() {
+            let queue = state.configuration().and_then(|c| c.queue(&job.queue));
+            add_work(now_unix_ms, job, queue, pool);
+        }
+        for (task, run) in job.runs() {
+            let lasting = job.spec.steps[usize::from(task.step)].lasting;
+            let (lasts, passes) = uses.entry(&run.worker).or_default();
+            *lasts += usize::from(lasting);
+            *passes += usize::from(!lasting);
+        }
+    }
+    for (name, worker) in state.workers() {
+        let usable = fleet.link(name).is_some_and(|link| link.is_heard(now_ms));
+        if !usable || !worker.takes_work() {
+            continue;
+        }
+        let pool = pools.entry(worker.report.pool.clone()).or_default();
+        let (lasting, passing) = uses.get(name).copied().unwrap_or_default();
+        pool.cores += f64::from(worker.report.capacity.cpu_milli) / 1_000.0;
+        pool.workers.push(WorkerUse {
+            worker: name.clone(),
+            machine: worker.report.machine.clone(),
+            lasting,
+            passing,
+        });
+    }
+    pools
+}
+
+fn add_work(now_unix_ms: u64, job: &Job, queue: Option<&Queue>, pool: &mut PoolDemand) {
+    let chains_ms = job.spec.chains_ms();
+    let chain_ms = chains_ms.iter().copied().max().unwrap_or(0);
+    for (k, occurrence) in job.occurrences() {
+        let mut work = 0.0;
+        let mut left_ms = SHORTEST_MS;
+        for (step, spec) in job.spec.steps.iter().enumerate() {
+            let cores = f64::from(spec.demand.cpu_milli) / 1_000.0;
+            for task in occurrence.step(step).iter().filter(|t| !t.done) {
+                if spec.lasting {
+                    pool.lasting_cores += if spec.best_effort { 0.0 } else { cores };
+                    continue;
+                }
+                left_ms = left_ms.max(chains_ms[step]);
+                // On average a run that goes on has half of its time left.
+                let part = if task.runs.is_empty() { 1.0 } else { 0.5 };
+                work += cores * spec.estimate_ms as f64 * part;
+            }
+        }
+        let due_unix_ms = job.due_unix_ms(k);
+        let passed_ms = now_unix_ms.saturating_sub(due_unix_ms) as f64;
+        let late_ms = queue.map_or(f64::INFINITY, |q| q.worthless_ms(chain_ms));
+        let within_ms = if passed_ms > late_ms {
+            HOPELESS_MS
+        } else {
+            left_ms as f64
+        };
+        pool.work_cores += work / within_ms;
+    }
+}
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -13,8 +13,8 @@
 use super::desk::{Board, Desk, Incoming};
 use super::steady::steady_ms;
 use super::{
-    Effect, Event, Gateway, GatewayEffect, MachineOrder, MachineOutcome, Node, Order, OrderOutcome,
-    PeerMessage,
+    Effect, Event, Gateway, GatewayEffect, Machine, MachineOrder, MachineOutcome, Node, Order,
+    OrderOutcome, PeerMessage,
 };
 use crate::jobs::TaskId;
 use crate::model::{EntryName, InstanceName};
@@ -44,6 +44,8 @@
     fn order(&self, order: Order) -> Local<OrderOutcome>;
     /// Carries out an order to the keeper of the machines.
     fn order_machine(&self, order: MachineOrder) -> Local<MachineOutcome>;
+    /// Asks the keeper for the list of all machines.
+    fn list_machines(&self) -> Local<Option<Vec<Machine>>>;
     /// Asks the advisor which workers may run a step.
     fn advise(
         &self,
@@ -188,6 +190,10 @@
                         outcome,
                     });
                 }
+                Effect::ListMachines => {
+                    let list = outside.list_machines();
+                    spawn(done, list, |machines| Event::MachinesListed { machines });
+                }
                 Effect::Advise {
                     id,
                     step,
--- a/src/control/effect.rs
+++ b/src/control/effect.rs
@@ -30,6 +30,8 @@
     Order(Order),
     /// Order the platform.
     OrderMachine(MachineOrder),
+    /// Ask the keeper for the list of all machines.
+    ListMachines,
     /// Ask the advisor which workers may run a step.
     Advise {
         /// Names the question.
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -1,4 +1,4 @@
-use super::{Call, MachineOutcome, OrderOutcome, PeerMessage};
+use super::{Call, Machine, MachineOutcome, OrderOutcome, PeerMessage};
 use crate::model::EntryName;
 
 /// Everything that can happen to a [`super::Node`].
@@ -39,6 +39,11 @@
         /// What came of it.
         outcome: MachineOutcome,
     },
+    /// The keeper's list of the machines, or none if it did not answer.
+    MachinesListed {
+        /// All machines.
+        machines: Option<Vec<Machine>>,
+    },
     /// The advisor's answer about a step: workers with their tickets, or none if
     /// it did not answer.
     Advised {
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -2,6 +2,7 @@
 //! leader decides.
 
 mod calls;
+mod keeping;
 mod lead;
 mod log;
 mod members;
@@ -131,6 +132,7 @@
             Event::Call { id, call } => self.called(now_ms, Caller::Here(id), call),
             Event::Ordered { id, outcome } => self.ordered(now_ms, id, outcome),
             Event::MachineOrdered { id, outcome } => self.machine_ordered(now_ms, id, outcome),
+            Event::MachinesListed { machines } => self.machines_listed(now_ms, machines),
             Event::Advised { id, allowed } => self.advised(now_ms, id, allowed),
             Event::Found { members } => {
                 for member in members {
--- /dev/null
+++ b/src/control/node/keeping.rs
@@ -0,0 +1,189 @@
+//! What the leader orders of the keeper of the machines: upkeeps and moves.
+
+use super::super::{
+    Change, Effect, Machine, MachineOrder, MachineOrderKind, MachineOutcome, Upkeep, UpkeepStep,
+    demand,
+};
+use super::Node;
+use super::lead::{Waiter, want_stop};
+use crate::model::InstanceName;
+
+/// How often waves and pools are looked at: a fraction of the time that a machine
+/// takes for either.
+const KEEP_MS: u64 = 100;
+/// How often the list of machines is read: only others' doings change it, and each
+/// reading is a call to the platform.
+const LIST_MS: u64 = 15_000;
+/// Pause before a list that did not come is asked for again.
+const LIST_RETRY_MS: u64 = 1_000;
+
+impl Node {
+    pub(super) fn keep_machines(&mut self, now_ms: u64) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        if now_ms < lead.keep_ms + KEEP_MS || self.state.configuration().is_none() {
+            return;
+        }
+        lead.keep_ms = now_ms;
+        if now_ms >= lead.list_ms && !lead.listing {
+            lead.listing = true;
+            self.out.push(Effect::ListMachines);
+        }
+        self.keep_waves(now_ms);
+        self.keep_pools(now_ms);
+        self.order_stops(now_ms);
+    }
+
+    fn keep_waves(&mut self, now_ms: u64) {
+        let now_unix_ms = self.clock.unix_ms(now_ms);
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let timing = &self.settings.timing;
+        let off = lead.capacity.standby().cloned().collect();
+        let steps = lead
+            .upkeep
+            .tick(now_ms, now_unix_ms, &self.state, &lead.fleet, &off, timing);
+        for step in steps {
+            match step {
+                UpkeepStep::Stop {
+                    worker,
+                    task,
+                    attempt,
+                } => {
+                    tracing::info!(%task, attempt, %worker, "upkeep: a task is moved away");
+                    want_stop(now_ms, lead.fleet.run_mut(&worker, task, attempt));
+                }
+                UpkeepStep::Begin { wave, machine } => {
+                    let waiter = Waiter::Upkeep {
+                        wave,
+                        machine: machine.clone(),
+                    };
+                    let change = Change::UpkeepAsked { wave, machine };
+                    lead.pending.add(change, Some(waiter));
+                }
+            }
+        }
+    }
+
+    fn keep_pools(&mut self, now_ms: u64) {
+        let now_unix_ms = self.clock.unix_ms(now_ms);
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let demand = demand(now_ms, now_unix_ms, &self.state, &lead.fleet);
+        let mut busy: std::collections::BTreeSet<InstanceName> =
+            lead.upkeep.closed().cloned().collect();
+        busy.extend(lead.ending.iter().cloned());
+        busy.extend(lead.scheduler.proposed.values().map(|p| p.worker.clone()));
+        let moves = lead.capacity.tick(now_ms, &self.state, &demand, &busy);
+        for moved in moves {
+            tracing::info!(
+                machine = moved.machine, to = %moved.pool,
+                needs = demand.get(&moved.pool).map_or(0.0, |d| d.needed_cores()),
+                has = demand.get(&moved.pool).map_or(0.0, |d| d.cores),
+                "capacity: a machine moves"
+            );
+            self.order_machine(moved.machine, MachineOrderKind::Move { pool: moved.pool });
+        }
+    }
+
+    pub(super) fn order_machine(&mut self, machine: String, kind: MachineOrderKind) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let order = MachineOrder {
+            id: lead.draw_id(),
+            fence: lead.term,
+            machine,
+            kind,
+        };
+        lead.machine_orders.insert(order.id, order.clone());
+        self.out.push(Effect::OrderMachine(order));
+    }
+
+    pub(super) fn machines_listed(&mut self, now_ms: u64, machines: Option<Vec<Machine>>) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        lead.listing = false;
+        let Some(machines) = machines else {
+            lead.list_ms = now_ms + LIST_RETRY_MS;
+            return;
+        };
+        lead.list_ms = now_ms + LIST_MS;
+        lead.capacity.listed(now_ms, &self.state, &machines);
+        tracing::info!(
+            machines = machines.len(),
+            off = lead.capacity.standby().count(),
+            "capacity: the list of machines is read"
+        );
+    }
+
+    pub(super) fn machine_ordered(&mut self, now_ms: u64, id: u64, outcome: MachineOutcome) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let Some(order) = lead.machine_orders.remove(&id) else {
+            return;
+        };
+        tracing::info!(machine = order.machine, order = ?order.kind, %outcome, "machine: ordered");
+        match &order.kind {
+            MachineOrderKind::Upkeep { wave } => {
+                self.upkeep_ordered(now_ms, *wave, order.machine, outcome);
+            }
+            MachineOrderKind::Move { pool } => match outcome {
+                MachineOutcome::Done => {
+                    lead.capacity
+                        .moved(now_ms, &self.state, &order.machine, pool);
+                    self.machine_emptied(&order.machine);
+                }
+                MachineOutcome::Unanswered => {
+                    self.order_machine(order.machine, order.kind);
+                }
+                MachineOutcome::Fenced
+                | MachineOutcome::Busy
+                | MachineOutcome::NoSuchMachine
+                | MachineOutcome::Overloaded => lead.capacity.refused(now_ms, &order.machine),
+            },
+        }
+    }
+
+    fn upkeep_ordered(&mut self, now_ms: u64, wave: u64, machine: String, outcome: MachineOutcome) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        match outcome {
+            MachineOutcome::Done | MachineOutcome::NoSuchMachine => {
+                let change = Change::UpkeepBegun {
+                    wave,
+                    machine: machine.clone(),
+                };
+                lead.pending.add(change, None);
+                self.machine_emptied(&machine);
+            }
+            MachineOutcome::Fenced | MachineOutcome::Busy | MachineOutcome::Overloaded => {
+                lead.upkeep.not_begun(now_ms, &machine, true);
+            }
+            MachineOutcome::Unanswered => lead.upkeep.not_begun(now_ms, &machine, false),
+        }
+    }
+
+    /// All that ran on a machine has ended with the incarnation there.
+    fn machine_emptied(&mut self, machine: &str) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        if let Some(worker) = Upkeep::worker_on(&self.state, machine)
+            && lead.ending.insert(worker.clone())
+        {
+            let worker = worker.clone();
+            lead.pending.add(Change::Gone { worker }, None);
+        }
+    }
+
+    pub(super) fn begin_upkeep(&mut self, wave: u64, machine: String) {
+        self.order_machine(machine, MachineOrderKind::Upkeep { wave });
+    }
+}
--- a/src/control/node/lead.rs
+++ b/src/control/node/lead.rs
@@ -6,8 +6,8 @@
 use super::super::pending::Pending;
 use super::super::upkeep::runs_on;
 use super::super::{
-    Answer, Change, Command, Effect, Fleet, MachineOrder, MachineOrderKind, MachineOutcome,
-    Placement, Reports, RunPhase, RunView, Scheduler, Throttle, Upkeep, UpkeepStep,
+    Answer, Capacity, Change, Command, Fleet, MachineOrder, Placement, Reports, RunPhase, RunView,
+    Scheduler, Throttle, Upkeep,
 };
 use super::orders::Sent;
 use super::{Caller, Node};
@@ -19,8 +19,6 @@
 const PASS_MS: u64 = 8;
 /// Between two passes at most: time alone brings tasks forward.
 const IDLE_PASS_MS: u64 = 100;
-/// How often the waves are looked at; a fraction of the time a machine takes.
-const UPKEEP_MS: u64 = 100;
 /// How often ended jobs are forgotten.
 const FORGET_MS: u64 = 10_000;
 /// A worker that neither reported nor listed for so long is struck off once its
@@ -68,16 +66,20 @@
     pub(super) throttles: BTreeMap<InstanceName, Throttle>,
     pub(super) orders: BTreeMap<u64, Sent>,
     pub(super) questions: BTreeMap<u64, (TaskId, Vec<InstanceName>, u64)>,
-    upkeep: Upkeep,
-    machine_orders: BTreeMap<u64, (u64, String)>,
+    pub(super) upkeep: Upkeep,
+    pub(super) machine_orders: BTreeMap<u64, MachineOrder>,
+    pub(super) capacity: Capacity,
+    /// When the list of the machines is read next, and whether it is awaited.
+    pub(super) list_ms: u64,
+    pub(super) listing: bool,
     due: BTreeSet<(JobId, u32)>,
     /// Workers about whose end a change is on its way.
-    ending: BTreeSet<InstanceName>,
+    pub(super) ending: BTreeSet<InstanceName>,
     pub(super) next_id: u64,
     /// Whether something happened that may let a task start.
     pub(super) dirty: bool,
     pass_ms: u64,
-    upkeep_ms: u64,
+    pub(super) keep_ms: u64,
     forget_ms: u64,
     since_ms: u64,
 }
@@ -119,12 +121,15 @@
             questions: BTreeMap::new(),
             upkeep: Upkeep::new(now_ms, &self.state),
             machine_orders: BTreeMap::new(),
+            capacity: Capacity::default(),
+            list_ms: now_ms,
+            listing: false,
             due: BTreeSet::new(),
             ending: BTreeSet::new(),
             next_id: start >> 16,
             dirty: true,
             pass_ms: now_ms,
-            upkeep_ms: now_ms,
+            keep_ms: now_ms,
             forget_ms: now_ms + FORGET_MS,
             since_ms: now_ms,
         }));
@@ -171,7 +176,7 @@
         self.renew_leases(now_ms);
         self.end_workers(now_ms);
         self.bring_due(now_ms);
-        self.keep_waves(now_ms);
+        self.keep_machines(now_ms);
         self.forget(now_ms);
         self.pass(now_ms);
     }
@@ -188,7 +193,8 @@
         lead.dirty = false;
         lead.pass_ms = now_ms;
         let unix_ms = self.clock.unix_ms(now_ms);
-        let closed = lead.upkeep.closed().cloned().collect();
+        let closed = lead.upkeep.closed().chain(lead.capacity.closed());
+        let closed = closed.cloned().collect();
         lead.scheduler.closed = closed;
         lead.scheduler.due = Upkeep::due(&self.state);
         let starts = lead
@@ -400,85 +406,6 @@
             .tickets
             .retain(|step, _| state.job(step.job).is_some_and(|job| job.verdict.is_none()));
     }
-
-    fn keep_waves(&mut self, now_ms: u64) {
-        let Some(lead) = &mut self.lead else {
-            return;
-        };
-        if now_ms < lead.upkeep_ms + UPKEEP_MS {
-            return;
-        }
-        lead.upkeep_ms = now_ms;
-        let steps = lead
-            .upkeep
-            .tick(now_ms, &self.state, &lead.fleet, &self.settings.timing);
-        for step in steps {
-            match step {
-                UpkeepStep::Stop {
-                    worker,
-                    task,
-                    attempt,
-                } => {
-                    tracing::info!(%task, attempt, %worker, "upkeep: a task is moved away");
-                    want_stop(now_ms, lead.fleet.run_mut(&worker, task, attempt));
-                }
-                UpkeepStep::Begin { wave, machine } => {
-                    let waiter = Waiter::Upkeep {
-                        wave,
-                        machine: machine.clone(),
-                    };
-                    let change = Change::UpkeepAsked { wave, machine };
-                    lead.pending.add(change, Some(waiter));
-                }
-            }
-        }
-        self.order_stops(now_ms);
-    }
-
-    fn begin_upkeep(&mut self, wave: u64, machine: String) {
-        let Some(lead) = &mut self.lead else {
-            return;
-        };
-        let id = lead.draw_id();
-        tracing::info!(wave, machine, "upkeep: begins");
-        lead.machine_orders.insert(id, (wave, machine.clone()));
-        self.out.push(Effect::OrderMachine(MachineOrder {
-            id,
-            fence: lead.term,
-            machine,
-            kind: MachineOrderKind::Upkeep { wave },
-        }));
-    }
-
-    pub(super) fn machine_ordered(&mut self, now_ms: u64, id: u64, outcome: MachineOutcome) {
-        let Some(lead) = &mut self.lead else {
-            return;
-        };
-        let Some((wave, machine)) = lead.machine_orders.remove(&id) else {
-            return;
-        };
-        tracing::info!(wave, machine, %outcome, "upkeep: the platform answers");
-        match outcome {
-            MachineOutcome::Done | MachineOutcome::NoSuchMachine => {
-                let worker = self
-                    .state
-                    .workers()
-                    .iter()
-                    .find(|(_, w)| w.report.machine.as_ref() == Some(&machine))
-                    .map(|(name, _)| name.clone());
-                lead.pending
-                    .add(Change::UpkeepBegun { wave, machine }, None);
-                if let Some(worker) = worker {
-                    lead.ending.insert(worker.clone());
-                    lead.pending.add(Change::Gone { worker }, None);
-                }
-            }
-            MachineOutcome::Fenced | MachineOutcome::Busy | MachineOutcome::Overloaded => {
-                lead.upkeep.not_begun(now_ms, &machine, true);
-            }
-            MachineOutcome::Unanswered => lead.upkeep.not_begun(now_ms, &machine, false),
-        }
-    }
 }
 
 /// Marks a run to be stopped, unless it is.
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -65,8 +65,13 @@
 const APART_COST: f64 = 1_000.0;
 /// Moves a lasting task away from a machine that is due for upkeep.
 const DUE_COST: f64 = 300.0;
-/// Spreads lasting tasks.
-const LASTING_COST: f64 = 50.0;
+/// Spreads the lasting tasks of one step: a lost worker should cost it one.
+const SAME_STEP_COST: f64 = 60.0;
+/// Brings lasting tasks of different steps together, so that other machines stay
+/// free to move between pools.
+const TOGETHER_GAIN: f64 = 20.0;
+/// Up to so many of them on a worker.
+const LASTING_TOGETHER: u32 = 3;
 /// Moves work away from a worker with recent failures.
 const FAILURE_COST: f64 = 200.0;
 /// Work far from its data takes a multiple of the time.
@@ -133,8 +138,7 @@
                 }
                 let chains = chains.get_or_insert_with(|| job.spec.chains_ms());
                 let chain_ms = chains.iter().copied().max().unwrap_or(0);
-                let recurrence = job.spec.recurrence;
-                let due_unix_ms = recurrence.map_or(job.accepted_unix_ms, |r| r.due_unix_ms(k));
+                let due_unix_ms = job.due_unix_ms(k);
                 let left_ms = chains[step];
                 let work = work_left(job, occurrence);
                 let rank = rank(
@@ -235,7 +239,10 @@
                 .filter(|c| !advised || is_allowed(now_ms, tickets, c.name))
                 .filter(|c| !step.gang || rack.is_none() || c.rack == rack.as_deref())
                 .min_by(|a, b| {
-                    let cost = |c: &Candidate| c.cost(step, avoid, rack.as_deref());
+                    let cost = |c: &Candidate| {
+                        let here = counts.get(c.name).copied().unwrap_or(0);
+                        c.cost(step, here, avoid, rack.as_deref())
+                    };
                     cost(a).total_cmp(&cost(b))
                 });
             let Some(best) = best else {
@@ -382,7 +389,13 @@
         labelled && step.per_worker_max.is_none_or(|max| here < max)
     }
 
-    fn cost(&self, step: &Step, avoid: Option<&InstanceName>, rack: Option<&str>) -> f64 {
+    fn cost(
+        &self,
+        step: &Step,
+        here: u16,
+        avoid: Option<&InstanceName>,
+        rack: Option<&str>,
+    ) -> f64 {
         let mut cost = -f64::from(self.free.cpu_milli) / 1_000.0;
         cost += self.failures * FAILURE_COST;
         if avoid == Some(self.name) {
@@ -395,7 +408,8 @@
             cost += FAR_COST;
         }
         if step.lasting {
-            cost += f64::from(self.lasting) * LASTING_COST;
+            cost += f64::from(here) * SAME_STEP_COST;
+            cost -= f64::from(self.lasting.min(LASTING_TOGETHER)) * TOGETHER_GAIN;
             cost += if self.due { DUE_COST } else { 0.0 };
         }
         if step.best_effort {
--- a/src/control/queue.rs
+++ b/src/control/queue.rs
@@ -27,6 +27,21 @@
     pub advice: Option<Advice>,
 }
 
+/// Up to so many times its objective a job is still worth something to its caller.
+const LATE_FACTOR: f64 = 3.0;
+
+impl Queue {
+    /// How long a job with such a chain of run times may take to be on time.
+    pub fn objective_ms(&self, chain_ms: u64) -> f64 {
+        self.slack_factor * chain_ms as f64 + self.target_latency_ms as f64
+    }
+
+    /// How long a job with such a chain may take to be worth anything.
+    pub fn worthless_ms(&self, chain_ms: u64) -> f64 {
+        self.objective_ms(chain_ms) * LATE_FACTOR
+    }
+}
+
 /// The pace of the advisor that has to allow a queue's placements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Advice {
--- a/src/control/ranking.rs
+++ b/src/control/ranking.rs
@@ -21,9 +21,6 @@
     key: f64,
 }
 
-/// Up to so many times its objective a job is still worth something to its caller.
-const LATE_FACTOR: f64 = 3.0;
-
 /// Where a job with this much left to do stands.
 ///
 /// `chain_ms` is its longest chain of estimated run times, `left_ms` what is left of
@@ -45,14 +42,13 @@
             key: job.accepted_unix_ms as f64,
         };
     }
-    let slack = queue.map_or(1.0, |q| q.slack_factor);
-    let target_ms = queue.map_or(0, |q| q.target_latency_ms) as f64;
-    let objective_ms = slack * chain_ms as f64 + target_ms;
+    let objective_ms = queue.map_or(chain_ms as f64, |q| q.objective_ms(chain_ms));
+    let worthless_ms = queue.map_or(f64::INFINITY, |q| q.worthless_ms(chain_ms));
     let passed_ms = now_unix_ms.saturating_sub(due_unix_ms) as f64;
     let ends_ms = passed_ms + left_ms as f64;
     let (class, key) = if ends_ms <= objective_ms {
         (1, work)
-    } else if ends_ms <= objective_ms * LATE_FACTOR {
+    } else if ends_ms <= worthless_ms {
         (2, work)
     } else {
         (3, work)
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -10,14 +10,17 @@
 
 use super::{Fleet, RunPhase, State, Timing, Wave};
 use crate::jobs::{Job, TaskId};
-use crate::model::InstanceName;
+use crate::model::{InstanceName, PoolName};
 
 /// How long tasks that end by themselves are waited for. Most run a second or two;
 /// what is left then is stopped with its progress saved.
 const PATIENCE_MS: u64 = 2_500;
-/// How long a machine may be down beyond its upkeep before it no longer blocks
-/// others in the plan. Its place in the wave's limit stays taken.
-const BACK_LATE_MS: u64 = 1_500;
+/// How long after the time of its upkeep a machine that does not report counts as
+/// back: two reports' time. It is down for another reason then.
+const BACK_LATE_MS: u64 = 3_000;
+/// The part of a wave's time in which all is planned to begin; the rest is for
+/// machines that are down or full when their turn comes.
+const GOAL_PERCENT: u64 = 75;
 /// Pause after a refusal by the platform.
 const RETRY_MS: u64 = 500;
 
@@ -62,7 +65,8 @@
 #[derive(Debug)]
 struct Emptying {
     wave: u64,
-    worker: InstanceName,
+    /// None on a machine that is off.
+    worker: Option<InstanceName>,
     since_ms: u64,
     begin: Begin,
     /// Whether an order was ever left unanswered.
@@ -106,7 +110,7 @@
                 let worker = known.get(machine)?;
                 let emptying = Emptying {
                     wave,
-                    worker: InstanceName::clone(worker),
+                    worker: Some(InstanceName::clone(worker)),
                     since_ms: now_ms,
                     begin: Begin::Doubtful,
                     doubted: true,
@@ -120,7 +124,14 @@
 
     /// The workers that take no new tasks.
     pub fn closed(&self) -> impl Iterator<Item = &InstanceName> {
-        self.emptying.values().map(|e| &e.worker)
+        self.emptying.values().filter_map(|e| e.worker.as_ref())
+    }
+
+    /// The worker on a machine.
+    pub fn worker_on<'a>(state: &'a State, machine: &str) -> Option<&'a InstanceName> {
+        let mut all = machines(state);
+        all.find(|(name, _)| *name == machine)
+            .map(|(_, worker)| worker)
     }
 
     /// The workers whose machines are due for upkeep.
@@ -137,7 +148,7 @@
         let emptying = self.emptying.remove(machine);
         let down = Down {
             since_ms: now_ms,
-            before: emptying.map(|e| e.worker),
+            before: emptying.and_then(|e| e.worker),
         };
         self.down.insert(machine.to_owned(), down);
     }
@@ -156,72 +167,114 @@
     pub fn tick(
         &mut self,
         now_ms: u64,
+        now_unix_ms: u64,
         state: &State,
         fleet: &Fleet,
+        off: &BTreeSet<String>,
         timing: &Timing,
     ) -> Vec<UpkeepStep> {
         let known: BTreeMap<&String, &InstanceName> = machines(state).collect();
+        let back_ms = timing.upkeep_ms + BACK_LATE_MS;
         self.down.retain(|machine, down| {
-            let worker = known.get(machine);
-            worker.is_none_or(|worker| down.before.as_ref() == Some(*worker))
+            let back = match known.get(machine) {
+                Some(worker) => down.before.as_ref() != Some(*worker),
+                // One that was off comes back without a worker.
+                None => now_ms > down.since_ms + back_ms,
+            };
+            !back
+        });
+        self.emptying.retain(|machine, e| match &e.worker {
+            Some(worker) => known.get(machine) == Some(&worker),
+            None => !known.contains_key(machine),
         });
-        self.emptying
-            .retain(|machine, e| known.get(machine) == Some(&&e.worker));
         let mut steps = Vec::new();
-        let mut budget = Budget::new(now_ms, state, fleet);
+        let mut budget = Budget::new(now_ms, fleet);
         for wave in state.waves().values().filter(|w| !w.is_completed()) {
-            self.choose(now_ms, wave, &known, &budget, state, fleet, timing);
+            let room = self.room(now_unix_ms, wave, timing);
+            self.choose(now_ms, wave, room, &known, off, &budget, state, fleet);
             self.empty(now_ms, wave, state, fleet, &mut budget, &mut steps);
         }
         steps
     }
 
-    /// Takes up machines to empty, as many as may be down at once.
+    /// How many more machines to take up now: as many at once as the time that is
+    /// left asks for, so that the pools miss few of them at any moment.
+    fn room(&self, now_unix_ms: u64, wave: &Wave, timing: &Timing) -> usize {
+        let mine = self
+            .emptying
+            .values()
+            .filter(|e| e.wave == wave.number)
+            .count();
+        let down = wave
+            .begun
+            .iter()
+            .filter(|m| self.down.contains_key(*m))
+            .count();
+        let passed_ms = now_unix_ms.saturating_sub(wave.accepted_unix_ms);
+        let goal_ms = wave.duration_ms * GOAL_PERCENT / 100;
+        let left_ms = goal_ms.saturating_sub(passed_ms);
+        let takes_ms = timing.upkeep_ms + PATIENCE_MS;
+        let left = wave.due().count() as u64;
+        let at_once = match left_ms.checked_div(takes_ms) {
+            Some(rounds) if rounds > 0 => left.div_ceil(rounds) as usize + 1,
+            _ => usize::MAX,
+        };
+        let most = at_once.min(2 * wave.down_max.max(1));
+        most.saturating_sub(mine + down)
+    }
+
+    /// Takes up machines to empty. Those that are off cost nobody anything and go
+    /// first; then those of pools with little to do.
     #[allow(clippy::too_many_arguments)]
     fn choose(
         &mut self,
         now_ms: u64,
         wave: &Wave,
+        room: usize,
         known: &BTreeMap<&String, &InstanceName>,
+        off: &BTreeSet<String>,
         budget: &Budget,
         state: &State,
         fleet: &Fleet,
-        timing: &Timing,
     ) {
-        let late = |down: &&Down| now_ms > down.since_ms + timing.upkeep_ms + BACK_LATE_MS;
-        let down = wave.begun.iter().filter_map(|m| self.down.get(m));
-        let soon_back = down.filter(|down| !late(down)).count();
-        let mine = self
-            .emptying
-            .values()
-            .filter(|e| e.wave == wave.number)
-            .count();
-        let at_once = wave.down_max.max(1);
-        // Emptying takes about as long as an upkeep: that many beside those down.
-        let room = (2 * at_once).saturating_sub(mine + soon_back).min(at_once);
-        let mut free: Vec<(&String, &InstanceName)> = wave
-            .due()
-            .filter(|machine| !self.emptying.contains_key(*machine))
-            .filter_map(|machine| Some((machine, *known.get(machine)?)))
-            .filter(|(_, worker)| fleet.link(worker).is_some_and(|l| l.is_heard(now_ms)))
+        let free = wave.due().filter(|m| !self.emptying.contains_key(*m));
+        let mut free: Vec<(&String, Option<&InstanceName>)> = free
+            .filter_map(|machine| match known.get(machine) {
+                Some(worker) => {
+                    let heard = fleet.link(worker).is_some_and(|l| l.is_heard(now_ms));
+                    heard.then_some((machine, Some(*worker)))
+                }
+                None => off.contains(machine).then_some((machine, None)),
+            })
             .collect();
-        free.sort_by_key(|(machine, worker)| {
-            (
-                budget.obstacles(state, worker),
+        let use_of_pool = pool_use(state);
+        free.sort_by_key(|(machine, worker)| match worker {
+            Some(worker) => (
+                1 + budget.obstacles(state, worker),
+                state
+                    .worker(worker)
+                    .and_then(|w| use_of_pool.get(&w.report.pool).copied())
+                    .unwrap_or(0),
                 load(state, worker),
                 *machine,
-            )
+            ),
+            None => (0, 0, 0, *machine),
         });
         for (machine, worker) in free.into_iter().take(room) {
             let emptying = Emptying {
                 wave: wave.number,
-                worker: worker.clone(),
+                worker: worker.cloned(),
                 since_ms: now_ms,
                 begin: Begin::No,
                 doubted: false,
                 retry_ms: now_ms,
             };
-            tracing::info!(wave = wave.number, machine, %worker, "upkeep: emptying begins");
+            tracing::info!(
+                wave = wave.number,
+                machine,
+                ?worker,
+                "upkeep: emptying begins"
+            );
             self.emptying.insert(machine.clone(), emptying);
         }
     }
@@ -248,10 +301,14 @@
             }
             let patient = now_ms < emptying.since_ms + PATIENCE_MS;
             let mut empty = true;
-            for (job, task, attempt) in runs_on(state, &emptying.worker) {
+            let runs = emptying.worker.iter().flat_map(|w| runs_on(state, w));
+            for (job, task, attempt) in runs {
+                let Some(worker) = &emptying.worker else {
+                    continue;
+                };
                 empty = false;
                 let step = &job.spec.steps[usize::from(task.step)];
-                let view = fleet.run(&emptying.worker, task, attempt);
+                let view = fleet.run(worker, task, attempt);
                 let stopping = view.is_none_or(|v| v.is_stopping());
                 let starting = view.is_some_and(|v| matches!(v.phase, RunPhase::Starting { .. }));
                 if stopping || starting || (patient && !step.lasting) {
@@ -259,7 +316,7 @@
                 }
                 if budget.take(job, task) {
                     steps.push(UpkeepStep::Stop {
-                        worker: emptying.worker.clone(),
+                        worker: worker.clone(),
                         task,
                         attempt,
                     });
@@ -288,7 +345,7 @@
 }
 
 impl<'a> Budget<'a> {
-    pub(super) fn new(now_ms: u64, _state: &State, fleet: &'a Fleet) -> Self {
+    pub(super) fn new(now_ms: u64, fleet: &'a Fleet) -> Self {
         Self {
             now_ms,
             fleet,
@@ -360,6 +417,15 @@
     })
 }
 
+/// Runs that wait or go on in each pool.
+fn pool_use(state: &State) -> BTreeMap<PoolName, usize> {
+    let mut uses: BTreeMap<PoolName, usize> = BTreeMap::new();
+    for job in state.active().filter(|job| !job.spec.lasts()) {
+        *uses.entry(job.pool.clone()).or_default() += 1;
+    }
+    uses
+}
+
 fn load(state: &State, worker: &InstanceName) -> usize {
     runs_on(state, worker).count()
 }
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -86,6 +86,12 @@
         Some((next, due_unix_ms))
     }
 
+    /// When an occurrence was due, in milliseconds since 1970.
+    pub fn due_unix_ms(&self, occurrence: u32) -> u64 {
+        let recurrence = self.spec.recurrence;
+        recurrence.map_or(self.accepted_unix_ms, |r| r.due_unix_ms(occurrence))
+    }
+
     /// The occurrences that are due and not done.
     pub fn occurrences(&self) -> impl Iterator<Item = (u32, &Occurrence)> {
         self.occurrences.iter().map(|(k, o)| (*k, o))
--- a/src/platform/outside.rs
+++ b/src/platform/outside.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{Client, Settings, advisor, machines, workers};
-use crate::control::{Local, MachineOrder, MachineOutcome, Order, OrderOutcome, Outside};
+use crate::control::{Local, Machine, MachineOrder, MachineOutcome, Order, OrderOutcome, Outside};
 use crate::jobs::TaskId;
 use crate::model::InstanceName;
 
@@ -45,6 +45,12 @@
         })
     }
 
+    fn list_machines(&self) -> Local<Option<Vec<Machine>>> {
+        let client = Rc::clone(&self.client);
+        let keeper = self.keeper;
+        Box::pin(async move { machines::list(&client, keeper?).await })
+    }
+
     fn advise(
         &self,
         step: TaskId,
