Learn run times by queue and step; start anew what stands still

Cause: estimates are off by a multiple, and tasks on some workers stand still while health and reports stay good.

--- a/src/control/demand.rs
+++ b/src/control/demand.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{Fleet, Queue, State};
+use super::{Estimates, Fleet, Queue, State};
 use crate::jobs::Job;
 use crate::model::{InstanceName, PoolName};
 
@@ -57,6 +57,7 @@
     now_unix_ms: u64,
     state: &State,
     fleet: &Fleet,
+    estimates: &Estimates,
 ) -> BTreeMap<PoolName, PoolDemand> {
     let mut pools: BTreeMap<PoolName, PoolDemand> = BTreeMap::new();
     let mut uses: BTreeMap<&InstanceName, (usize, usize)> = BTreeMap::new();
@@ -64,7 +65,7 @@
         let pool = pools.entry(job.pool.clone()).or_default();
         if job.verdict.is_none() {
             let queue = state.configuration().and_then(|c| c.queue(&job.queue));
-            add_work(now_unix_ms, job, queue, pool);
+            add_work(now_unix_ms, job, queue, &estimates.run_times_ms(job), pool);
         }
         for (task, run) in job.runs() {
             let lasting = job.spec.steps[usize::from(task.step)].lasting;
@@ -91,8 +92,14 @@
     pools
 }
 
-fn add_work(now_unix_ms: u64, job: &Job, queue: Option<&Queue>, pool: &mut PoolDemand) {
-    let chains_ms = job.spec.chains_ms();
+fn add_work(
+    now_unix_ms: u64,
+    job: &Job,
+    queue: Option<&Queue>,
+    takes_ms: &[u64],
+    pool: &mut PoolDemand,
+) {
+    let chains_ms = job.spec.chains_ms(takes_ms);
     let chain_ms = chains_ms.iter().copied().max().unwrap_or(0);
     for (k, occurrence) in job.occurrences() {
         let mut work = 0.0;
@@ -107,7 +114,7 @@
                 left_ms = left_ms.max(chains_ms[step]);
                 // On average a run that goes on has half of its time left.
                 let part = if task.runs.is_empty() { 1.0 } else { 0.5 };
-                work += cores * spec.estimate_ms as f64 * part;
+                work += cores * takes_ms[step] as f64 * part;
             }
         }
         let due_unix_ms = job.due_unix_ms(k);
--- a/src/control/node/keeping.rs
+++ b/src/control/node/keeping.rs
@@ -72,7 +72,13 @@
         let Some(lead) = &mut self.lead else {
             return;
         };
-        let demand = demand(now_ms, now_unix_ms, &self.state, &lead.fleet);
+        let demand = demand(
+            now_ms,
+            now_unix_ms,
+            &self.state,
+            &lead.fleet,
+            &lead.estimates,
+        );
         let mut busy: std::collections::BTreeSet<InstanceName> =
             lead.upkeep.closed().cloned().collect();
         busy.extend(lead.ending.iter().cloned());
--- a/src/control/node/lead.rs
+++ b/src/control/node/lead.rs
@@ -6,8 +6,8 @@
 use super::super::pending::Pending;
 use super::super::upkeep::runs_on;
 use super::super::{
-    Answer, Capacity, Change, Command, Fleet, MachineOrder, Placement, Reports, RunPhase, RunView,
-    Scheduler, Throttle, Upkeep,
+    Answer, Capacity, Change, Command, Estimates, Fleet, MachineOrder, Placement, Reports,
+    RunPhase, RunView, Scheduler, Throttle, Upkeep,
 };
 use super::orders::Sent;
 use super::{Caller, Node};
@@ -62,6 +62,7 @@
     pub(super) fleet: Fleet,
     pub(super) pending: Pending<Waiter>,
     pub(super) scheduler: Scheduler,
+    pub(super) estimates: Estimates,
     pub(super) reports: Reports,
     pub(super) throttles: BTreeMap<InstanceName, Throttle>,
     pub(super) orders: BTreeMap<u64, Sent>,
@@ -115,6 +116,7 @@
             fleet: Fleet::new(now_ms, lease_ms, &self.state),
             pending: Pending::new(self.settings.me.clone(), start),
             scheduler: Scheduler::default(),
+            estimates: Estimates::default(),
             reports: Reports::default(),
             throttles: BTreeMap::new(),
             orders: BTreeMap::new(),
@@ -197,9 +199,9 @@
         let closed = closed.cloned().collect();
         lead.scheduler.closed = closed;
         lead.scheduler.due = Upkeep::due(&self.state);
-        let starts = lead
-            .scheduler
-            .pass(now_ms, unix_ms, &self.state, &lead.fleet);
+        let starts =
+            lead.scheduler
+                .pass(now_ms, unix_ms, &self.state, &lead.fleet, &lead.estimates);
         for start in starts {
             let change = Change::Place {
                 task: start.task,
@@ -402,6 +404,8 @@
         let before_unix_ms = unix_ms.saturating_sub(2 * remember_ms);
         lead.pending.add(Change::Forget { before_unix_ms }, None);
         let state = &self.state;
+        lead.estimates
+            .retain(|job| state.job(job).is_some_and(|job| job.verdict.is_none()));
         lead.scheduler
             .tickets
             .retain(|step, _| state.job(step.job).is_some_and(|job| job.verdict.is_none()));
--- a/src/control/node/renewals.rs
+++ b/src/control/node/renewals.rs
@@ -1,10 +1,11 @@
 //! Renewals of workers' leases, which also list what runs and what ended.
 
 use super::super::{
-    Change, Ended, OrderKind, OrderOutcome, Placement, Rejection, Running, Throttle,
+    Change, Ended, OrderKind, OrderOutcome, Placement, Rejection, RunPhase, Running, Throttle,
+    stands_still,
 };
 use super::Node;
-use super::lead::Waiter;
+use super::lead::{Waiter, want_stop};
 use super::orders::Sent;
 use crate::jobs::Ending;
 use crate::model::InstanceName;
@@ -18,6 +19,8 @@
 /// Between two renewals of a worker at least: ends gather, so that a busy worker
 /// costs no more calls than this allows.
 const RENEWAL_GAP_MS: u64 = 15;
+/// Rest of a worker on which a run stood still; it is tried again after.
+const STILL_REST_MS: u64 = 3_000;
 /// If the ends of a listing are not durable by then, the worker is asked anyway, as
 /// its lease must not run out.
 const ENDS_PATIENCE_MS: u64 = 700;
@@ -97,6 +100,7 @@
             self.run_ended(now_ms, worker, end);
         }
         self.stop_strangers(worker, &running);
+        self.restart_still(now_ms, worker);
         self.set_shares(now_ms, worker);
     }
 
@@ -125,10 +129,20 @@
             return;
         };
         if let Some(link) = lead.fleet.link_mut(worker)
-            && link.runs.contains_key(&(end.task, end.attempt))
+            && let Some(view) = link.runs.get(&(end.task, end.attempt))
         {
             match end.ending {
-                Ending::Done => link.run_done(now_ms),
+                Ending::Done => {
+                    if let (RunPhase::Running { since_ms }, Some(job)) =
+                        (view.phase, self.state.job(end.task.job))
+                        && job.task(end.task).is_some_and(|t| t.checkpoint.is_empty())
+                    {
+                        let took_ms = now_ms.saturating_sub(since_ms);
+                        lead.estimates
+                            .ended(job, usize::from(end.task.step), took_ms);
+                    }
+                    link.run_done(now_ms);
+                }
                 Ending::Failed => link.run_failed(now_ms),
                 Ending::Stopped | Ending::Lapsed | Ending::Broken | Ending::Alone => {}
             }
@@ -151,6 +165,39 @@
         self.propose(change, Some(waiter));
     }
 
+    /// Stops runs that stand still, to start them elsewhere, and gives the
+    /// worker a rest.
+    fn restart_still(&mut self, now_ms: u64, worker: &InstanceName) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let Some(link) = lead.fleet.link_mut(worker) else {
+            return;
+        };
+        let mut still = 0;
+        for ((task, attempt), view) in &mut link.runs {
+            let Some(job) = self.state.job(task.job) else {
+                continue;
+            };
+            let step = &job.spec.steps[usize::from(task.step)];
+            let running = matches!(view.phase, RunPhase::Running { .. });
+            if !running || step.best_effort || step.gang || (step.lasting && view.percent >= 100) {
+                continue;
+            }
+            if stands_still(now_ms, view) {
+                tracing::info!(
+                    %task, attempt, %worker, percent = view.percent,
+                    "task: it stands still and starts anew"
+                );
+                want_stop(now_ms, Some(view));
+                still += 1;
+            }
+        }
+        if still > 0 {
+            link.cool(now_ms, STILL_REST_MS);
+        }
+    }
+
     /// Stops runs that the state knows nothing of: whoever started them, nobody
     /// waits for them, and they take room that is given to others.
     fn stop_strangers(&mut self, worker: &InstanceName, running: &[Running]) {
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{Fleet, Queue, Rank, State, rank};
+use super::{Estimates, Fleet, Queue, Rank, State, rank};
 use crate::jobs::{Job, Occurrence, Room, Step, TaskId};
 use crate::model::{InstanceName, PoolName};
 
@@ -88,12 +88,13 @@
         now_unix_ms: u64,
         state: &State,
         fleet: &Fleet,
+        estimates: &Estimates,
     ) -> Vec<Placement> {
         self.unadvised.clear();
         let mut pools = self.candidates(now_ms, state, fleet);
         let mut order: Vec<(Rank, &Job, u32, usize)> = Vec::new();
         for job in state.active().filter(|job| job.verdict.is_none()) {
-            self.waiting_steps(now_unix_ms, state, job, &mut order);
+            self.waiting_steps(now_unix_ms, state, job, estimates, &mut order);
         }
         order.sort_by(|a, b| a.0.compare(&b.0).then(a.1.id.cmp(&b.1.id)));
         let mut starts = Vec::new();
@@ -126,21 +127,26 @@
         now_unix_ms: u64,
         state: &'a State,
         job: &'a Job,
+        estimates: &Estimates,
         order: &mut Vec<(Rank, &'a Job, u32, usize)>,
     ) {
         let queue = state.configuration().and_then(|c| c.queue(&job.queue));
-        let mut chains = None;
+        let mut times = None;
         for (k, occurrence) in job.occurrences() {
             for step in 0..job.spec.steps.len() {
                 let waits = occurrence.step(step).iter().any(|t| t.is_waiting());
                 if !waits || !occurrence.may_start(&job.spec, step) {
                     continue;
                 }
-                let chains = chains.get_or_insert_with(|| job.spec.chains_ms());
+                let (takes_ms, chains) = times.get_or_insert_with(|| {
+                    let takes_ms = estimates.run_times_ms(job);
+                    let chains = job.spec.chains_ms(&takes_ms);
+                    (takes_ms, chains)
+                });
                 let chain_ms = chains.iter().copied().max().unwrap_or(0);
                 let due_unix_ms = job.due_unix_ms(k);
                 let left_ms = chains[step];
-                let work = work_left(job, occurrence);
+                let work = work_left(job, occurrence, takes_ms);
                 let rank = rank(
                     now_unix_ms,
                     job,
@@ -316,12 +322,12 @@
 }
 
 /// The core-milliseconds that an occurrence still needs.
-fn work_left(job: &Job, occurrence: &Occurrence) -> f64 {
+fn work_left(job: &Job, occurrence: &Occurrence, takes_ms: &[u64]) -> f64 {
     let steps = job.spec.steps.iter().enumerate();
     steps
         .map(|(step, spec)| {
             let left = occurrence.step(step).iter().filter(|t| !t.done).count();
-            left as f64 * f64::from(spec.demand.cpu_milli) * spec.estimate_ms as f64 / 1_000.0
+            left as f64 * f64::from(spec.demand.cpu_milli) * takes_ms[step] as f64 / 1_000.0
         })
         .sum()
 }
--- /dev/null
+++ b/src/control/stall.rs
@@ -0,0 +1,19 @@
+//! Which runs stand still.
+//!
+//! Answers workers that are healthy by their own word while tasks on them do not move.
+//! Without it their jobs never end, and the worker, ever full, holds its room. Progress
+//! tells: it is listed with every renewal. Runs that merely look slow are left alone:
+//! estimates are off by a multiple, and restarts by them made more jobs late than the
+//! slow workers did (a third of the long ones, on a day with stalled and slow workers).
+
+use super::RunView;
+
+/// No progress for so long is a standstill: a task that works moves by a percent in a
+/// fraction of that, and a listing is at most a second old.
+const STILL_MS: u64 = 1_600;
+
+/// Whether a run stands still.
+pub fn stands_still(now_ms: u64, view: &RunView) -> bool {
+    let progress = view.progress;
+    progress.is_some_and(|p| now_ms >= p.changed_ms + STILL_MS)
+}
--- a/src/control/worker_link.rs
+++ b/src/control/worker_link.rs
@@ -51,6 +51,15 @@
     pub listed_ms: Option<u64>,
     /// The share of its speed that it was given last.
     pub share_percent: u8,
+    /// How its progress went; none before it was listed.
+    pub progress: Option<Progress>,
+}
+
+/// How the progress of a run went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Progress {
+    /// When it was listed with more progress than before.
+    pub changed_ms: u64,
 }
 
 /// How far the orders for a run are.
@@ -91,7 +100,16 @@
             gauge: None,
             listed_ms: None,
             share_percent: 100,
+            progress: None,
+        }
+    }
+
+    fn note_progress(&mut self, now_ms: u64, percent: u8) {
+        let progress = self.progress.get_or_insert(Progress { changed_ms: now_ms });
+        if percent != self.percent {
+            progress.changed_ms = now_ms;
         }
+        self.percent = percent;
     }
 
     /// Whether a stop was ordered.
@@ -245,7 +263,7 @@
         self.confirmed = true;
         for run in running {
             if let Some(view) = self.runs.get_mut(&(run.task, run.attempt)) {
-                view.percent = run.percent;
+                view.note_progress(now_ms, run.percent);
                 view.gauge = run.gauge;
                 view.listed_ms = Some(now_ms);
                 if matches!(view.phase, RunPhase::Inherited | RunPhase::Starting { .. }) {
--- a/src/jobs/spec.rs
+++ b/src/jobs/spec.rs
@@ -63,14 +63,14 @@
         self.steps.iter().any(|s| s.lasting)
     }
 
-    /// The longest chain of estimated run times from each step to the end, in
-    /// milliseconds.
-    pub fn chains_ms(&self) -> Vec<u64> {
-        let mut chains: Vec<u64> = self.steps.iter().map(|s| s.estimate_ms).collect();
+    /// The longest chain of run times from each step to the end, in milliseconds, with
+    /// `takes_ms` for a task of each step.
+    pub fn chains_ms(&self, takes_ms: &[u64]) -> Vec<u64> {
+        let mut chains = takes_ms.to_vec();
         for step in (0..self.steps.len()).rev() {
             for on in &self.steps[step].after {
                 let on = usize::from(*on);
-                chains[on] = chains[on].max(self.steps[on].estimate_ms + chains[step]);
+                chains[on] = chains[on].max(takes_ms[on] + chains[step]);
             }
         }
         chains
