--- a/src/control/capacity.rs
+++ b/src/control/capacity.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use super::demand::{PoolDemand, WorkerUse};
-use super::{Machine, MachinePhase, State};
+use super::{Machine, MachinePhase, State, Turns};
 use crate::model::{InstanceName, PoolName};
 
 /// A machine that came to a pool stays at least so long: a move takes 1.5 s in which
@@ -132,6 +132,7 @@
         now_ms: u64,
         state: &State,
         demand: &BTreeMap<PoolName, PoolDemand>,
+        turns: &Turns,
         busy: &BTreeSet<InstanceName>,
     ) -> Vec<Move> {
         let Some(configuration) = state.configuration() else {
@@ -143,7 +144,7 @@
         let mut pools: Vec<Balance> = used
             .iter()
             .filter(|pool| !off.contains(**pool))
-            .map(|pool| self.balance(pool, demand))
+            .map(|pool| self.balance(now_ms, pool, demand, turns))
             .collect();
         for pool in &pools {
             if pool.surplus() > 0 {
@@ -207,13 +208,22 @@
         self.retry.retain(|_, until| now_ms < *until);
     }
 
-    fn balance(&self, pool: &PoolName, demand: &BTreeMap<PoolName, PoolDemand>) -> Balance {
+    fn balance(
+        &self,
+        now_ms: u64,
+        pool: &PoolName,
+        demand: &BTreeMap<PoolName, PoolDemand>,
+        turns: &Turns,
+    ) -> Balance {
         let none = PoolDemand::default();
         let here = demand.get(pool).unwrap_or(&none);
         let size = match here.workers.len() {
             0 => average_cores(demand),
             count => here.cores / count as f64,
         };
+        let rate = turns.rate_cores(now_ms, pool).unwrap_or(0.0);
+        let next = turns.next(now_ms).filter(|(next, _)| *next == pool);
+        let foreseen = rate.max(next.map_or(0.0, |(_, cores)| cores));
         let leaving = self
             .emptying
             .values()
@@ -227,7 +237,7 @@
                     .values()
                     .filter(|(_, to, _)| to == pool)
                     .count(),
-            needs: here.needed_machines(size).max(FEWEST_MACHINES),
+            needs: here.needed_machines(size, foreseen).max(FEWEST_MACHINES),
         }
     }
 
--- a/src/control/demand.rs
+++ b/src/control/demand.rs
@@ -40,14 +40,15 @@
 }
 
 impl PoolDemand {
-    /// The cores that are needed to get through the work in time.
-    pub fn needed_cores(&self) -> f64 {
-        self.lasting_cores + self.work_cores
+    /// The cores that are needed to get through the work in time, with `foreseen` cores
+    /// of work that is about to come.
+    pub fn needed_cores(&self, foreseen: f64) -> f64 {
+        self.lasting_cores + self.work_cores.max(foreseen)
     }
 
     /// The machines that are needed, of the size that it has.
-    pub fn needed_machines(&self, cores_per_machine: f64) -> usize {
-        (self.needed_cores() / cores_per_machine.max(1.0)).ceil() as usize
+    pub fn needed_machines(&self, cores_per_machine: f64, foreseen: f64) -> usize {
+        (self.needed_cores(foreseen) / cores_per_machine.max(1.0)).ceil() as usize
     }
 }
 
--- a/src/control/node/keeping.rs
+++ b/src/control/node/keeping.rs
@@ -79,15 +79,18 @@
             &lead.fleet,
             &lead.estimates,
         );
+        lead.turns.tick(now_ms);
         let mut busy: std::collections::BTreeSet<InstanceName> =
             lead.upkeep.closed().cloned().collect();
         busy.extend(lead.ending.iter().cloned());
         busy.extend(lead.scheduler.proposed.values().map(|p| p.worker.clone()));
-        let moves = lead.capacity.tick(now_ms, &self.state, &demand, &busy);
+        let moves = lead
+            .capacity
+            .tick(now_ms, &self.state, &demand, &lead.turns, &busy);
         for moved in moves {
             tracing::info!(
                 machine = moved.machine, to = %moved.pool,
-                needs = demand.get(&moved.pool).map_or(0.0, |d| d.needed_cores()),
+                needs = demand.get(&moved.pool).map_or(0.0, |d| d.needed_cores(0.0)),
                 has = demand.get(&moved.pool).map_or(0.0, |d| d.cores),
                 "capacity: a machine moves"
             );
--- a/src/control/node/lead.rs
+++ b/src/control/node/lead.rs
@@ -7,7 +7,7 @@
 use super::super::upkeep::runs_on;
 use super::super::{
     Answer, Capacity, Change, Command, Estimates, Fleet, MachineOrder, Placement, Reports,
-    RunPhase, RunView, Scheduler, Throttle, Upkeep,
+    RunPhase, RunView, Scheduler, Throttle, Turns, Upkeep,
 };
 use super::orders::Sent;
 use super::{Caller, Node};
@@ -63,6 +63,7 @@
     pub(super) pending: Pending<Waiter>,
     pub(super) scheduler: Scheduler,
     pub(super) estimates: Estimates,
+    pub(super) turns: Turns,
     pub(super) reports: Reports,
     pub(super) throttles: BTreeMap<InstanceName, Throttle>,
     pub(super) orders: BTreeMap<u64, Sent>,
@@ -117,6 +118,7 @@
             pending: Pending::new(self.settings.me.clone(), start),
             scheduler: Scheduler::default(),
             estimates: Estimates::default(),
+            turns: Turns::default(),
             reports: Reports::default(),
             throttles: BTreeMap::new(),
             orders: BTreeMap::new(),
@@ -275,8 +277,17 @@
                     "configuration: in force"
                 );
             }
-            Change::Accept { .. }
-            | Change::Cancel { .. }
+            Change::Accept { job, .. } => {
+                if let Some(job) = self.state.job(*job)
+                    && job.spec.recurrence.is_none()
+                    && !job.spec.lasts()
+                {
+                    let takes_ms = lead.estimates.run_times_ms(job);
+                    lead.turns
+                        .arrived(now_ms, &job.pool, job.spec.work(&takes_ms));
+                }
+            }
+            Change::Cancel { .. }
             | Change::Place { .. }
             | Change::Leave { .. }
             | Change::Wave(_)
--- a/src/jobs/spec.rs
+++ b/src/jobs/spec.rs
@@ -63,6 +63,17 @@
         self.steps.iter().any(|s| s.lasting)
     }
 
+    /// The core-milliseconds of an occurrence, with `takes_ms` for a task of each step.
+    pub fn work(&self, takes_ms: &[u64]) -> f64 {
+        let steps = self.steps.iter().zip(takes_ms);
+        steps
+            .map(|(step, takes_ms)| {
+                let cores = f64::from(step.demand.cpu_milli) / 1_000.0;
+                cores * f64::from(step.tasks) * *takes_ms as f64
+            })
+            .sum()
+    }
+
     /// The longest chain of run times from each step to the end, in milliseconds, with
     /// `takes_ms` for a task of each step.
     pub fn chains_ms(&self, takes_ms: &[u64]) -> Vec<u64> {
