--- a/src/control/capacity.rs
+++ b/src/control/capacity.rs
@@ -39,7 +39,7 @@
 /// Pause before a refused move is tried again.
 const RETRY_MS: u64 = 500;
 /// How many moves may be on their way to one pool at once.
-const MOVES_MAX: usize = 12;
+const MOVES_MAX: usize = 20;
 
 /// A move to order.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -402,7 +402,7 @@
         avoid: Option<&InstanceName>,
         rack: Option<&str>,
     ) -> f64 {
-        let mut cost = -f64::from(self.free.cpu_milli) / 1_000.0;
+        let mut cost = f64::from(self.free.cpu_milli) / 1_000.0;
         cost += self.failures * FAILURE_COST;
         if avoid == Some(self.name) {
             cost += APART_COST;
