--- a/src/control/capacity.rs
+++ b/src/control/capacity.rs
@@ -29,7 +29,7 @@
 const PEAK_MS: u64 = 20_000;
 /// Machines kept beyond that peak.
 const SPARE_MACHINES: usize = 3;
-/// Machines that a pool keeps whatever its need.
+/// Machines that a pool keeps whatever its need, if it has them.
 const FEWEST_MACHINES: usize = 3;
 /// A machine that is being emptied for a move goes when it is empty, or after this
 /// stays where it is: its work took longer than the surplus can be trusted.
@@ -158,7 +158,8 @@
         let mut moves = self.empty_ones(now_ms, demand);
         self.give(now_ms, &mut pools, demand, busy, &mut moves);
         self.wake(now_ms, &mut pools, &mut moves);
-        self.watch(now_ms, pools.iter().map(|p| p.needs).sum());
+        let needs = pools.iter().map(|p| p.needs.max(FEWEST_MACHINES)).sum();
+        self.watch(now_ms, needs);
         if let Some(pool) = off.iter().next() {
             self.rest(now_ms, &pools, demand, busy, pool, &mut moves);
         }
@@ -237,7 +238,7 @@
                     .values()
                     .filter(|(_, to, _)| to == pool)
                     .count(),
-            needs: here.needed_machines(size, foreseen).max(FEWEST_MACHINES),
+            needs: here.needed_machines(size, foreseen),
         }
     }
 
@@ -406,7 +407,8 @@
 
 impl Balance {
     fn surplus(&self) -> usize {
-        (self.has + self.coming).saturating_sub(self.needs)
+        let keeps = self.needs.max(FEWEST_MACHINES);
+        (self.has + self.coming).saturating_sub(keeps)
     }
 
     fn lack(&self) -> usize {
--- a/src/control/change.rs
+++ b/src/control/change.rs
@@ -106,6 +106,8 @@
         wave: u64,
         /// The machine.
         machine: String,
+        /// The incarnation on it, none if it is off.
+        worker: Option<InstanceName>,
     },
     /// The upkeep of a machine has begun, or the machine is gone for good.
     UpkeepBegun {
--- a/src/control/demand.rs
+++ b/src/control/demand.rs
@@ -20,6 +20,8 @@
     pub work_cores: f64,
     /// Cores that lasting tasks hold.
     pub lasting_cores: f64,
+    /// Workers that the spread of a lasting step asks for at most.
+    pub spread: usize,
     /// Workers that can be used.
     pub workers: Vec<WorkerUse>,
     /// Cores of those workers.
@@ -48,7 +50,8 @@
 
     /// The machines that are needed, of the size that it has.
     pub fn needed_machines(&self, cores_per_machine: f64, foreseen: f64) -> usize {
-        (self.needed_cores(foreseen) / cores_per_machine.max(1.0)).ceil() as usize
+        let machines = self.needed_cores(foreseen) / cores_per_machine.max(1.0);
+        (machines.ceil() as usize).max(self.spread)
     }
 }
 
@@ -109,6 +112,8 @@
             let cores = f64::from(spec.demand.cpu_milli) / 1_000.0;
             for task in occurrence.step(step).iter().filter(|t| !t.done) {
                 if spec.lasting {
+                    let most = spec.per_worker_max.unwrap_or(u16::MAX).max(1);
+                    pool.spread = pool.spread.max(usize::from(spec.tasks.div_ceil(most)));
                     pool.lasting_cores += if spec.best_effort { 0.0 } else { cores };
                     continue;
                 }
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -106,7 +106,8 @@
     pub fn new(settings: NodeSettings, recovered: Recovered, unix_ms: u64, now_ms: u64) -> Self {
         let replica = Replica::new(settings.replica(), recovered, now_ms);
         let mut relay = Relay::default();
-        relay.set_members(settings.seeds.clone());
+        let others = settings.seeds.iter().filter(|seed| **seed != settings.me);
+        relay.set_members(others.cloned().collect());
         Self {
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
             settings,
@@ -206,6 +207,9 @@
         }
         match caller {
             Caller::Here(id) => {
+                let leader = self.leader();
+                let steps = self.relay.set_leader(now_ms, leader);
+                self.relay_steps(steps);
                 let steps = self.relay.open(now_ms, id, call, now_ms + CALL_PATIENCE_MS);
                 self.relay_steps(steps);
             }
@@ -228,10 +232,9 @@
     fn relay_steps(&mut self, steps: Vec<RelayStep>) {
         for step in steps {
             match step {
-                RelayStep::Send { to, id, call } if to != self.settings.me => {
+                RelayStep::Send { to, id, call } => {
                     self.send(to, PeerMessage::Call { id, call });
                 }
-                RelayStep::Send { .. } => {}
                 RelayStep::Answer { id, answer } => self.out.push(Effect::Answer { id, answer }),
             }
         }
--- a/src/control/node/keeping.rs
+++ b/src/control/node/keeping.rs
@@ -55,12 +55,21 @@
                     tracing::info!(%task, attempt, %worker, "upkeep: a task is moved away");
                     want_stop(now_ms, lead.fleet.run_mut(&worker, task, attempt));
                 }
-                UpkeepStep::Begin { wave, machine } => {
+                UpkeepStep::Begin {
+                    wave,
+                    machine,
+                    worker,
+                } => {
                     let waiter = Waiter::Upkeep {
                         wave,
                         machine: machine.clone(),
+                        worker: worker.clone(),
+                    };
+                    let change = Change::UpkeepAsked {
+                        wave,
+                        machine,
+                        worker,
                     };
-                    let change = Change::UpkeepAsked { wave, machine };
                     lead.pending.add(change, Some(waiter));
                 }
             }
@@ -94,11 +103,19 @@
                 has = demand.get(&moved.pool).map_or(0.0, |d| d.cores),
                 "capacity: a machine moves"
             );
-            self.order_machine(moved.machine, MachineOrderKind::Move { pool: moved.pool });
+            let worker = Upkeep::worker_on(&self.state, &moved.machine).cloned();
+            let kind = MachineOrderKind::Move { pool: moved.pool };
+            self.order_machine(moved.machine, worker, kind);
         }
     }
 
-    pub(super) fn order_machine(&mut self, machine: String, kind: MachineOrderKind) {
+    /// Orders something of the keeper that ends the `worker` on the machine.
+    pub(super) fn order_machine(
+        &mut self,
+        machine: String,
+        worker: Option<InstanceName>,
+        kind: MachineOrderKind,
+    ) {
         let Some(lead) = &mut self.lead else {
             return;
         };
@@ -108,7 +125,8 @@
             machine,
             kind,
         };
-        lead.machine_orders.insert(order.id, order.clone());
+        lead.machine_orders
+            .insert(order.id, (order.clone(), worker));
         self.out.push(Effect::OrderMachine(order));
     }
 
@@ -134,22 +152,22 @@
         let Some(lead) = &mut self.lead else {
             return;
         };
-        let Some(order) = lead.machine_orders.remove(&id) else {
+        let Some((order, worker)) = lead.machine_orders.remove(&id) else {
             return;
         };
         tracing::info!(machine = order.machine, order = ?order.kind, %outcome, "machine: ordered");
         match &order.kind {
             MachineOrderKind::Upkeep { wave } => {
-                self.upkeep_ordered(now_ms, *wave, order.machine, outcome);
+                self.upkeep_ordered(now_ms, *wave, order.machine, worker, outcome);
             }
             MachineOrderKind::Move { pool } => match outcome {
                 MachineOutcome::Done => {
                     lead.capacity
                         .moved(now_ms, &self.state, &order.machine, pool);
-                    self.machine_emptied(&order.machine);
+                    self.worker_ended(worker);
                 }
                 MachineOutcome::Unanswered => {
-                    self.order_machine(order.machine, order.kind);
+                    self.order_machine(order.machine, worker, order.kind);
                 }
                 MachineOutcome::Fenced
                 | MachineOutcome::Busy
@@ -159,7 +177,14 @@
         }
     }
 
-    fn upkeep_ordered(&mut self, now_ms: u64, wave: u64, machine: String, outcome: MachineOutcome) {
+    fn upkeep_ordered(
+        &mut self,
+        now_ms: u64,
+        wave: u64,
+        machine: String,
+        worker: Option<InstanceName>,
+        outcome: MachineOutcome,
+    ) {
         let Some(lead) = &mut self.lead else {
             return;
         };
@@ -170,7 +195,7 @@
                     machine: machine.clone(),
                 };
                 lead.pending.add(change, None);
-                self.machine_emptied(&machine);
+                self.worker_ended(worker);
             }
             MachineOutcome::Fenced | MachineOutcome::Busy | MachineOutcome::Overloaded => {
                 lead.upkeep.not_begun(now_ms, &machine, true);
@@ -179,20 +204,26 @@
         }
     }
 
-    /// All that ran on a machine has ended with the incarnation there.
-    fn machine_emptied(&mut self, machine: &str) {
+    /// All that ran on a machine has ended with the incarnation that was there when it
+    /// was ordered; the one that is there now may be the next.
+    fn worker_ended(&mut self, worker: Option<InstanceName>) {
         let Some(lead) = &mut self.lead else {
             return;
         };
-        if let Some(worker) = Upkeep::worker_on(&self.state, machine)
+        if let Some(worker) = worker
+            && self.state.worker(&worker).is_some()
             && lead.ending.insert(worker.clone())
         {
-            let worker = worker.clone();
             lead.pending.add(Change::Gone { worker }, None);
         }
     }
 
-    pub(super) fn begin_upkeep(&mut self, wave: u64, machine: String) {
-        self.order_machine(machine, MachineOrderKind::Upkeep { wave });
+    pub(super) fn begin_upkeep(
+        &mut self,
+        wave: u64,
+        machine: String,
+        worker: Option<InstanceName>,
+    ) {
+        self.order_machine(machine, worker, MachineOrderKind::Upkeep { wave });
     }
 }
--- a/src/control/node/lead.rs
+++ b/src/control/node/lead.rs
@@ -45,6 +45,8 @@
         wave: u64,
         /// The machine.
         machine: String,
+        /// The incarnation on it.
+        worker: Option<InstanceName>,
     },
     /// An end, to be acknowledged to the worker.
     Ended {
@@ -69,7 +71,7 @@
     pub(super) orders: BTreeMap<u64, Sent>,
     pub(super) questions: BTreeMap<u64, (TaskId, Vec<InstanceName>, u64)>,
     pub(super) upkeep: Upkeep,
-    pub(super) machine_orders: BTreeMap<u64, MachineOrder>,
+    pub(super) machine_orders: BTreeMap<u64, (MachineOrder, Option<InstanceName>)>,
     pub(super) capacity: Capacity,
     /// When the list of the machines is read next, and whether it is awaited.
     pub(super) list_ms: u64,
@@ -253,7 +255,20 @@
                     link.runs.remove(&(*task, *attempt));
                 }
             }
-            Change::Report(report) => lead.fleet.meet(now_ms, &report.worker),
+            Change::Report(report) => {
+                lead.fleet.meet(now_ms, &report.worker);
+                // Whoever was at this address before is asked at once: its successor
+                // says that it is over, sooner than its lease runs out.
+                let before = self.state.workers().iter().filter(|(name, worker)| {
+                    worker.report.address == report.address && **name != report.worker
+                });
+                for (name, _) in before {
+                    if let Some(link) = lead.fleet.link_mut(name) {
+                        link.renewal_sent_ms = None;
+                        link.renew_ms = now_ms;
+                    }
+                }
+            }
             Change::Lapse { worker } => {
                 lead.ending.remove(worker);
                 if let Some(link) = lead.fleet.link_mut(worker) {
@@ -308,7 +323,11 @@
                 self.answer(&caller, answer);
             }
             Waiter::Place(start) => self.start(now_ms, &start),
-            Waiter::Upkeep { wave, machine } => self.begin_upkeep(wave, machine),
+            Waiter::Upkeep {
+                wave,
+                machine,
+                worker,
+            } => self.begin_upkeep(wave, machine, worker),
             Waiter::Ended { worker, number } => {
                 if let Some(lead) = &mut self.lead
                     && let Some(link) = lead.fleet.link_mut(&worker)
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -128,9 +128,14 @@
                     .entry(wave.number)
                     .or_insert_with(|| wave.clone());
             }
-            Change::UpkeepAsked { wave, machine } => {
+            Change::UpkeepAsked {
+                wave,
+                machine,
+                worker,
+            } => {
                 if let Some(wave) = self.waves.get_mut(wave) {
-                    wave.asked.insert(machine.clone());
+                    let asked = wave.asked.entry(machine.clone());
+                    asked.or_insert_with(|| worker.clone());
                 }
             }
             Change::UpkeepBegun { wave, machine } => {
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -42,6 +42,8 @@
         wave: u64,
         /// The machine.
         machine: String,
+        /// The incarnation on it, none if it is off.
+        worker: Option<InstanceName>,
     },
 }
 
@@ -101,24 +103,20 @@
                 (machine.clone(), down)
             })
             .collect();
-        let ordered = state
-            .waves()
-            .values()
-            .flat_map(|wave| wave.ordered().map(move |machine| (wave.number, machine)));
-        let emptying = ordered
-            .filter_map(|(wave, machine)| {
-                let worker = known.get(machine)?;
-                let emptying = Emptying {
-                    wave,
-                    worker: Some(InstanceName::clone(worker)),
+        let mut emptying = BTreeMap::new();
+        for wave in state.waves().values() {
+            for (machine, worker) in wave.ordered() {
+                let doubtful = Emptying {
+                    wave: wave.number,
+                    worker: worker.clone(),
                     since_ms: now_ms,
                     begin: Begin::Doubtful,
                     doubted: true,
                     retry_ms: now_ms,
                 };
-                Some((machine.clone(), emptying))
-            })
-            .collect();
+                emptying.insert(machine.clone(), doubtful);
+            }
+        }
         Self { emptying, down }
     }
 
@@ -183,9 +181,12 @@
             };
             !back
         });
-        self.emptying.retain(|machine, e| match &e.worker {
-            Some(worker) => known.get(machine) == Some(&worker),
-            None => !known.contains_key(machine),
+        self.emptying.retain(|machine, e| {
+            let as_before = match &e.worker {
+                Some(worker) => known.get(machine) == Some(&worker),
+                None => !known.contains_key(machine),
+            };
+            e.begin != Begin::No || as_before
         });
         let mut steps = Vec::new();
         let mut budget = Budget::new(now_ms, fleet);
@@ -330,6 +331,7 @@
                 steps.push(UpkeepStep::Begin {
                     wave: wave.number,
                     machine: machine.clone(),
+                    worker: emptying.worker.clone(),
                 });
             }
         }
--- a/src/control/wave.rs
+++ b/src/control/wave.rs
@@ -1,7 +1,9 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
+use crate::model::InstanceName;
+
 /// A maintenance wave: machines that are each due for upkeep.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Wave {
@@ -20,7 +22,9 @@
     /// The machines whose upkeep a leader is about to order or has ordered. Written
     /// before the order leaves: a new leader that did not know would take down one
     /// machine more than the wave allows.
-    pub asked: BTreeSet<String>,
+    /// With each the incarnation that was on it, which ends with the upkeep: once it
+    /// has begun, another one may be there already.
+    pub asked: BTreeMap<String, Option<InstanceName>>,
 }
 
 impl Wave {
@@ -30,8 +34,9 @@
     }
 
     /// The machines whose upkeep was ordered and is not known to have begun.
-    pub fn ordered(&self) -> impl Iterator<Item = &String> {
-        self.asked.difference(&self.begun)
+    pub fn ordered(&self) -> impl Iterator<Item = (&String, &Option<InstanceName>)> {
+        let asked = self.asked.iter();
+        asked.filter(|(machine, _)| !self.begun.contains(*machine))
     }
 
     /// The machines whose upkeep has not begun.
--- a/src/platform/control_calls.rs
+++ b/src/platform/control_calls.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -118,6 +118,6 @@
         down_max: wire.max_count,
         accepted_unix_ms: 0,
         begun: BTreeSet::new(),
-        asked: BTreeSet::new(),
+        asked: BTreeMap::new(),
     })
 }
--- /dev/null
+++ b/tests/control/calls.rs
@@ -0,0 +1,189 @@
+//! What the leader answers to callers, workers and operators.
+
+use std::sync::Arc;
+
+use rosemarygauge::control::{Answer, Call, Configuration, ConfigurationFault, Refusal};
+use rosemarygauge::jobs::JobState;
+use rosemarygauge::model::EntryName;
+
+use crate::world::{World, configuration, job, name, queue, step};
+
+#[test]
+fn a_job_of_steps_is_run_in_order_and_completed() {
+    let mut world = World::new(1, 3, 3);
+    let second = rosemarygauge::jobs::Step {
+        after: vec![0],
+        ..step(4)
+    };
+    let id = world.submit(2, "quick", 7, job(vec![step(6), second]));
+    world.run_ms(500);
+    assert_eq!(world.answers.get(&id), Some(&Answer::Done));
+    world.run_ms(1_500);
+    assert_eq!(world.look(3, "quick", 7), Some(JobState::Completed));
+    assert_eq!(world.runs.len(), 10);
+    let last_first = world
+        .runs
+        .iter()
+        .filter(|r| r.task.step == 0)
+        .map(|r| r.began_ms)
+        .max();
+    let first_second = world
+        .runs
+        .iter()
+        .filter(|r| r.task.step == 1)
+        .map(|r| r.began_ms)
+        .min();
+    assert!(first_second.unwrap() >= last_first.unwrap() + 300);
+}
+
+/// The caller sees its first answer lost and sends the same job again, to another
+/// instance; both are accepted, and the job runs once.
+#[test]
+fn a_job_that_is_handed_in_again_runs_once() {
+    let mut world = World::new(2, 3, 3);
+    let first = world.submit(1, "quick", 8, job(vec![step(3)]));
+    let second = world.submit(2, "quick", 8, job(vec![step(3)]));
+    world.run_ms(1_500);
+    let third = world.submit(3, "quick", 8, job(vec![step(3)]));
+    world.run_ms(1_000);
+    for id in [first, second, third] {
+        assert_eq!(world.answers.get(&id), Some(&Answer::Done));
+    }
+    assert_eq!(world.runs.len(), 3);
+}
+
+#[test]
+fn unknown_places_and_jobs_are_told_apart() {
+    let mut world = World::new(3, 1, 1);
+    let no_queue = world.submit(1, "nowhere", 9, job(vec![step(1)]));
+    let no_job = world.cancel(1, "quick", 10);
+    let no_step = world.submit(1, "quick", 11, job(Vec::new()));
+    world.run_ms(1_000);
+    let answer = |id| world.answers.get(&id).cloned().unwrap();
+    assert_eq!(answer(no_queue), Answer::Refused(Refusal::NoQueue));
+    assert_eq!(answer(no_job), Answer::Refused(Refusal::NotKnown));
+    assert!(matches!(
+        answer(no_step),
+        Answer::Refused(Refusal::Wrong(_))
+    ));
+}
+
+#[test]
+fn jobs_without_a_start_are_pending() {
+    let mut world = World::new(4, 1, 1);
+    for id in 0..3 {
+        world.submit(1, "quick", 100 + id, job(vec![step(20)]));
+    }
+    world.run_ms(100);
+    let place = rosemarygauge::control::Place {
+        host: "H.example".into(),
+        path: "/quick/".into(),
+    };
+    let id = world.call(1, Call::Look { place });
+    world.run_ms(200);
+    assert_eq!(world.answers.get(&id), Some(&Answer::Pending(2)));
+}
+
+#[test]
+fn the_highest_configuration_is_in_force_and_an_old_one_is_acknowledged() {
+    let mut world = World::new(5, 1, 1);
+    for version in [7, 3, 7] {
+        let id = world.call(2, Call::Configure(Arc::new(configuration(version))));
+        world.run_ms(500);
+        assert_eq!(world.answers.get(&id), Some(&Answer::Done), "{version}");
+    }
+    let id = world.call(3, Call::ReadConfiguration);
+    world.run_ms(500);
+    let document = Arc::new(b"document 7".to_vec());
+    assert_eq!(
+        world.answers.get(&id),
+        Some(&Answer::Configuration(document))
+    );
+}
+
+#[test]
+fn each_wrong_configuration_is_refused_with_its_fault() {
+    let base = configuration(9);
+    let with = |change: fn(&mut Configuration)| {
+        let mut wrong = base.clone();
+        change(&mut wrong);
+        wrong.check().unwrap_err()
+    };
+    assert!(base.check().is_ok());
+    assert!(matches!(
+        with(|c| c.queues[0].pool = "none".into()),
+        ConfigurationFault::UnknownPool { .. }
+    ));
+    assert!(matches!(
+        with(|c| c.queues[0].timeout_ms = 0),
+        ConfigurationFault::NoTimeout { .. }
+    ));
+    assert!(matches!(
+        with(|c| c.queues.push(queue("quick", "west"))),
+        ConfigurationFault::SamePlace { .. }
+    ));
+    assert!(matches!(
+        with(|c| c.document = vec![0; 600 << 10]),
+        ConfigurationFault::TooLarge { .. }
+    ));
+}
+
+/// Two operators send different content under one version: the first that is
+/// accepted stays, and is what every instance reads back.
+#[test]
+fn other_content_under_the_version_held_changes_nothing() {
+    let mut world = World::new(6, 1, 1);
+    let mut other = configuration(1);
+    other.document = b"other".to_vec();
+    let id = world.call(2, Call::Configure(Arc::new(other)));
+    world.run_ms(500);
+    assert_eq!(world.answers.get(&id), Some(&Answer::Done));
+    let leader = world.leader().unwrap();
+    let held = world.state(&leader).configuration().unwrap();
+    assert_eq!(held.document, b"document 1");
+}
+
+#[test]
+fn the_longest_prefix_selects_the_queue() {
+    let mut conf = configuration(1);
+    let mut deeper = queue("deeper", "west");
+    deeper.path_prefix = "/quick/deep/".into();
+    conf.queues.push(deeper);
+    let name_at = |path: &str| conf.queue_at("h.example", path).map(|q| q.name.as_str());
+    assert_eq!(name_at("/quick/0000000000000001"), Some("quick"));
+    assert_eq!(name_at("/quick/deep/0000000000000001"), Some("deeper"));
+    assert_eq!(name_at("/other/"), None);
+    assert_eq!(conf.queue_at("x.example", "/quick/"), None);
+}
+
+/// A worker's report is held up and comes after a newer one that said that it drains:
+/// the worker must not be given work again.
+#[test]
+fn a_late_report_does_not_take_back_that_a_worker_drains() {
+    let mut world = World::new(7, 2, 1);
+    let old = world.worker(1_000).report();
+    world.worker(1_000).phase = rosemarygauge::control::Phase::Draining;
+    world.run_ms(1_000);
+    world.call(1, Call::Report(Arc::new(old)));
+    world.run_ms(200);
+    world.submit(1, "quick", 30, job(vec![step(10)]));
+    world.run_ms(1_500);
+    assert_eq!(world.look(1, "quick", 30), Some(JobState::Completed));
+    assert!(
+        world.runs.iter().all(|r| r.worker != "i-1"),
+        "{:?}",
+        world.runs
+    );
+}
+
+#[test]
+fn followers_know_what_the_leader_knows() {
+    let mut world = World::new(8, 2, 2);
+    world.submit(1, "quick", 40, job(vec![step(5)]));
+    world.run_ms(2_000);
+    let leader = world.leader().unwrap();
+    let jobs = |world: &World, at: &EntryName| format!("{:?}", world.state(at).job(40.into()));
+    for place in 1..=3 {
+        assert_eq!(jobs(&world, &name(place)), jobs(&world, &leader));
+    }
+}
--- /dev/null
+++ b/tests/control/leases.rs
@@ -0,0 +1,66 @@
+//! What a leader believes of a worker's lease.
+
+use rosemarygauge::control::WorkerLink;
+
+const LEASE_MS: u64 = 5_000;
+
+#[test]
+fn a_lease_has_lapsed_only_when_the_slowest_clock_has_passed_its_end() {
+    let mut link = WorkerLink::new(0, LEASE_MS);
+    link.listed(100, 77_000, &[], &[]);
+    let end_ms = link.grant(1_000).unwrap();
+    assert_eq!(end_ms, 77_000 + 900 + LEASE_MS);
+    // 5,900 ms on a clock that is 2 % slow take 6,020 ms; a first listing also lets a
+    // lease of an earlier leader run out.
+    assert!(!link.has_lapsed(100 + 6_000));
+    assert!(link.has_lapsed(100 + 6_200));
+}
+
+/// A leader that never heard a worker knows nothing of its clock. What an earlier
+/// leader granted has run out after a lease and its doubt.
+#[test]
+fn the_leases_of_an_earlier_leader_run_out_unheard() {
+    let link = WorkerLink::new(10_000, LEASE_MS);
+    assert!(!link.has_lapsed(15_300));
+    assert!(link.has_lapsed(15_700));
+}
+
+/// The worker answers nothing: no retry may extend the lease.
+#[test]
+fn a_silent_worker_is_granted_nothing() {
+    let mut link = WorkerLink::new(0, LEASE_MS);
+    link.listed(100, 5, &[], &[]);
+    assert!(link.renewal_end(200).is_some());
+    link.renewal_failed(1_700);
+    assert_eq!(link.renewal_end(1_800), None);
+    link.listed(1_900, 1_805, &[], &[]);
+    assert!(link.renewal_end(2_000).is_some());
+}
+
+#[test]
+fn answers_that_overtake_each_other_do_not_set_the_clock_back() {
+    let mut link = WorkerLink::new(0, LEASE_MS);
+    link.heard(1_000, 500);
+    link.heard(1_010, 400);
+    assert_eq!(link.grant(1_010), Some(510 + LEASE_MS));
+}
+
+/// A worker that fails run after run rests; one that does its work does not.
+#[test]
+fn failures_in_a_row_give_a_worker_a_rest() {
+    let mut link = WorkerLink::new(0, LEASE_MS);
+    link.listed(10, 10, &[], &[]);
+    link.run_failed(100);
+    link.run_failed(200);
+    assert!(link.takes_work(300));
+    link.run_failed(300);
+    assert!(!link.takes_work(400));
+    let mut mixed = WorkerLink::new(0, LEASE_MS);
+    mixed.listed(10, 10, &[], &[]);
+    for at in 1..20 {
+        mixed.run_failed(at * 50);
+        mixed.run_done(at * 50 + 10);
+        mixed.run_done(at * 50 + 20);
+    }
+    assert!(mixed.takes_work(1_000));
+}
--- /dev/null
+++ b/tests/control/main.rs
@@ -0,0 +1,22 @@
+//! Control instances without a network: simulated time, fake workers, seeded faults,
+//! and the promises checked at every start and end of a task.
+#![allow(missing_docs, clippy::unwrap_used)]
+
+#[path = "../naive_disk/mod.rs"]
+mod naive_disk;
+
+mod calls;
+mod capacity;
+mod estimates;
+mod failures;
+mod faults;
+mod leases;
+mod members;
+mod random;
+mod relay;
+mod scheduler;
+mod specs;
+mod throttle;
+mod upkeep;
+mod worker;
+mod world;
--- /dev/null
+++ b/tests/control/relay.rs
@@ -0,0 +1,94 @@
+//! Calls on their way to the leader, and an entry instance's readiness.
+
+use rosemarygauge::control::{
+    Answer, Call, Gateway, GatewayEffect, PeerMessage, Refusal, Relay, RelayStep,
+};
+
+use crate::world::name;
+
+fn relay() -> Relay {
+    let mut relay = Relay::default();
+    relay.set_members((1..=3).map(name).collect());
+    relay
+}
+
+fn targets(steps: &[RelayStep]) -> Vec<String> {
+    let sent = steps.iter().filter_map(|step| match step {
+        RelayStep::Send { to, .. } => Some(to.to_string()),
+        RelayStep::Answer { .. } => None,
+    });
+    sent.collect()
+}
+
+#[test]
+fn a_call_goes_to_the_leader_that_another_instance_names() {
+    let mut relay = relay();
+    assert_eq!(relay.open(0, 1, Call::ReadConfiguration, 3_000).len(), 1);
+    let leader = Some(name(3));
+    let steps = relay.answered(10, 1, Answer::NotLeader { leader });
+    assert_eq!(targets(&steps), ["10.0.0.3"]);
+    let steps = relay.answered(20, 1, Answer::Done);
+    let answer = Answer::Done;
+    assert_eq!(steps, [RelayStep::Answer { id: 1, answer }]);
+}
+
+/// The leader takes the call and falls silent: the call is sent again, elsewhere in
+/// the end, as every call may be carried out twice.
+#[test]
+fn a_call_without_an_answer_is_sent_elsewhere() {
+    let mut relay = relay();
+    relay.set_leader(0, Some(name(1)));
+    relay.open(0, 1, Call::ReadConfiguration, 9_000);
+    let mut asked = std::collections::BTreeSet::new();
+    for now_ms in (0..4_000).step_by(50) {
+        asked.extend(targets(&relay.tick(now_ms)));
+        if now_ms == 1_000 {
+            relay.set_leader(now_ms, None);
+        }
+    }
+    assert!(asked.len() >= 3, "{asked:?}");
+}
+
+/// A call that left may have an effect: its caller is not told that it has none.
+#[test]
+fn only_a_call_that_never_left_is_refused() {
+    let mut sent = relay();
+    sent.open(0, 1, Call::ReadConfiguration, 500);
+    let steps = sent.tick(600);
+    assert!(steps.contains(&RelayStep::Answer {
+        id: 1,
+        answer: Answer::Unknown
+    }));
+    let mut alone = Relay::default();
+    alone.open(0, 2, Call::ReadConfiguration, 500);
+    let refused = alone.tick(600).into_iter().any(|step| {
+        matches!(
+            step,
+            RelayStep::Answer {
+                answer: Answer::Refused(Refusal::Busy { .. }),
+                ..
+            }
+        )
+    });
+    assert!(refused);
+}
+
+#[test]
+fn an_entry_instance_is_ready_while_it_hears_the_leader() {
+    let mut gateway = Gateway::new((1..=3).map(name).collect());
+    assert!(!gateway.is_ready(0));
+    let hellos = gateway.tick(0);
+    assert_eq!(hellos.len(), 3, "{hellos:?}");
+    let welcome = |leader: usize| PeerMessage::Welcome {
+        leader: Some(name(leader)),
+        members: (1..=3).map(name).collect(),
+    };
+    // Hearsay is no sign of life of the leader.
+    gateway.message(10, &name(2), welcome(1));
+    assert!(!gateway.is_ready(20));
+    gateway.message(30, &name(1), welcome(1));
+    assert!(gateway.is_ready(40));
+    assert!(!gateway.is_ready(2_000));
+    let effects = gateway.call(2_000, 5, Call::ReadConfiguration, 4_000);
+    assert!(matches!(effects[0], GatewayEffect::Send { .. }));
+}
--- /dev/null
+++ b/tests/control/scheduler.rs
@@ -0,0 +1,339 @@
+//! Where tasks go, and which come first, without a network: the load it answers is
+//! named at each test.
+
+use std::sync::Arc;
+
+use rosemarygauge::control::{
+    Advice, Change, Command, Estimates, Fleet, Placement, Scheduler, State, WorkerLink, rank,
+};
+use rosemarygauge::jobs::{JobId, JobSpec, Step};
+
+use crate::worker::Worker;
+use crate::world::{address, configuration, job, lasting, queue, step};
+
+const NOW_MS: u64 = 50_000;
+const UNIX_MS: u64 = 1_700_000_000_000;
+
+struct Pool {
+    state: State,
+    fleet: Fleet,
+    scheduler: Scheduler,
+}
+
+impl Pool {
+    /// So many workers of 16 cores in the pool `east`, all heard just now.
+    fn new(workers: u16) -> Self {
+        let mut state = State::default();
+        apply(&mut state, Change::Configure(Arc::new(configuration(1))));
+        let mut fleet = Fleet::new(NOW_MS, 5_000, &state);
+        for port in 0..workers {
+            let mut worker = Worker::new(&format!("i-{port}"), address(port), "east", 0);
+            let mut report = worker.report();
+            report.rack = Some(format!("r{}", port / 2).as_str().into());
+            apply(&mut state, Change::Report(Arc::new(report.clone())));
+            fleet.meet(NOW_MS, &report.worker);
+            hear(&mut fleet, &format!("i-{port}"));
+        }
+        Self {
+            state,
+            fleet,
+            scheduler: Scheduler::default(),
+        }
+    }
+
+    fn accept(&mut self, id: u64, spec: JobSpec) {
+        let change = Change::Accept {
+            job: JobId::from(id),
+            queue: "quick".into(),
+            spec: Arc::new(spec),
+        };
+        apply(&mut self.state, change);
+    }
+
+    fn pass(&mut self) -> Vec<Placement> {
+        let estimates = Estimates::default();
+        self.scheduler
+            .pass(NOW_MS, UNIX_MS + 10, &self.state, &self.fleet, &estimates)
+    }
+}
+
+fn hear(fleet: &mut Fleet, name: &str) {
+    let link: &mut WorkerLink = fleet.link_mut(&name.into()).unwrap();
+    link.listed(NOW_MS, 77, &[], &[]);
+}
+
+fn apply(state: &mut State, change: Change) {
+    state.apply(&Command {
+        by: "10.0.0.1".into(),
+        start: 1,
+        sequence: 1,
+        at_unix_ms: UNIX_MS,
+        changes: vec![change],
+    });
+}
+
+fn workers_of(starts: &[Placement]) -> Vec<&str> {
+    let mut names: Vec<&str> = starts.iter().map(|s| s.worker.as_str()).collect();
+    names.sort_unstable();
+    names.dedup();
+    names
+}
+
+/// Few tasks in a large pool: they share a worker, so that others stay empty and can
+/// move to a pool that has too much to do.
+#[test]
+fn tasks_are_packed() {
+    let mut pool = Pool::new(6);
+    pool.accept(1, job(vec![step(10)]));
+    let starts = pool.pass();
+    assert_eq!(starts.len(), 10);
+    assert_eq!(workers_of(&starts).len(), 1);
+}
+
+/// More work than room: no worker is given more than it has, starts on their way
+/// included.
+#[test]
+fn no_worker_is_given_more_than_it_has() {
+    let mut pool = Pool::new(3);
+    pool.accept(1, job(vec![step(100)]));
+    let starts = pool.pass();
+    assert_eq!(starts.len(), 48);
+    assert!(pool.pass().is_empty());
+}
+
+#[test]
+fn memory_binds_as_processors_do() {
+    let mut pool = Pool::new(2);
+    let mut heavy = step(10);
+    heavy.demand.memory_mb = 30_000;
+    pool.accept(1, job(vec![heavy]));
+    assert_eq!(pool.pass().len(), 4);
+}
+
+/// Demand of several times the room: the job with the least work left goes first, and
+/// a large one that came before does not hold up all behind it.
+#[test]
+fn small_jobs_pass_a_large_one_under_load() {
+    let mut pool = Pool::new(1);
+    pool.accept(1, job(vec![step(100)]));
+    for id in 2..6 {
+        pool.accept(id, job(vec![step(4)]));
+    }
+    let starts = pool.pass();
+    assert_eq!(starts.len(), 16);
+    assert!(starts.iter().all(|s| s.task.job != JobId::from(1)));
+}
+
+/// A job that can't be on time any more waits for those that can.
+#[test]
+fn jobs_that_can_be_on_time_go_before_late_ones() {
+    let q = queue("quick", "east");
+    let one = rosemarygauge::jobs::Job::new(
+        JobId::from(1),
+        "quick".into(),
+        "east".into(),
+        Arc::new(job(vec![step(1)])),
+        3,
+        0,
+    );
+    let at = |now| rank(now, &one, Some(&q), 0, 300, 300, 500.0);
+    let (on_time, late, hopeless) = (at(100), at(1_500), at(9_000));
+    assert!(on_time.compare(&late).is_lt());
+    assert!(late.compare(&hopeless).is_lt());
+    let urgent = rosemarygauge::control::Queue {
+        priority: 0,
+        ..q.clone()
+    };
+    let patient = rosemarygauge::control::Queue { priority: 1, ..q };
+    let a = rank(9_000, &one, Some(&urgent), 0, 300, 300, 500.0);
+    let b = rank(0, &one, Some(&patient), 0, 300, 300, 500.0);
+    assert!(a.compare(&b).is_lt());
+}
+
+/// A lost worker should cost a lasting step one task, not all.
+#[test]
+fn lasting_tasks_of_a_step_are_spread() {
+    let mut pool = Pool::new(6);
+    let mut spec = lasting(5);
+    spec.steps[0].per_worker_max = None;
+    pool.accept(1, spec);
+    assert_eq!(workers_of(&pool.pass()).len(), 5);
+}
+
+/// Best-effort tasks slow those that serve users on their worker.
+#[test]
+fn serving_and_best_effort_tasks_are_kept_apart() {
+    let mut pool = Pool::new(8);
+    let mut serving = lasting(4);
+    serving.steps[0].tail_target_ms = Some(100);
+    let mut filling = lasting(4);
+    filling.steps[0].best_effort = true;
+    pool.accept(1, serving);
+    pool.accept(2, filling);
+    let starts = pool.pass();
+    let of = |id: u64| {
+        let mine = starts.iter().filter(move |s| s.task.job == JobId::from(id));
+        mine.map(|s| s.worker.clone())
+            .collect::<std::collections::BTreeSet<_>>()
+    };
+    assert_eq!((of(1).len(), of(2).len()), (4, 4));
+    assert!(of(1).is_disjoint(&of(2)));
+}
+
+#[test]
+fn labels_racks_and_limits_are_kept() {
+    let mut pool = Pool::new(6);
+    pool.accept(
+        1,
+        job(vec![Step {
+            label: Some("b".into()),
+            ..step(1)
+        }]),
+    );
+    pool.accept(
+        2,
+        job(vec![Step {
+            per_worker_max: Some(2),
+            ..step(20)
+        }]),
+    );
+    pool.accept(
+        3,
+        job(vec![Step {
+            data_rack: Some("r2".into()),
+            ..step(3)
+        }]),
+    );
+    let starts = pool.pass();
+    assert!(starts.iter().all(|s| s.task.job != JobId::from(1)));
+    let second: Vec<_> = starts
+        .iter()
+        .filter(|s| s.task.job == JobId::from(2))
+        .collect();
+    assert_eq!(second.len(), 12);
+    let third = starts.iter().filter(|s| s.task.job == JobId::from(3));
+    assert!(third.clone().count() == 3);
+    assert!(
+        third
+            .clone()
+            .all(|s| ["i-4", "i-5"].contains(&s.worker.as_str()))
+    );
+}
+
+/// A part of a gang would wait in vain for the rest: it starts whole or not at all,
+/// and all members carry one number.
+#[test]
+fn a_gang_starts_whole_or_not_at_all() {
+    let mut pool = Pool::new(1);
+    pool.accept(
+        1,
+        job(vec![Step {
+            gang: true,
+            ..step(17)
+        }]),
+    );
+    assert!(pool.pass().is_empty());
+    pool.accept(
+        2,
+        job(vec![Step {
+            gang: true,
+            ..step(16)
+        }]),
+    );
+    let starts = pool.pass();
+    assert_eq!(starts.len(), 16);
+    assert!(
+        starts
+            .iter()
+            .all(|s| s.attempt == 1 && s.task.job == JobId::from(2))
+    );
+}
+
+/// A queue whose placements an advisor must allow: nothing starts before it has
+/// answered, and then only on workers that it allows.
+#[test]
+fn an_advisor_is_asked_first() {
+    let mut pool = Pool::new(3);
+    let mut advised = configuration(2);
+    advised.queues[0].advice = Some(Advice {
+        decision_ms: 10,
+        per_worker_ms: 1,
+        validity_ms: 3_000,
+    });
+    apply(&mut pool.state, Change::Configure(Arc::new(advised)));
+    pool.accept(1, job(vec![step(4)]));
+    assert!(pool.pass().is_empty());
+}
+
+#[test]
+fn a_retry_avoids_the_worker_on_which_it_failed() {
+    let mut pool = Pool::new(2);
+    pool.accept(1, job(vec![step(1)]));
+    let first = pool.pass().remove(0);
+    pool.scheduler = Scheduler::default();
+    let (task, attempt, worker) = (first.task, first.attempt, first.worker.clone());
+    apply(
+        &mut pool.state,
+        Change::Place {
+            task,
+            attempt,
+            worker: worker.clone(),
+        },
+    );
+    let end = Change::End {
+        task,
+        attempt,
+        worker: worker.clone(),
+        ending: rosemarygauge::jobs::Ending::Failed,
+        checkpoint: String::new(),
+    };
+    apply(&mut pool.state, end);
+    let second = pool.pass().remove(0);
+    assert_eq!(second.attempt, 2);
+    assert_ne!(second.worker, worker);
+}
+
+/// A worker that drains, or was not heard lately, gets nothing.
+#[test]
+fn workers_that_leave_or_are_silent_get_nothing() {
+    let mut pool = Pool::new(2);
+    apply(
+        &mut pool.state,
+        Change::Leave {
+            worker: "i-0".into(),
+        },
+    );
+    pool.accept(1, job(vec![step(4)]));
+    let starts = pool.pass();
+    assert_eq!(workers_of(&starts), ["i-1"]);
+    let later = NOW_MS + 10_000;
+    pool.accept(2, job(vec![step(4)]));
+    let estimates = Estimates::default();
+    let none = pool.scheduler.pass(
+        later,
+        UNIX_MS + 10_000,
+        &pool.state,
+        &pool.fleet,
+        &estimates,
+    );
+    assert!(none.is_empty());
+}
+
+#[test]
+fn a_snapshot_holds_everything() {
+    let mut pool = Pool::new(2);
+    pool.accept(1, job(vec![step(4)]));
+    for start in pool.pass() {
+        let (task, attempt, worker) = (start.task, start.attempt, start.worker);
+        apply(
+            &mut pool.state,
+            Change::Place {
+                task,
+                attempt,
+                worker,
+            },
+        );
+    }
+    let again = State::decode(&pool.state.encode()).unwrap();
+    assert_eq!(again, pool.state);
+}
--- /dev/null
+++ b/tests/control/upkeep.rs
@@ -0,0 +1,70 @@
+//! Maintenance waves beside work.
+
+use rosemarygauge::control::{Answer, Call};
+
+use crate::world::{World, job, lasting, step};
+
+const EAST: [&str; 6] = ["m-1000", "m-1001", "m-1002", "m-1003", "m-1004", "m-1005"];
+
+fn completed(world: &mut World) -> bool {
+    let id = world.call(2, Call::LookAtWave { wave: 1 });
+    world.run_ms(300);
+    world.answers.get(&id) == Some(&Answer::Wave { completed: true })
+}
+
+#[test]
+fn a_wave_is_done_in_time_and_within_its_limit() {
+    let mut world = World::new(51, 8, 4);
+    world.submit(1, "quick", 1, lasting(4));
+    world.run_ms(2_000);
+    world.start_wave(1, &EAST, 2);
+    for id in 0..180 {
+        world.submit(1, "quick", 100 + id, job(vec![step(4)]));
+        world.run_ms(100);
+    }
+    assert!(completed(&mut world), "{:?}", world.upkeeps);
+    assert_eq!(world.upkeeps.len(), 6);
+    assert!(world.down_most <= 2, "{}", world.down_most);
+}
+
+/// A lasting step of three tasks may miss one. All its machines are due: its tasks go
+/// one after the other, each only when the one before is at work again.
+#[test]
+fn a_wave_keeps_the_disruption_budget_of_lasting_steps() {
+    let mut world = World::new(52, 5, 2);
+    world.submit(1, "quick", 1, lasting(3));
+    world.run_ms(2_000);
+    world.start_wave(1, &EAST[..5], 5);
+    let mut least = usize::MAX;
+    for _ in 0..2_000 {
+        world.run_ms(10);
+        let at_work = world.workers.values().flat_map(|w| w.going.values());
+        least = least.min(at_work.filter(|g| !g.stopping).count());
+    }
+    assert!(completed(&mut world), "{:?}", world.upkeeps);
+    assert!(least >= 2, "{least} of 3 at work");
+}
+
+/// The leader dies right after it ordered upkeeps. The next one does not know their
+/// answers: if it took those machines for up, it would take down more than allowed.
+#[test]
+fn a_new_leader_takes_down_no_more_than_the_wave_allows() {
+    for seed in 530..540 {
+        let mut world = World::new(seed, 8, 2);
+        world.start_wave(1, &EAST, 2);
+        let wait_ms = (seed - 530) * 7;
+        world.until(5_000, |w| !w.upkeeps.is_empty());
+        world.run_ms(wait_ms);
+        let leader = world.leader().unwrap();
+        world.kill(&leader);
+        world.run_ms(2_500);
+        world.restart(&leader);
+        world.run_ms(18_000);
+        assert!(
+            world.down_most <= 2,
+            "seed {seed}: {} down",
+            world.down_most
+        );
+        assert!(completed(&mut world), "seed {seed}: {:?}", world.upkeeps);
+    }
+}
--- /dev/null
+++ b/tests/control/worker.rs
@@ -0,0 +1,244 @@
+//! A fake worker: leases by its own clock, fencing, and ends that stay listed until
+//! they are acknowledged.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use rosemarygauge::control::{Ended, OrderKind, OrderOutcome, Phase, Rejection, Report, Running};
+use rosemarygauge::jobs::{Ending, Room, TaskId};
+
+/// How long a stop takes.
+const STOP_MS: u64 = 100;
+
+#[derive(Clone)]
+pub struct Going {
+    pub attempt: u32,
+    pub since_ms: u64,
+    pub ends_ms: u64,
+    pub ending: Ending,
+    pub stopping: bool,
+}
+
+pub struct Worker {
+    pub name: String,
+    pub address: SocketAddr,
+    pub pool: String,
+    pub machine: String,
+    pub phase: Phase,
+    pub sequence: u64,
+    pub fence: u64,
+    pub lease_end_ms: u64,
+    pub going: BTreeMap<TaskId, Going>,
+    pub ended: Vec<Ended>,
+    pub next_end: u64,
+    pub highest: BTreeMap<TaskId, u32>,
+    pub acknowledged: u64,
+    /// How long tasks take here; lasting ones go on.
+    pub run_ms: u64,
+    pub fails_all: bool,
+    pub stands_still: bool,
+    /// Its clock runs at this part of true time, in thousandths.
+    pub clock_rate: u64,
+    pub clock_base_ms: u64,
+    pub born_ms: u64,
+    pub lasting_jobs: std::collections::BTreeSet<rosemarygauge::jobs::JobId>,
+}
+
+impl Worker {
+    pub fn new(name: &str, address: SocketAddr, pool: &str, now_ms: u64) -> Self {
+        Self {
+            name: name.to_owned(),
+            address,
+            pool: pool.to_owned(),
+            machine: format!("m-{}", address.port()),
+            phase: Phase::Ready,
+            sequence: 0,
+            fence: 0,
+            lease_end_ms: 0,
+            going: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            highest: BTreeMap::new(),
+            acknowledged: 0,
+            run_ms: 300,
+            fails_all: false,
+            stands_still: false,
+            clock_rate: 1_000,
+            clock_base_ms: 77_000,
+            born_ms: now_ms,
+            lasting_jobs: std::collections::BTreeSet::new(),
+        }
+    }
+
+    pub fn clock_ms(&self, now_ms: u64) -> u64 {
+        self.clock_base_ms + (now_ms - self.born_ms) * self.clock_rate / 1_000
+    }
+
+    pub fn report(&mut self) -> Report {
+        self.sequence += 1;
+        Report {
+            worker: self.name.as_str().into(),
+            machine: Some(self.machine.clone()),
+            pool: self.pool.as_str().into(),
+            address: self.address,
+            zone: "a".into(),
+            rack: Some("r1".into()),
+            labels: vec!["a".into(), "r1".into()],
+            capacity: Room {
+                cpu_milli: 16_000,
+                memory_mb: 64_000,
+                accelerators: 0,
+            },
+            phase: self.phase,
+            sequence: self.sequence,
+        }
+    }
+
+    /// Lets time pass: ends runs and lets the lease run out.
+    pub fn tick(&mut self, now_ms: u64) {
+        let lapsed = self.clock_ms(now_ms) >= self.lease_end_ms;
+        let over: Vec<(TaskId, Ending)> = self
+            .going
+            .iter()
+            .filter_map(|(task, going)| {
+                if lapsed {
+                    Some((*task, Ending::Lapsed))
+                } else if now_ms >= going.ends_ms {
+                    let ending = if going.stopping {
+                        Ending::Stopped
+                    } else {
+                        going.ending
+                    };
+                    Some((*task, ending))
+                } else {
+                    None
+                }
+            })
+            .collect();
+        for (task, ending) in over {
+            self.end(task, ending);
+        }
+    }
+
+    fn end(&mut self, task: TaskId, ending: Ending) {
+        let going = self.going.remove(&task).unwrap();
+        self.ended.push(Ended {
+            number: self.next_end,
+            task,
+            attempt: going.attempt,
+            ending,
+            checkpoint: String::new(),
+        });
+        self.next_end += 1;
+    }
+
+    pub fn order(&mut self, now_ms: u64, fence: u64, kind: &OrderKind) -> OrderOutcome {
+        let clock_ms = self.clock_ms(now_ms);
+        let rejected = |reason| OrderOutcome::Rejected {
+            reason,
+            clock_ms: Some(clock_ms),
+        };
+        if fence < self.fence {
+            return rejected(Rejection::Fence);
+        }
+        self.fence = fence;
+        match kind {
+            OrderKind::Start {
+                task,
+                attempt,
+                lease_end_ms,
+                ..
+            } => {
+                if self.going.get(task).is_some_and(|g| g.attempt == *attempt) {
+                    return OrderOutcome::Done {
+                        clock_ms: Some(clock_ms),
+                    };
+                }
+                if *lease_end_ms <= clock_ms {
+                    return rejected(Rejection::Late);
+                }
+                self.lease_end_ms = self.lease_end_ms.max(*lease_end_ms);
+                let highest = self.highest.get(task).copied().unwrap_or(0);
+                if *attempt <= highest || self.going.contains_key(task) {
+                    return rejected(Rejection::Old);
+                }
+                self.highest.insert(*task, *attempt);
+                let lasts = self.lasting_jobs.contains(&task.job);
+                let still = self.stands_still || lasts;
+                let run_ms = if self.fails_all { 5 } else { self.run_ms };
+                let going = Going {
+                    attempt: *attempt,
+                    since_ms: now_ms,
+                    ends_ms: if still && !self.fails_all {
+                        u64::MAX
+                    } else {
+                        now_ms + run_ms
+                    },
+                    ending: if self.fails_all {
+                        Ending::Failed
+                    } else {
+                        Ending::Done
+                    },
+                    stopping: false,
+                };
+                self.going.insert(*task, going);
+                OrderOutcome::Done {
+                    clock_ms: Some(clock_ms),
+                }
+            }
+            OrderKind::Stop { task, attempt } => {
+                let highest = self.highest.entry(*task).or_default();
+                *highest = (*highest).max(*attempt);
+                if let Some(going) = self.going.get_mut(task)
+                    && going.attempt == *attempt
+                    && !going.stopping
+                {
+                    going.stopping = true;
+                    going.ends_ms = now_ms + STOP_MS;
+                }
+                OrderOutcome::Done {
+                    clock_ms: Some(clock_ms),
+                }
+            }
+            OrderKind::Renew {
+                lease_end_ms,
+                acknowledged,
+                ..
+            } => {
+                self.lease_end_ms = self.lease_end_ms.max(lease_end_ms.unwrap_or(0));
+                self.acknowledged = self.acknowledged.max(*acknowledged);
+                self.ended.retain(|end| end.number > *acknowledged);
+                OrderOutcome::Listed {
+                    clock_ms,
+                    running: self.running(now_ms),
+                    ended: self.ended.clone(),
+                }
+            }
+            OrderKind::Throttle { .. } => OrderOutcome::Done {
+                clock_ms: Some(clock_ms),
+            },
+        }
+    }
+
+    fn running(&self, now_ms: u64) -> Vec<Running> {
+        let going = self.going.iter();
+        going
+            .map(|(task, going)| {
+                let lasts = self.lasting_jobs.contains(&task.job);
+                let passed_ms = now_ms - going.since_ms;
+                let percent = match (lasts, self.stands_still) {
+                    (true, _) => (passed_ms / 5).min(100),
+                    (false, true) => 7,
+                    (false, false) => (passed_ms * 100 / self.run_ms).min(99),
+                };
+                Running {
+                    task: *task,
+                    attempt: going.attempt,
+                    checkpoint: String::new(),
+                    percent: percent as u8,
+                    gauge: None,
+                }
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/tests/control/world.rs
@@ -0,0 +1,755 @@
+//! Three control instances, fake workers and a fake keeper of machines in one thread.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rosemarygauge::consensus::{Record, Recovered};
+use rosemarygauge::control::{
+    Answer, Call, Configuration, Effect, Event, Machine, MachineOrder, MachineOrderKind,
+    MachineOutcome, MachinePhase, Node, NodeSettings, Order, OrderKind, OrderOutcome, PeerMessage,
+    Place, Queue, Rejection, Timing, Wave,
+};
+use rosemarygauge::jobs::{JobId, JobSpec, JobState, Room, Step, TaskId};
+use rosemarygauge::model::EntryName;
+
+use crate::naive_disk::replay;
+use crate::worker::Worker;
+
+pub const STEP_MS: u64 = 5;
+pub const TIMING: Timing = Timing {
+    report_interval_ms: 1_500,
+    lease_max_ms: 10_000,
+    stop_timeout_ms: 400,
+    remember_ms: 120_000,
+    upkeep_ms: 2_000,
+    grace_ms: 6_000,
+    early_ms: 250,
+    notice_ms: 4_500,
+};
+
+struct Control {
+    node: Option<Node>,
+    disk: Recovered,
+    frozen: bool,
+}
+
+enum Flying {
+    Peer {
+        from: EntryName,
+        to: EntryName,
+        message: Box<PeerMessage>,
+    },
+    Persisted {
+        at: EntryName,
+        start: u64,
+        token: u64,
+        records: Vec<Record>,
+    },
+    Order {
+        from: EntryName,
+        start: u64,
+        order: Order,
+    },
+    Ordered {
+        to: EntryName,
+        start: u64,
+        id: u64,
+        outcome: OrderOutcome,
+    },
+    Machine {
+        from: EntryName,
+        start: u64,
+        order: MachineOrder,
+    },
+    Event {
+        to: EntryName,
+        start: u64,
+        event: Event,
+    },
+}
+
+pub struct World {
+    pub now_ms: u64,
+    pub rng: ChaCha8Rng,
+    controls: BTreeMap<EntryName, Control>,
+    starts: BTreeMap<EntryName, u64>,
+    pub workers: BTreeMap<SocketAddr, Worker>,
+    /// Machines that are down until a time, to come back as another incarnation.
+    returning: Vec<(u64, SocketAddr, String)>,
+    flying: BTreeMap<(u64, u64), Flying>,
+    sent: u64,
+    /// Pairs of names that cannot reach each other, one way.
+    pub cut: BTreeSet<(String, String)>,
+    /// Orders in a thousand that get no answer and arrive late.
+    pub late_per_mille: u32,
+    pub answers: BTreeMap<u64, Answer>,
+    next_call: u64,
+    next_worker: u64,
+    report_ms: u64,
+    /// Every run by task: attempt, worker, began, ended and how.
+    pub runs: Vec<Seen>,
+    pub upkeeps: Vec<(u64, String)>,
+    pub moves: Vec<(u64, String, String)>,
+    pub down_most: usize,
+    /// When a cancellation was acknowledged.
+    pub cancelled_ms: BTreeMap<JobId, u64>,
+    pub copies: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub task: TaskId,
+    pub attempt: u32,
+    pub worker: String,
+    pub began_ms: u64,
+}
+
+pub fn name(place: usize) -> EntryName {
+    EntryName::from(format!("10.0.0.{place}"))
+}
+
+pub fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 1, 0, 1], port))
+}
+
+pub fn queue(name: &str, pool: &str) -> Queue {
+    Queue {
+        name: name.into(),
+        host: "h.example".into(),
+        path_prefix: format!("/{name}/"),
+        pool: pool.into(),
+        priority: 0,
+        attempts_max: 3,
+        slack_factor: 1.6,
+        target_latency_ms: 600,
+        timeout_ms: 3_000,
+        advice: None,
+    }
+}
+
+pub fn configuration(version: u64) -> Configuration {
+    Configuration {
+        version,
+        queues: vec![queue("quick", "east"), queue("long", "west")],
+        pools: BTreeMap::from([
+            ("east".into(), false),
+            ("west".into(), false),
+            ("spare".into(), true),
+        ]),
+        document: format!("document {version}").into_bytes(),
+    }
+}
+
+pub fn step(tasks: u16) -> Step {
+    Step {
+        tasks,
+        demand: Room {
+            cpu_milli: 1_000,
+            memory_mb: 1_000,
+            accelerators: 0,
+        },
+        estimate_ms: 300,
+        ..Step::default()
+    }
+}
+
+pub fn job(steps: Vec<Step>) -> JobSpec {
+    JobSpec {
+        payload: "work".into(),
+        steps,
+        recurrence: None,
+    }
+}
+
+pub fn lasting(tasks: u16) -> JobSpec {
+    let step = Step {
+        lasting: true,
+        estimate_ms: 0,
+        per_worker_max: Some(1),
+        disruption_budget: Some(1),
+        ..step(tasks)
+    };
+    job(vec![step])
+}
+
+impl World {
+    /// Three control instances with empty folders and so many workers in each pool.
+    pub fn new(seed: u64, east: u16, west: u16) -> Self {
+        let mut world = Self::bare(seed);
+        for place in 1..=3 {
+            world.found(place);
+        }
+        for port in 0..east {
+            world.add_worker(1_000 + port, "east");
+        }
+        for port in 0..west {
+            world.add_worker(2_000 + port, "west");
+        }
+        world.run_ms(4_000);
+        let id = world.call(1, Call::Configure(Arc::new(configuration(1))));
+        world.run_ms(3_000);
+        assert_eq!(world.answers.get(&id), Some(&Answer::Done));
+        world
+    }
+
+    fn bare(seed: u64) -> Self {
+        Self {
+            now_ms: 1_000,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            controls: BTreeMap::new(),
+            starts: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            returning: Vec::new(),
+            flying: BTreeMap::new(),
+            sent: 0,
+            cut: BTreeSet::new(),
+            late_per_mille: 0,
+            answers: BTreeMap::new(),
+            next_call: 0,
+            next_worker: 0,
+            report_ms: 0,
+            runs: Vec::new(),
+            upkeeps: Vec::new(),
+            moves: Vec::new(),
+            down_most: 0,
+            cancelled_ms: BTreeMap::new(),
+            copies: false,
+        }
+    }
+
+    fn found(&mut self, place: usize) {
+        let incarnation = self.rng.random();
+        let disk = Recovered {
+            incarnation: Some(incarnation),
+            ..Recovered::default()
+        };
+        self.start(&name(place), disk, true);
+    }
+
+    /// Starts an instance that is not there at the first start, with an empty folder.
+    pub fn join(&mut self, place: usize) {
+        let incarnation = self.rng.random();
+        let disk = Recovered {
+            incarnation: Some(incarnation),
+            ..Recovered::default()
+        };
+        self.start(&name(place), disk, false);
+    }
+
+    fn start(&mut self, me: &EntryName, disk: Recovered, first_start: bool) {
+        let settings = NodeSettings {
+            me: me.clone(),
+            seeds: (1..=3).map(name).collect(),
+            first_start,
+            losses_borne: 1,
+            timing: TIMING,
+            seed: self.rng.random(),
+        };
+        let unix_ms = 1_700_000_000_000 + self.now_ms;
+        let node = Node::new(settings, disk.clone(), unix_ms, self.now_ms);
+        *self.starts.entry(me.clone()).or_default() += 1;
+        let control = Control {
+            node: Some(node),
+            disk,
+            frozen: false,
+        };
+        self.controls.insert(me.clone(), control);
+    }
+
+    pub fn add_worker(&mut self, port: u16, pool: &str) {
+        self.next_worker += 1;
+        let worker = Worker::new(
+            &format!("i-{}", self.next_worker),
+            address(port),
+            pool,
+            self.now_ms,
+        );
+        self.workers.insert(address(port), worker);
+        self.report_ms = self.now_ms;
+    }
+
+    pub fn worker(&mut self, port: u16) -> &mut Worker {
+        self.workers.get_mut(&address(port)).unwrap()
+    }
+
+    /// The worker ends without a word; another incarnation comes after a while.
+    pub fn crash_worker(&mut self, port: u16, for_ms: u64) {
+        let worker = self.workers.remove(&address(port)).unwrap();
+        let back = self.now_ms + for_ms;
+        self.returning.push((back, worker.address, worker.pool));
+    }
+
+    pub fn kill(&mut self, at: &EntryName) {
+        self.controls.get_mut(at).unwrap().node = None;
+    }
+
+    pub fn restart(&mut self, at: &EntryName) {
+        let disk = self.controls[at].disk.clone();
+        self.start(at, disk, false);
+    }
+
+    /// It comes back with an empty folder.
+    pub fn wipe(&mut self, at: &EntryName) {
+        let incarnation = self.rng.random();
+        let disk = Recovered {
+            incarnation: Some(incarnation),
+            ..Recovered::default()
+        };
+        self.start(at, disk, false);
+    }
+
+    pub fn freeze(&mut self, at: &EntryName, frozen: bool) {
+        self.controls.get_mut(at).unwrap().frozen = frozen;
+    }
+
+    /// Cuts an instance off from the other instances, both ways.
+    pub fn isolate(&mut self, at: &EntryName) {
+        for other in self.controls.keys().filter(|n| *n != at) {
+            self.cut.insert((at.to_string(), other.to_string()));
+            self.cut.insert((other.to_string(), at.to_string()));
+        }
+    }
+
+    /// Cuts a worker off from all instances, both ways.
+    pub fn cut_worker(&mut self, port: u16) {
+        for other in self.controls.keys() {
+            self.cut
+                .insert((other.to_string(), address(port).to_string()));
+            self.cut
+                .insert((address(port).to_string(), other.to_string()));
+        }
+    }
+
+    pub fn leader(&self) -> Option<EntryName> {
+        let mut leaders = self.controls.iter().filter(|(_, c)| {
+            let node = c.node.as_ref().filter(|_| !c.frozen);
+            node.is_some_and(|node| node.leads(self.now_ms))
+        });
+        leaders.next().map(|(name, _)| name.clone())
+    }
+
+    pub fn state(&self, at: &EntryName) -> &rosemarygauge::control::State {
+        self.controls[at].node.as_ref().unwrap().state()
+    }
+
+    /// Hands in a call at an instance; its answer comes under the id.
+    pub fn call(&mut self, place: usize, call: Call) -> u64 {
+        self.next_call += 1;
+        let id = self.next_call;
+        self.feed(&name(place), Event::Call { id, call });
+        id
+    }
+
+    pub fn place(queue: &str, job: u64) -> Place {
+        Place {
+            host: "h.example".into(),
+            path: format!("/{queue}/{}", JobId::from(job)),
+        }
+    }
+
+    pub fn submit(&mut self, at: usize, queue: &str, id: u64, spec: JobSpec) -> u64 {
+        if spec.lasts() {
+            for worker in self.workers.values_mut() {
+                worker.lasting_jobs.insert(JobId::from(id));
+            }
+        }
+        let call = Call::Submit {
+            place: Self::place(queue, id),
+            spec: Some(Arc::new(spec)),
+        };
+        self.call(at, call)
+    }
+
+    pub fn cancel(&mut self, at: usize, queue: &str, id: u64) -> u64 {
+        let place = Self::place(queue, id);
+        self.call(at, Call::Cancel { place })
+    }
+
+    /// How far a job is, asked at an instance; none without a clear answer.
+    pub fn look(&mut self, at: usize, queue: &str, id: u64) -> Option<JobState> {
+        let place = Self::place(queue, id);
+        let call = self.call(at, Call::Look { place });
+        self.run_ms(1_200);
+        match self.answers.get(&call) {
+            Some(Answer::Job(state)) => Some(*state),
+            _ => None,
+        }
+    }
+
+    pub fn start_wave(&mut self, at: usize, machines: &[&str], down_max: usize) -> u64 {
+        let wave = Wave {
+            number: 1,
+            machines: machines.iter().map(|m| (*m).to_owned()).collect(),
+            duration_ms: 20_000,
+            down_max,
+            accepted_unix_ms: 0,
+            begun: BTreeSet::new(),
+            asked: BTreeMap::new(),
+        };
+        self.call(at, Call::StartWave(wave))
+    }
+
+    pub fn run_ms(&mut self, for_ms: u64) {
+        let until = self.now_ms + for_ms;
+        while self.now_ms < until {
+            self.now_ms += STEP_MS;
+            self.step();
+        }
+    }
+
+    /// Runs until the condition holds, `limit_ms` at most; whether it does.
+    pub fn until(&mut self, limit_ms: u64, cond: impl Fn(&Self) -> bool) -> bool {
+        let end = self.now_ms + limit_ms;
+        while !cond(self) && self.now_ms < end {
+            self.run_ms(STEP_MS);
+        }
+        cond(self)
+    }
+
+    fn step(&mut self) {
+        while let Some(entry) = self.flying.first_entry() {
+            if entry.key().0 > self.now_ms {
+                break;
+            }
+            let flying = entry.remove();
+            self.arrive(flying);
+        }
+        let now_ms = self.now_ms;
+        for worker in self.workers.values_mut() {
+            worker.tick(now_ms);
+        }
+        self.bring_back();
+        if now_ms >= self.report_ms {
+            self.report_ms = now_ms + 500;
+            self.report_all();
+        }
+        if now_ms % 20 == 0 {
+            for at in self.controls.keys().cloned().collect::<Vec<_>>() {
+                self.feed(&at, Event::Tick);
+            }
+        }
+    }
+
+    fn bring_back(&mut self) {
+        let now_ms = self.now_ms;
+        let (back, still): (Vec<_>, Vec<_>) =
+            self.returning.drain(..).partition(|(at, ..)| now_ms >= *at);
+        self.returning = still;
+        for (_, address, pool) in back {
+            self.add_worker(address.port(), &pool);
+            let jobs = self
+                .workers
+                .values()
+                .flat_map(|w| w.lasting_jobs.clone())
+                .collect();
+            self.workers.get_mut(&address).unwrap().lasting_jobs = jobs;
+        }
+    }
+
+    fn report_all(&mut self) {
+        let mut reports = Vec::new();
+        for worker in self.workers.values_mut() {
+            reports.push((worker.address, worker.report()));
+        }
+        for (address, report) in reports {
+            let to = (1..=3).map(name).find(|to| {
+                let up = self
+                    .controls
+                    .get(to)
+                    .is_some_and(|c| c.node.is_some() && !c.frozen);
+                up && !self.is_cut(&address.to_string(), to.as_str())
+            });
+            if let Some(to) = to {
+                self.next_call += 1;
+                let id = self.next_call;
+                let call = Call::Report(Arc::new(report));
+                self.feed(&to, Event::Call { id, call });
+            }
+        }
+    }
+
+    fn is_cut(&self, from: &str, to: &str) -> bool {
+        self.cut.contains(&(from.to_owned(), to.to_owned()))
+    }
+
+    fn fly(&mut self, after_ms: u64, flying: Flying) {
+        self.sent += 1;
+        self.flying
+            .insert((self.now_ms + after_ms, self.sent), flying);
+    }
+
+    fn arrive(&mut self, flying: Flying) {
+        match flying {
+            Flying::Peer { from, to, message } => {
+                if !self.is_cut(from.as_str(), to.as_str()) {
+                    self.feed(&to, Event::Peer { from, message });
+                }
+            }
+            Flying::Persisted {
+                at,
+                start,
+                token,
+                records,
+            } => {
+                if self.starts[&at] != start || self.controls[&at].node.is_none() {
+                    return;
+                }
+                let disk = &mut self.controls.get_mut(&at).unwrap().disk;
+                records.iter().for_each(|record| replay(disk, record));
+                self.feed(&at, Event::Persisted { token });
+            }
+            Flying::Order { from, start, order } => self.order_arrives(&from, start, order),
+            Flying::Ordered {
+                to,
+                start,
+                id,
+                outcome,
+            } => {
+                if self.starts[&to] == start {
+                    self.feed(&to, Event::Ordered { id, outcome });
+                }
+            }
+            Flying::Machine { from, start, order } => self.machine_order(&from, start, order),
+            Flying::Event { to, start, event } => {
+                if self.starts[&to] == start {
+                    self.feed(&to, event);
+                }
+            }
+        }
+    }
+
+    fn order_arrives(&mut self, from: &EntryName, start: u64, order: Order) {
+        let there = order.address.to_string();
+        let (to, id) = (from.clone(), order.id);
+        if self.is_cut(from.as_str(), &there) {
+            let outcome = OrderOutcome::Unanswered;
+            let after_ms = order.timeout_ms;
+            return self.fly(
+                after_ms,
+                Flying::Ordered {
+                    to,
+                    start,
+                    id,
+                    outcome,
+                },
+            );
+        }
+        if self.late_per_mille > 0 && self.rng.random_range(0..1_000) < self.late_per_mille {
+            let outcome = OrderOutcome::Unanswered;
+            let after_ms = order.timeout_ms;
+            self.fly(
+                after_ms,
+                Flying::Ordered {
+                    to,
+                    start,
+                    id,
+                    outcome,
+                },
+            );
+            let late_ms = self.rng.random_range(2_000..12_000);
+            let order = Order { id: 0, ..order };
+            return self.fly(
+                late_ms,
+                Flying::Order {
+                    from: from.clone(),
+                    start: 0,
+                    order,
+                },
+            );
+        }
+        let outcome = self.carry_out(&order);
+        let back_cut = self.is_cut(&there, from.as_str());
+        let outcome = match outcome {
+            Some(outcome) if !back_cut => outcome,
+            _ => OrderOutcome::Unanswered,
+        };
+        let waits = match &order.kind {
+            OrderKind::Renew { wait_ms, .. } => (*wait_ms).min(100),
+            _ => 2,
+        };
+        let after_ms = match outcome {
+            OrderOutcome::Unanswered => order.timeout_ms,
+            _ => waits,
+        };
+        self.fly(
+            after_ms,
+            Flying::Ordered {
+                to,
+                start,
+                id,
+                outcome,
+            },
+        );
+    }
+
+    fn carry_out(&mut self, order: &Order) -> Option<OrderOutcome> {
+        let now_ms = self.now_ms;
+        let worker = self.workers.get_mut(&order.address)?;
+        worker.tick(now_ms);
+        if worker.name != order.worker.as_str() {
+            return Some(OrderOutcome::Rejected {
+                reason: Rejection::Incarnation,
+                clock_ms: None,
+            });
+        }
+        let before = worker.going.len();
+        let outcome = worker.order(now_ms, order.fence, &order.kind);
+        let began = worker.going.len() > before;
+        if let (true, OrderKind::Start { task, attempt, .. }) = (began, &order.kind) {
+            let seen = Seen {
+                task: *task,
+                attempt: *attempt,
+                worker: worker.name.clone(),
+                began_ms: now_ms,
+            };
+            self.check_start(&seen);
+            self.runs.push(seen);
+        }
+        Some(outcome)
+    }
+
+    /// The promises that hold at every start.
+    fn check_start(&self, seen: &Seen) {
+        let elsewhere = self.workers.values().filter(|w| w.name != seen.worker);
+        let twice = elsewhere
+            .filter(|w| w.going.contains_key(&seen.task))
+            .count();
+        assert!(
+            twice == 0 || self.copies,
+            "{seen:?} runs twice at {}",
+            self.now_ms
+        );
+        if let Some(at) = self.cancelled_ms.get(&seen.task.job) {
+            assert!(
+                self.now_ms < at + 3_000,
+                "{seen:?} starts after its job was cancelled"
+            );
+        }
+    }
+
+    fn machine_order(&mut self, from: &EntryName, start: u64, order: MachineOrder) {
+        let now_ms = self.now_ms;
+        let found = self.workers.values().find(|w| w.machine == order.machine);
+        let found = found.map(|w| (w.address, w.pool.clone()));
+        let outcome = match (found, order.kind) {
+            (None, _) => MachineOutcome::Busy,
+            (Some(_), MachineOrderKind::Upkeep { .. })
+                if self.upkeeps.iter().any(|(_, done)| *done == order.machine) =>
+            {
+                MachineOutcome::Done
+            }
+            (Some((address, pool)), MachineOrderKind::Upkeep { .. }) => {
+                self.workers.remove(&address);
+                self.returning
+                    .push((now_ms + TIMING.upkeep_ms, address, pool));
+                self.upkeeps.push((now_ms, order.machine));
+                let down = self
+                    .upkeeps
+                    .iter()
+                    .filter(|(at, _)| now_ms < at + TIMING.upkeep_ms);
+                self.down_most = self.down_most.max(down.count());
+                MachineOutcome::Done
+            }
+            (Some((address, _)), MachineOrderKind::Move { pool }) => {
+                self.workers.remove(&address);
+                self.returning
+                    .push((now_ms + 1_500, address, pool.to_string()));
+                self.moves.push((now_ms, order.machine, pool.to_string()));
+                MachineOutcome::Done
+            }
+        };
+        let event = Event::MachineOrdered {
+            id: order.id,
+            outcome,
+        };
+        let to = from.clone();
+        self.fly(5, Flying::Event { to, start, event });
+    }
+
+    pub fn feed(&mut self, at: &EntryName, event: Event) {
+        let now_ms = self.now_ms;
+        let Some(control) = self.controls.get_mut(at) else {
+            return;
+        };
+        let Some(node) = control.node.as_mut().filter(|_| !control.frozen) else {
+            return;
+        };
+        let effects = node.handle(now_ms, event);
+        let start = self.starts[at];
+        for effect in effects {
+            self.effect(at, start, effect);
+        }
+    }
+
+    fn effect(&mut self, at: &EntryName, start: u64, effect: Effect) {
+        let from = at.clone();
+        match effect {
+            Effect::Answer { id, answer } => {
+                self.answers.insert(id, answer);
+            }
+            Effect::Send { to, message } => {
+                let after_ms = self.rng.random_range(1..4);
+                self.fly(after_ms, Flying::Peer { from, to, message });
+            }
+            Effect::Persist { token, records } => {
+                self.fly(
+                    5,
+                    Flying::Persisted {
+                        at: from,
+                        start,
+                        token,
+                        records,
+                    },
+                );
+            }
+            Effect::Order(order) => {
+                let after_ms = self.rng.random_range(1..4);
+                self.fly(after_ms, Flying::Order { from, start, order });
+            }
+            Effect::OrderMachine(order) => self.fly(5, Flying::Machine { from, start, order }),
+            Effect::ListMachines => {
+                let machines = Some(self.machines());
+                let event = Event::MachinesListed { machines };
+                self.fly(
+                    5,
+                    Flying::Event {
+                        to: from,
+                        start,
+                        event,
+                    },
+                );
+            }
+            Effect::Advise { id, workers, .. } => {
+                let allowed = workers.into_iter().map(|w| (w, "ticket".to_owned()));
+                let event = Event::Advised {
+                    id,
+                    allowed: Some(allowed.collect()),
+                };
+                self.fly(
+                    30,
+                    Flying::Event {
+                        to: from,
+                        start,
+                        event,
+                    },
+                );
+            }
+            Effect::Stopped => self.kill(&from),
+        }
+    }
+
+    fn machines(&self) -> Vec<Machine> {
+        let workers = self.workers.values();
+        workers
+            .map(|w| Machine {
+                name: w.machine.clone(),
+                pool: w.pool.as_str().into(),
+                phase: MachinePhase::Up,
+                worker: Some(w.name.as_str().into()),
+            })
+            .collect()
+    }
+}
