--- a/tests/control/random.rs
+++ b/tests/control/random.rs
@@ -42,7 +42,7 @@
         if self.world.answers.get(&call) == Some(&Answer::Done) {
             self.accepted.push(id);
         }
-        if id % 13 == 0 && self.accepted.contains(&id) {
+        if id.is_multiple_of(13) && self.accepted.contains(&id) {
             let call = self.world.cancel(1, "quick", id);
             self.world.run_ms(60);
             if self.world.answers.get(&call) == Some(&Answer::Done) {
--- a/tests/control/world.rs
+++ b/tests/control/world.rs
@@ -102,7 +102,6 @@
 #[derive(Clone, Debug)]
 pub struct Seen {
     pub task: TaskId,
-    pub attempt: u32,
     pub worker: String,
     pub began_ms: u64,
 }
@@ -426,7 +425,7 @@
             self.report_ms = now_ms + 500;
             self.report_all();
         }
-        if now_ms % 20 == 0 {
+        if now_ms.is_multiple_of(20) {
             for at in self.controls.keys().cloned().collect::<Vec<_>>() {
                 self.feed(&at, Event::Tick);
             }
@@ -598,10 +597,9 @@
         let before = worker.going.len();
         let outcome = worker.order(now_ms, order.fence, &order.kind);
         let began = worker.going.len() > before;
-        if let (true, OrderKind::Start { task, attempt, .. }) = (began, &order.kind) {
+        if let (true, OrderKind::Start { task, .. }) = (began, &order.kind) {
             let seen = Seen {
                 task: *task,
-                attempt: *attempt,
                 worker: worker.name.clone(),
                 began_ms: now_ms,
             };
