Tell machines that are gone for good; give up calls of a zone that is cut off early

Cause 1: two machines of the wave were lost for good; nobody knew a worker on them, so nobody asked. Ruled out: the budget, a full machine (no emptying in the log). The keeper's list, read sooner while a machine is not to be seen, tells. Cause 2: the zone was cut off, and its entry instances held calls for the leader. They give them up once the leader was not heard for a second. Also: tests of the adapter, with the whole path as separate processes and stand-in workers on loopback.

--- a/src/control/gateway.rs
+++ b/src/control/gateway.rs
@@ -8,6 +8,13 @@
 /// so that callers reach the leader by another one.
 const HEARD_MS: u64 = 1_500;
 
+/// Without a sign of life for this long, two greetings in a row were lost: this zone
+/// may be cut off.
+const UNHEARD_MS: u64 = 1_000;
+/// How long a call then waits for the leader to come back. An election takes twice as
+/// long, but another instance may know the winner.
+const HOPE_MS: u64 = 800;
+
 /// What an entry instance does: it hands callers' calls on to the leader, and
 /// knows whether it could.
 #[derive(Debug)]
@@ -125,6 +132,10 @@
 
     /// Asks for signs of life, sends calls again and gives up those that are over.
     pub fn tick(&mut self, now_ms: u64) -> Vec<GatewayEffect> {
+        if self.heard_ms.is_some_and(|at| now_ms >= at + UNHEARD_MS) {
+            let before_ms = now_ms.saturating_sub(HOPE_MS);
+            self.relay.give_up_from_before(now_ms, before_ms);
+        }
         let steps = self.relay.tick(now_ms);
         let mut effects: Vec<_> = steps.into_iter().map(effect).collect();
         if now_ms >= self.hello_ms {
--- a/src/control/node/keeping.rs
+++ b/src/control/node/keeping.rs
@@ -14,6 +14,8 @@
 /// How often the list of machines is read: only others' doings change it, and each
 /// reading is a call to the platform.
 const LIST_MS: u64 = 15_000;
+/// How often it is read while a machine that is due for upkeep is not to be seen.
+const LIST_MISSING_MS: u64 = 4_000;
 /// Pause before a list that did not come is asked for again.
 const LIST_RETRY_MS: u64 = 1_000;
 
@@ -45,6 +47,26 @@
         let steps = lead
             .upkeep
             .tick(now_ms, now_unix_ms, &self.state, &lead.fleet, &off, timing);
+        let known = |machine: &String| Upkeep::worker_on(&self.state, machine).is_some();
+        for wave in self.state.waves().values() {
+            let missing = wave.due().filter(|m| !known(m) && !lead.capacity.is_off(m));
+            for machine in missing {
+                // It may have gone since: the list is read anew, sooner than usual.
+                lead.list_ms = lead.list_ms.min(lead.listed_ms + LIST_MISSING_MS);
+                if lead.capacity.is_gone(machine) && lead.gone.insert(machine.clone()) {
+                    tracing::info!(
+                        wave = wave.number,
+                        machine,
+                        "upkeep: the machine is gone for good"
+                    );
+                    let change = Change::UpkeepBegun {
+                        wave: wave.number,
+                        machine: machine.clone(),
+                    };
+                    lead.pending.add(change, None);
+                }
+            }
+        }
         for step in steps {
             match step {
                 UpkeepStep::Stop {
@@ -140,6 +162,7 @@
             return;
         };
         lead.list_ms = now_ms + LIST_MS;
+        lead.listed_ms = now_ms;
         lead.capacity.listed(now_ms, &self.state, &machines);
         tracing::info!(
             machines = machines.len(),
--- a/src/control/node/lead.rs
+++ b/src/control/node/lead.rs
@@ -76,6 +76,10 @@
     /// When the list of the machines is read next, and whether it is awaited.
     pub(super) list_ms: u64,
     pub(super) listing: bool,
+    /// When the list was read last.
+    pub(super) listed_ms: u64,
+    /// Machines that are gone for good, as far as waves ask for them.
+    pub(super) gone: BTreeSet<String>,
     due: BTreeSet<(JobId, u32)>,
     /// Workers about whose end a change is on its way.
     pub(super) ending: BTreeSet<InstanceName>,
@@ -130,6 +134,8 @@
             capacity: Capacity::default(),
             list_ms: now_ms,
             listing: false,
+            listed_ms: now_ms,
+            gone: BTreeSet::new(),
             due: BTreeSet::new(),
             ending: BTreeSet::new(),
             next_id: start >> 16,
@@ -284,7 +290,10 @@
             Change::Due { job, occurrence } => {
                 lead.due.remove(&(*job, *occurrence));
             }
-            Change::UpkeepBegun { machine, .. } => lead.upkeep.begun(now_ms, machine),
+            Change::UpkeepBegun { machine, .. } => {
+                let gone = lead.gone.contains(machine);
+                lead.upkeep.begun(now_ms, machine, gone);
+            }
             Change::Configure(c) => {
                 tracing::info!(
                     version = c.version,
--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -51,6 +51,7 @@
 #[derive(Debug)]
 struct Open {
     call: Call,
+    came_ms: u64,
     give_up_ms: u64,
     next_ms: u64,
     sent: bool,
@@ -96,6 +97,7 @@
     pub fn open(&mut self, now_ms: u64, id: u64, call: Call, give_up_ms: u64) -> Vec<RelayStep> {
         let open = Open {
             call,
+            came_ms: now_ms,
             give_up_ms,
             next_ms: now_ms,
             sent: false,
@@ -130,6 +132,16 @@
         open.into_iter().map(|(id, open)| (id, open.call)).collect()
     }
 
+    /// Gives up the calls that came before, as nobody can answer them from here: their
+    /// callers reach another instance sooner.
+    pub fn give_up_from_before(&mut self, now_ms: u64, before_ms: u64) {
+        for open in self.open.values_mut() {
+            if open.came_ms < before_ms {
+                open.give_up_ms = now_ms;
+            }
+        }
+    }
+
     /// Sends what is due and gives up what is over.
     pub fn tick(&mut self, now_ms: u64) -> Vec<RelayStep> {
         let mut steps = Vec::new();
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -142,7 +142,11 @@
     }
 
     /// The upkeep of a machine has begun, or it is gone for good.
-    pub fn begun(&mut self, now_ms: u64, machine: &str) {
+    pub fn begun(&mut self, now_ms: u64, machine: &str, gone: bool) {
+        if gone {
+            self.emptying.remove(machine);
+            return;
+        }
         let emptying = self.emptying.remove(machine);
         let down = Down {
             since_ms: now_ms,
--- a/tests/control/relay.rs
+++ b/tests/control/relay.rs
@@ -92,3 +92,26 @@
     let effects = gateway.call(2_000, 5, Call::ReadConfiguration, 4_000);
     assert!(matches!(effects[0], GatewayEffect::Send { .. }));
 }
+
+/// A zone is cut off: a call that waits at its entry instance is given up once the
+/// leader was not heard for a second, so that its caller goes elsewhere in time.
+#[test]
+fn a_call_at_an_instance_that_is_cut_off_is_given_up_early() {
+    let mut gateway = Gateway::new((1..=3).map(name).collect());
+    let welcome = PeerMessage::Welcome {
+        leader: Some(name(1)),
+        members: (1..=3).map(name).collect(),
+    };
+    gateway.message(0, &name(1), welcome);
+    gateway.call(100, 5, Call::ReadConfiguration, 4_000);
+    let given_up = (100..4_000).step_by(50).find(|now_ms| {
+        let answer = Answer::Unknown;
+        gateway
+            .tick(*now_ms)
+            .contains(&GatewayEffect::Answer { id: 5, answer })
+    });
+    assert!(
+        given_up.is_some_and(|at| (1_000..=1_100).contains(&at)),
+        "{given_up:?}"
+    );
+}
--- a/tests/control/upkeep.rs
+++ b/tests/control/upkeep.rs
@@ -68,3 +68,15 @@
         assert!(completed(&mut world), "seed {seed}: {:?}", world.upkeeps);
     }
 }
+
+/// A machine of the wave is lost for good before its upkeep. The keeper's list does not
+/// name it any more: the wave is done without it, and its operator is told so.
+#[test]
+fn a_machine_that_is_gone_for_good_does_not_hold_up_its_wave() {
+    let mut world = World::new(54, 6, 2);
+    world.workers.remove(&crate::world::address(1_003)).unwrap();
+    world.start_wave(1, &EAST, 2);
+    world.run_ms(24_000);
+    assert_eq!(world.upkeeps.len(), 5, "{:?}", world.upkeeps);
+    assert!(completed(&mut world));
+}
--- a/tests/control/world.rs
+++ b/tests/control/world.rs
@@ -739,6 +739,7 @@
         }
     }
 
+    /// The list names those that are there or on their way back.
     fn machines(&self) -> Vec<Machine> {
         let workers = self.workers.values();
         workers
@@ -748,6 +749,12 @@
                 phase: MachinePhase::Up,
                 worker: Some(w.name.as_str().into()),
             })
+            .chain(self.returning.iter().map(|(_, address, pool)| Machine {
+                name: format!("m-{}", address.port()),
+                pool: pool.as_str().into(),
+                phase: MachinePhase::Down,
+                worker: None,
+            }))
             .collect()
     }
 }
--- /dev/null
+++ b/tests/platform/formats.rs
@@ -0,0 +1,110 @@
+//! Jobs, reports and configurations as the platform writes them.
+
+use rosemarygauge::control::Phase;
+use rosemarygauge::platform::{read_configuration, read_job, read_report};
+use serde_json::{Value, json};
+
+fn report() -> Value {
+    json!({
+        "service": "huvo11a", "address": "10.128.0.9:8080", "zone": "hall-a",
+        "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
+        "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+        "labels": ["a", "r1-3"], "clock_ms": 482113, "seq": 4, "machine": "m-1",
+    })
+}
+
+#[test]
+fn a_report_is_read() {
+    let read = read_report("i-7f3a91c2", report().to_string().as_bytes()).unwrap();
+    assert_eq!(read.worker.as_str(), "i-7f3a91c2");
+    assert_eq!(read.rack.unwrap().as_str(), "r1-3");
+    assert_eq!(read.capacity.cpu_milli, 16_000);
+    assert_eq!(read.phase, Phase::Ready);
+    assert_eq!(read.machine.as_deref(), Some("m-1"));
+}
+
+/// Another writer's report, with a field missing or of another type, a state that is
+/// not known, or bytes that can't be read, names no worker to use.
+#[test]
+fn reports_of_other_writers_are_refused() {
+    for field in ["service", "address", "zone", "state", "seq", "capacity"] {
+        let mut value = report();
+        value.as_object_mut().unwrap().remove(field);
+        assert!(
+            read_report("i-1", value.to_string().as_bytes()).is_err(),
+            "{field}"
+        );
+        let mut value = report();
+        value[field] = json!([7]);
+        assert!(
+            read_report("i-1", value.to_string().as_bytes()).is_err(),
+            "{field}"
+        );
+    }
+    let mut value = report();
+    value["state"] = json!("sleeping");
+    assert!(read_report("i-1", value.to_string().as_bytes()).is_err());
+    assert!(read_report("i-1", b"\xff\xfe{").is_err());
+    assert!(read_report("", report().to_string().as_bytes()).is_err());
+}
+
+#[test]
+fn a_job_is_read_and_absent_fields_are_empty() {
+    let text = json!({
+        "spec": "(text)",
+        "phases": [
+            {"count": 4, "cpu": 500, "mem_mb": 256, "estimate_ms": 900, "data_rack": "r1-3"},
+            {"count": 20, "cpu": 2000, "depends_on": [0], "checkpointing": true,
+             "max_per_server": 2, "speculative": true},
+            {"count": 3, "long_running": true, "target_ms": 80, "missable": 1},
+            {"count": 3, "long_running": true, "fills": true},
+        ],
+    });
+    let job = read_job(text.to_string().as_bytes()).unwrap();
+    assert_eq!(job.steps[0].data_rack.as_deref(), Some("r1-3"));
+    assert_eq!(job.steps[0].per_worker_max, None);
+    assert!(job.steps[1].checkpoints && job.steps[1].copies);
+    assert_eq!(job.steps[1].after, [0]);
+    assert_eq!(job.steps[2].tail_target_ms, Some(80));
+    assert_eq!(job.steps[2].disruption_budget, Some(1));
+    assert!(job.steps[3].best_effort);
+    assert_eq!(job.steps[3].disruption_budget, Some(0));
+    assert!(job.recurrence.is_none() && job.check().is_ok());
+    assert!(read_job(b"{\"phases\":[{\"count\":\"4\"}]}").is_err());
+}
+
+#[test]
+fn a_recurring_job_is_read() {
+    let text = json!({
+        "phases": [{"count": 1}], "times": 3, "start_at_ms": 1000, "interval_ms": 500,
+    });
+    let job = read_job(text.to_string().as_bytes()).unwrap();
+    assert_eq!(job.occurrences(), 3);
+    assert_eq!(job.recurrence.unwrap().due_unix_ms(2), 2_000);
+}
+
+#[test]
+fn a_configuration_is_read_and_kept_word_for_word() {
+    let text = json!({
+        "version": 7,
+        "routes": [{
+            "name": "r-1", "host": "h.example", "path_prefix": "/a/", "kind": "unsafe",
+            "timeout_ms": 3000, "target_latency_ms": 600, "priority": 1, "service": "s1",
+            "max_attempts": 4, "slack_factor": 1.6,
+            "advice": {"decision_ms": 20, "per_worker_ms": 1, "validity_ms": 3000},
+        }],
+        "services": [
+            {"name": "s1", "health_path": "/healthz", "standby": false},
+            {"name": "s2", "health_path": "/healthz", "standby": true},
+        ],
+        "limits": {},
+    })
+    .to_string();
+    let read = read_configuration(text.as_bytes()).unwrap();
+    assert_eq!(read.document, text.as_bytes());
+    assert_eq!(read.version, 7);
+    assert_eq!(read.queues[0].attempts_max, 4);
+    assert_eq!(read.queues[0].advice.unwrap().validity_ms, 3_000);
+    assert_eq!(read.standby().len(), 1);
+    assert!(read_configuration(&text.as_bytes()[..text.len() / 2]).is_err());
+}
--- /dev/null
+++ b/tests/platform/main.rs
@@ -0,0 +1,8 @@
+//! The adapter: what is read and written in the platform's formats, and the whole path
+//! as separate processes with stand-in workers on loopback.
+#![allow(missing_docs, clippy::unwrap_used)]
+
+mod formats;
+mod path;
+mod settings;
+mod stand_in;
--- /dev/null
+++ b/tests/platform/path.rs
@@ -0,0 +1,298 @@
+//! The whole path as separate processes on loopback: an entry instance, a control
+//! instance and stand-in workers.
+
+use std::io::{BufRead, BufReader};
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use crate::settings::settings;
+use crate::stand_in::StandIn;
+
+/// Longer than anything here takes on a machine that is busy.
+const LIMIT: Duration = Duration::from_secs(60);
+
+struct Process {
+    child: Child,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Process {
+    fn start(role: &str, folder: &Path, settings: &Value) -> Self {
+        let file = folder.join(format!("{role}.json"));
+        std::fs::write(&file, settings.to_string()).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_rosemarygauge"))
+            .args(["platform", role])
+            .env("ROSEMARYGAUGE_CONFIG", &file)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let stdout = BufReader::new(child.stdout.take().unwrap());
+        let kept = Arc::clone(&lines);
+        std::thread::spawn(move || {
+            for line in stdout.lines().map_while(Result::ok) {
+                kept.lock().unwrap().push(line);
+            }
+        });
+        Self { child, lines }
+    }
+
+    fn logged(&self, message: &str) -> Vec<Value> {
+        let lines = self.lines.lock().unwrap();
+        let parsed = lines.iter().map(|line| {
+            serde_json::from_str::<Value>(line).unwrap_or_else(|_| panic!("no JSON: {line}"))
+        });
+        parsed.filter(|line| line["message"] == message).collect()
+    }
+
+    fn terminate(&mut self) -> std::process::ExitStatus {
+        let pid = self.child.id().to_string();
+        Command::new("kill").args(["-TERM", &pid]).status().unwrap();
+        let end = Instant::now() + LIMIT;
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(Instant::now() < end, "the process did not stop");
+            std::thread::yield_now();
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It has ended already where a test stopped it.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn agent() -> ureq::Agent {
+    ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .proxy(None)
+        .timeout_global(Some(Duration::from_secs(5)))
+        .build()
+        .into()
+}
+
+fn post(url: &str, body: &Value) -> Option<(u16, String)> {
+    let sent = agent()
+        .post(url)
+        .header("host", "h.example")
+        .header("content-type", "application/json")
+        .send(body.to_string());
+    let mut answer = sent.ok()?;
+    Some((
+        answer.status().as_u16(),
+        answer.body_mut().read_to_string().ok()?,
+    ))
+}
+
+fn get(url: &str) -> Option<(u16, String)> {
+    let mut answer = agent().get(url).header("host", "h.example").call().ok()?;
+    Some((
+        answer.status().as_u16(),
+        answer.body_mut().read_to_string().ok()?,
+    ))
+}
+
+/// Waits for a condition.
+fn until<T>(what: &str, mut cond: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + LIMIT;
+    loop {
+        if let Some(found) = cond() {
+            return found;
+        }
+        assert!(Instant::now() < end, "it did not come: {what}");
+        std::thread::yield_now();
+    }
+}
+
+/// Free ports, in a row so that a range can be named: found by binding them.
+fn free_ports() -> u16 {
+    until("free ports", || {
+        let first = TcpListener::bind("127.0.0.1:0").ok()?;
+        let port = first.local_addr().ok()?.port();
+        let last = port.checked_add(8)?;
+        let others: Option<Vec<_>> = (port + 1..=last)
+            .map(|p| TcpListener::bind(("127.0.0.1", p)).ok())
+            .collect();
+        others.map(|_| port)
+    })
+}
+
+struct Place {
+    control: Process,
+    entry: Process,
+    control_url: String,
+    entry_url: String,
+    ready_url: String,
+    workers: Vec<StandIn>,
+    _folder: tempfile::TempDir,
+}
+
+impl Place {
+    /// A control instance that is its own quorum, an entry instance, two workers and
+    /// a configuration. Both instances have addresses of their own on loopback.
+    fn start() -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let port = free_ports();
+        let mut core = settings("127.0.0.1", port);
+        core["data_dir"] = json!(folder.path().join("data"));
+        core["fault_tolerance"] = json!({"machines": 0});
+        let mut edge = settings("127.0.0.2", port);
+        edge["seeds"] = core["seeds"].clone();
+        edge["listen"] = json!({
+            "front": format!("127.0.0.2:{}", port + 3),
+            "ready": format!("127.0.0.2:{}", port + 4),
+        });
+        let place = Self {
+            control: Process::start("control", folder.path(), &core),
+            entry: Process::start("entry", folder.path(), &edge),
+            control_url: format!("http://127.0.0.1:{}", port + 1),
+            entry_url: format!("http://127.0.0.2:{}", port + 3),
+            ready_url: format!("http://127.0.0.2:{}/readyz", port + 4),
+            workers: (0..2).map(|n| StandIn::start(&format!("i-{n}"))).collect(),
+            _folder: folder,
+        };
+        until("a configuration in force", || {
+            let url = format!("{}/Config.Replace", place.control_url);
+            post(&url, &configuration()).filter(|(status, _)| *status == 200)
+        });
+        place.report(1);
+        until("the entry instance's readiness", || {
+            get(&place.ready_url).filter(|(status, _)| *status == 200)
+        });
+        place
+    }
+
+    fn report(&self, seq: u64) {
+        for worker in &self.workers {
+            let url = format!("{}/Instances.Heartbeat/{}", self.control_url, worker.name);
+            until("a report that is taken", || {
+                post(&url, &worker.report(seq)).filter(|(status, _)| *status == 200)
+            });
+        }
+    }
+
+    fn job_url(&self, id: &str) -> String {
+        format!("{}/a/{id}", self.entry_url)
+    }
+}
+
+fn configuration() -> Value {
+    json!({
+        "version": 1,
+        "routes": [{"name": "q", "host": "h.example", "path_prefix": "/a/", "kind": "unsafe",
+            "timeout_ms": 3000, "target_latency_ms": 600, "priority": 0, "service": "pool-a",
+            "max_attempts": 3, "slack_factor": 1.6}],
+        "services": [{"name": "pool-a", "health_path": "/healthz", "standby": false}],
+        "limits": {},
+    })
+}
+
+fn job() -> Value {
+    json!({"spec": "x", "phases": [
+        {"count": 6, "cpu": 1000, "mem_mb": 100, "estimate_ms": 120},
+        {"count": 2, "cpu": 1000, "mem_mb": 100, "estimate_ms": 120, "depends_on": [0]},
+    ]})
+}
+
+#[test]
+fn a_job_goes_in_at_an_entry_instance_and_is_run_by_workers() {
+    let mut place = Place::start();
+    let id = "00000000000000a1";
+    let url = place.job_url(id);
+    assert_eq!(post(&url, &job()).map(|a| a.0), Some(200));
+    assert_eq!(post(&url, &job()).map(|a| a.0), Some(200));
+    let mut seq = 1;
+    until("the job's completion", || {
+        seq += 1;
+        place.report(seq);
+        get(&url).filter(|(_, body)| body.contains("completed"))
+    });
+    let mut started: Vec<String> = place.workers.iter().flat_map(StandIn::started).collect();
+    started.sort();
+    let before = started.len();
+    started.dedup();
+    assert_eq!(
+        (started.len(), before),
+        (8, 8),
+        "every task once: {started:?}"
+    );
+
+    let unknown = get(&place.job_url("00000000000000a2")).unwrap();
+    assert_eq!(unknown.0, 410);
+    let elsewhere = get(&format!("{}/b/", place.entry_url)).unwrap();
+    assert_eq!(elsewhere.0, 404);
+    let pending = get(&format!("{}/a/", place.entry_url)).unwrap();
+    assert_eq!((pending.0, pending.1.trim()), (200, "{\"pending\":0}"));
+    let wrong = post(&place.job_url("00000000000000a3"), &json!({"phases": []})).unwrap();
+    assert_eq!(wrong.0, 400);
+
+    let accepted = until("the line of the acceptance", || {
+        place.control.logged("job: accepted").pop()
+    });
+    assert_eq!(accepted["job"], id);
+    assert!(place.control.logged("task: a run ended").len() >= 8);
+    assert!(place.entry.terminate().success());
+    assert!(place.control.terminate().success());
+    assert_eq!(place.control.logged("serve: stopped").len(), 1);
+}
+
+#[test]
+fn a_configuration_is_read_back_and_a_wrong_one_refused() {
+    let place = Place::start();
+    let read = get(&format!("{}/Config.Read", place.control_url)).unwrap();
+    assert_eq!((read.0, read.1), (200, configuration().to_string()));
+    let mut wrong = configuration();
+    wrong["version"] = json!(2);
+    wrong["routes"][0]["service"] = json!("nowhere");
+    let refused = post(&format!("{}/Config.Replace", place.control_url), &wrong).unwrap();
+    assert_eq!(refused.0, 400);
+    assert!(refused.1.contains("nowhere"), "{}", refused.1);
+}
+
+/// The process is killed and started again: what was acknowledged is there.
+#[test]
+fn an_acknowledged_job_outlives_a_kill() {
+    let mut place = Place::start();
+    let url = place.job_url("00000000000000b1");
+    assert_eq!(post(&url, &job()).map(|a| a.0), Some(200));
+    place.control.child.kill().unwrap();
+    place.control.child.wait().unwrap();
+    let file = place._folder.path().join("control.json");
+    let mut core: Value = serde_json::from_slice(&std::fs::read(file).unwrap()).unwrap();
+    core["bootstrap"] = json!(false);
+    place.control = Process::start("control", place._folder.path(), &core);
+    let mut seq = 1;
+    until("the job's completion after a kill", || {
+        seq += 1;
+        place.report(seq);
+        get(&url).filter(|(_, body)| body.contains("completed"))
+    });
+}
+
+#[test]
+fn wrong_settings_end_the_process_with_a_line_for_each_fault() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("wrong.json");
+    std::fs::write(&file, "{\"node\": 7}").unwrap();
+    let out = Command::new(env!("CARGO_BIN_EXE_rosemarygauge"))
+        .args(["platform", "control"])
+        .env("ROSEMARYGAUGE_CONFIG", &file)
+        .output()
+        .unwrap();
+    assert_eq!(out.status.code(), Some(2));
+    let text = String::from_utf8(out.stderr).unwrap();
+    for field in ["ip", "port_range", "seeds", "node", "heartbeat_ms"] {
+        assert!(text.contains(field), "{field}: {text}");
+    }
+}
--- /dev/null
+++ b/tests/platform/settings.rs
@@ -0,0 +1,61 @@
+//! Settings that the platform writes.
+
+use rosemarygauge::platform::Settings;
+use serde_json::{Value, json};
+
+pub fn settings(ip: &str, port: u16) -> Value {
+    json!({
+        "node": "core-a-1",
+        "ip": ip,
+        "port_range": [port, port + 9],
+        "seeds": [format!("{ip}:{}", port + 1)],
+        "bootstrap": true,
+        "data_dir": null,
+        "listen": {"control": format!("{ip}:{}", port + 1)},
+        "limits": {"memory_mb": 256},
+        "fault_tolerance": {"machines": 1, "zones": 1},
+        "heartbeat_ms": 500,
+        "bounds": {
+            "max_hold_ms": 10000, "stop_timeout_ms": 400, "status_s": 120,
+            "maintenance_s": 2, "grace_s": 6, "early_ms": 250, "notice_ms": 4500,
+        },
+        "cloud": null,
+        "advice": null,
+        "a_field_of_tomorrow": {"x": 1},
+    })
+}
+
+#[test]
+fn unknown_fields_are_ignored_and_times_read() {
+    let text = settings("10.0.0.1", 7_000).to_string();
+    let settings = Settings::parse(&text).unwrap();
+    assert_eq!(settings.me().as_str(), "10.0.0.1");
+    assert_eq!(settings.link_port, 7_000);
+    assert_eq!(settings.timing.upkeep_ms, 2_000);
+    assert_eq!(settings.timing.remember_ms, 120_000);
+    assert!(settings.first_start && settings.data_folder.is_none());
+    let address = settings.control_address(&"10.0.0.9".into()).unwrap();
+    assert_eq!(address.to_string(), "10.0.0.9:7001");
+}
+
+#[test]
+fn everything_that_is_missing_or_wrong_is_named_in_a_line_each() {
+    let mut value = settings("10.0.0.1", 7_000);
+    value["ip"] = json!("nowhere");
+    value["seeds"] = json!(["10.0.0.1"]);
+    value["bounds"]["grace_s"] = json!(-1);
+    value["bounds"]
+        .as_object_mut()
+        .unwrap()
+        .remove("max_hold_ms");
+    let faults = Settings::parse(&value.to_string()).unwrap_err();
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    assert_eq!(lines.len(), 4, "{lines:?}");
+    for field in ["ip", "seeds", "bounds.grace_s", "bounds.max_hold_ms"] {
+        assert!(
+            lines.iter().any(|line| line.contains(field)),
+            "{field}: {lines:?}"
+        );
+    }
+    assert!(Settings::parse("no json").is_err());
+}
