--- a/src/control/capacity.rs
+++ b/src/control/capacity.rs
@@ -61,6 +61,8 @@
     emptying: BTreeMap<String, (InstanceName, PoolName, u64)>,
     /// Machines on their way, where, and since when.
     moving: BTreeMap<String, (PoolName, u64)>,
+    /// Workers whose machines were ordered away: whatever starts there dies with them.
+    ordered: BTreeMap<String, InstanceName>,
     /// When machines came to their pools.
     came_ms: BTreeMap<String, u64>,
     /// Since when pools have had too much.
@@ -111,7 +113,8 @@
 
     /// The workers that take no new tasks.
     pub fn closed(&self) -> impl Iterator<Item = &InstanceName> {
-        self.emptying.values().map(|(worker, ..)| worker)
+        let emptying = self.emptying.values().map(|(worker, ..)| worker);
+        emptying.chain(self.ordered.values())
     }
 
     /// A move was done; the machine is on its way.
@@ -135,6 +138,7 @@
     /// A move was refused.
     pub fn refused(&mut self, now_ms: u64, machine: &str) {
         self.moving.remove(machine);
+        self.ordered.remove(machine);
         self.emptying.remove(machine);
         self.retry.insert(machine.to_owned(), now_ms + RETRY_MS);
     }
@@ -152,6 +156,8 @@
             return Vec::new();
         };
         self.arrivals(now_ms, demand);
+        self.ordered
+            .retain(|_, worker| state.worker(worker).is_some());
         let used: BTreeSet<&PoolName> = configuration.queues.iter().map(|q| &q.pool).collect();
         let off = configuration.standby();
         let mut pools: Vec<Balance> = used
@@ -168,7 +174,7 @@
                 self.surplus_since.remove(&pool.name);
             }
         }
-        let mut moves = self.empty_ones(now_ms, demand);
+        let mut moves = self.empty_ones(now_ms, demand, busy);
         self.give(now_ms, &mut pools, demand, busy, &mut moves);
         self.wake(now_ms, &mut pools, &mut moves);
         let needs = pools.iter().map(|p| p.needs.max(FEWEST_MACHINES)).sum();
@@ -256,7 +262,12 @@
     }
 
     /// Machines that have been emptied go; those that would not empty stay.
-    fn empty_ones(&mut self, now_ms: u64, demand: &BTreeMap<PoolName, PoolDemand>) -> Vec<Move> {
+    fn empty_ones(
+        &mut self,
+        now_ms: u64,
+        demand: &BTreeMap<PoolName, PoolDemand>,
+        busy: &BTreeSet<InstanceName>,
+    ) -> Vec<Move> {
         let runs = |worker: &InstanceName| {
             let mut all = demand.values().flat_map(|d| &d.workers);
             all.find(|w| w.worker == *worker)
@@ -266,7 +277,7 @@
         let mut stay = Vec::new();
         for (machine, (worker, pool, since_ms)) in &self.emptying {
             match runs(worker) {
-                Some(0) => moves.push(Move {
+                Some(0) if !busy.contains(worker) => moves.push(Move {
                     machine: machine.clone(),
                     pool: pool.clone(),
                 }),
@@ -278,7 +289,9 @@
             self.emptying.remove(&machine);
         }
         for moved in &moves {
-            self.emptying.remove(&moved.machine);
+            if let Some((worker, ..)) = self.emptying.remove(&moved.machine) {
+                self.ordered.insert(moved.machine.clone(), worker);
+            }
             self.moving
                 .insert(moved.machine.clone(), (moved.pool.clone(), now_ms));
         }
@@ -400,6 +413,7 @@
         moves: &mut Vec<Move>,
     ) {
         if worker.passing == 0 {
+            self.ordered.insert(machine.clone(), worker.worker.clone());
             self.moving.insert(machine.clone(), (pool.clone(), now_ms));
             moves.push(Move { machine, pool });
         } else {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -76,7 +76,7 @@
 pub use steady::steady_ms;
 pub use timing::Timing;
 pub use turns::Turns;
-pub use upkeep::{Upkeep, UpkeepStep};
+pub use upkeep::{Upkeep, UpkeepStep, UpkeepWorld};
 pub use wave::Wave;
 pub use worker::Worker;
 pub use worker_link::{Progress, RunPhase, RunView, WorkerLink};
--- a/src/control/node/keeping.rs
+++ b/src/control/node/keeping.rs
@@ -2,7 +2,7 @@
 
 use super::super::{
     Change, Effect, Machine, MachineOrder, MachineOrderKind, MachineOutcome, Upkeep, UpkeepStep,
-    demand,
+    UpkeepWorld, demand,
 };
 use super::Node;
 use super::lead::{Waiter, want_stop};
@@ -42,11 +42,16 @@
         let Some(lead) = &mut self.lead else {
             return;
         };
-        let timing = &self.settings.timing;
         let off = lead.capacity.standby().cloned().collect();
-        let steps = lead
-            .upkeep
-            .tick(now_ms, now_unix_ms, &self.state, &lead.fleet, &off, timing);
+        let busy = lead.scheduler.proposed.values().map(|p| p.worker.clone());
+        let world = UpkeepWorld {
+            state: &self.state,
+            fleet: &lead.fleet,
+            off: &off,
+            busy: &busy.collect(),
+            timing: &self.settings.timing,
+        };
+        let steps = lead.upkeep.tick(now_ms, now_unix_ms, &world);
         let known = |machine: &String| Upkeep::worker_on(&self.state, machine).is_some();
         for wave in self.state.waves().values() {
             let missing = wave.due().filter(|m| !known(m) && !lead.capacity.is_off(m));
--- a/src/control/node/orders.rs
+++ b/src/control/node/orders.rs
@@ -40,7 +40,7 @@
 pub(super) enum Sent {
     Start(Placement),
     Stop(Placement),
-    Renew(InstanceName),
+    Renew { worker: InstanceName, sent_ms: u64 },
     Throttle(Placement),
 }
 
@@ -48,7 +48,7 @@
     fn worker(&self) -> &InstanceName {
         match self {
             Self::Start(p) | Self::Stop(p) | Self::Throttle(p) => &p.worker,
-            Self::Renew(worker) => worker,
+            Self::Renew { worker, .. } => worker,
         }
     }
 }
@@ -169,7 +169,7 @@
         match sent {
             Sent::Start(start) => self.start_ordered(now_ms, &start, &outcome),
             Sent::Stop(stop) => self.stop_ordered(now_ms, &stop, &outcome),
-            Sent::Renew(worker) => self.renewed(now_ms, &worker, outcome),
+            Sent::Renew { worker, sent_ms } => self.renewed(now_ms, &worker, sent_ms, outcome),
             Sent::Throttle(run) => self.throttled(&run, &outcome),
         }
     }
--- a/src/control/node/renewals.rs
+++ b/src/control/node/renewals.rs
@@ -51,11 +51,21 @@
             due.push((name.clone(), kind, wait_ms + RENEWAL_SLACK_MS));
         }
         for (name, kind, timeout_ms) in due {
-            self.order(Sent::Renew(name), kind, timeout_ms);
+            let sent = Sent::Renew {
+                worker: name,
+                sent_ms: now_ms,
+            };
+            self.order(sent, kind, timeout_ms);
         }
     }
 
-    pub(super) fn renewed(&mut self, now_ms: u64, worker: &InstanceName, outcome: OrderOutcome) {
+    pub(super) fn renewed(
+        &mut self,
+        now_ms: u64,
+        worker: &InstanceName,
+        sent_ms: u64,
+        outcome: OrderOutcome,
+    ) {
         let OrderOutcome::Listed {
             clock_ms,
             running,
@@ -74,7 +84,7 @@
             lead.dirty = true;
             tracing::info!(%worker, running = running.len(), ended = ended.len(), "worker: heard");
         }
-        let absent = link.listed(now_ms, clock_ms, &running, &ended);
+        let absent = link.listed(now_ms, sent_ms, clock_ms, &running, &ended);
         let fresh: Vec<Ended> = ended
             .into_iter()
             .filter(|end| end.number > link.proposed)
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -47,6 +47,21 @@
     },
 }
 
+/// What the plan for the waves looks at.
+#[derive(Clone, Copy, Debug)]
+pub struct UpkeepWorld<'a> {
+    /// The replicated state.
+    pub state: &'a State,
+    /// The leader's links to workers.
+    pub fleet: &'a Fleet,
+    /// Machines that are off.
+    pub off: &'a BTreeSet<String>,
+    /// Workers with a start on its way.
+    pub busy: &'a BTreeSet<InstanceName>,
+    /// Times of the deployment.
+    pub timing: &'a Timing,
+}
+
 /// The leader's plan for the waves.
 #[derive(Debug, Default)]
 pub struct Upkeep {
@@ -166,15 +181,8 @@
     }
 
     /// What to do now.
-    pub fn tick(
-        &mut self,
-        now_ms: u64,
-        now_unix_ms: u64,
-        state: &State,
-        fleet: &Fleet,
-        off: &BTreeSet<String>,
-        timing: &Timing,
-    ) -> Vec<UpkeepStep> {
+    pub fn tick(&mut self, now_ms: u64, now_unix_ms: u64, world: &UpkeepWorld) -> Vec<UpkeepStep> {
+        let (state, timing) = (world.state, world.timing);
         let known: BTreeMap<&String, &InstanceName> = machines(state).collect();
         let back_ms = timing.upkeep_ms + BACK_LATE_MS;
         self.down.retain(|machine, down| {
@@ -193,11 +201,11 @@
             e.begin != Begin::No || as_before
         });
         let mut steps = Vec::new();
-        let mut budget = Budget::new(now_ms, fleet);
+        let mut budget = Budget::new(now_ms, world.fleet);
         for wave in state.waves().values().filter(|w| !w.is_completed()) {
             let room = self.room(now_unix_ms, wave, timing);
-            self.choose(now_ms, wave, room, &known, off, &budget, state, fleet);
-            self.empty(now_ms, wave, state, fleet, &mut budget, &mut steps);
+            self.choose(now_ms, wave, room, &known, &budget, world);
+            self.empty(now_ms, wave, world, &mut budget, &mut steps);
         }
         steps
     }
@@ -230,18 +238,16 @@
 
     /// Takes up machines to empty. Those that are off cost nobody anything and go
     /// first; then those of pools with little to do.
-    #[allow(clippy::too_many_arguments)]
     fn choose(
         &mut self,
         now_ms: u64,
         wave: &Wave,
         room: usize,
         known: &BTreeMap<&String, &InstanceName>,
-        off: &BTreeSet<String>,
         budget: &Budget,
-        state: &State,
-        fleet: &Fleet,
+        world: &UpkeepWorld,
     ) {
+        let (state, fleet, off) = (world.state, world.fleet, world.off);
         let free = wave.due().filter(|m| !self.emptying.contains_key(*m));
         let mut free: Vec<(&String, Option<&InstanceName>)> = free
             .filter_map(|machine| match known.get(machine) {
@@ -288,24 +294,24 @@
         &mut self,
         now_ms: u64,
         wave: &Wave,
-        state: &State,
-        fleet: &Fleet,
+        world: &UpkeepWorld,
         budget: &mut Budget,
         steps: &mut Vec<UpkeepStep>,
     ) {
+        let (state, fleet, busy) = (world.state, world.fleet, world.busy);
         let down = wave
             .begun
             .iter()
             .filter(|m| self.down.contains_key(*m))
             .count();
         let begins = |e: &&Emptying| e.begin != Begin::No && e.wave == wave.number;
-        let mut busy = down + self.emptying.values().filter(begins).count();
+        let mut taken = down + self.emptying.values().filter(begins).count();
         for (machine, emptying) in &mut self.emptying {
             if emptying.wave != wave.number || emptying.begin == Begin::Asked {
                 continue;
             }
             let patient = now_ms < emptying.since_ms + PATIENCE_MS;
-            let mut empty = true;
+            let mut empty = emptying.worker.as_ref().is_none_or(|w| !busy.contains(w));
             let runs = emptying.worker.iter().flat_map(|w| runs_on(state, w));
             for (job, task, attempt) in runs {
                 let Some(worker) = &emptying.worker else {
@@ -328,10 +334,10 @@
                 }
             }
             let doubtful = emptying.begin == Begin::Doubtful;
-            let room = doubtful || busy < wave.down_max;
+            let room = doubtful || taken < wave.down_max;
             if empty && room && now_ms >= emptying.retry_ms {
                 emptying.begin = Begin::Asked;
-                busy += usize::from(!doubtful);
+                taken += usize::from(!doubtful);
                 steps.push(UpkeepStep::Begin {
                     wave: wave.number,
                     machine: machine.clone(),
--- a/src/control/worker_link.rs
+++ b/src/control/worker_link.rs
@@ -247,17 +247,19 @@
         self.silent = self.silent.saturating_add(1);
     }
 
-    /// A renewal was answered: takes the listing. Returns the runs that provably
-    /// are not there and will not start, and whether the runs it lists that nobody
-    /// wants should be stopped is the caller's to say.
+    /// The renewal that left at `sent_ms` was answered: takes the listing. Returns the
+    /// runs that provably are not there and will not start.
     pub fn listed(
         &mut self,
         now_ms: u64,
+        sent_ms: u64,
         clock_ms: u64,
         running: &[Running],
         ended: &[Ended],
     ) -> Vec<(TaskId, u32)> {
-        let sent_ms = self.renewal_sent_ms.take().unwrap_or(now_ms);
+        if self.renewal_sent_ms == Some(sent_ms) {
+            self.renewal_sent_ms = None;
+        }
         self.heard(now_ms, clock_ms);
         self.silent = 0;
         self.confirmed = true;
@@ -265,7 +267,8 @@
             if let Some(view) = self.runs.get_mut(&(run.task, run.attempt)) {
                 view.note_progress(now_ms, run.percent);
                 view.gauge = run.gauge;
-                view.listed_ms = Some(now_ms);
+                // A leader that is behind may read it late: it is as old as the question.
+                view.listed_ms = Some(sent_ms);
                 if matches!(view.phase, RunPhase::Inherited | RunPhase::Starting { .. }) {
                     view.phase = RunPhase::Running { since_ms: now_ms };
                 }
@@ -291,6 +294,11 @@
             .collect()
     }
 
+    /// What is known of a run, to change.
+    pub fn run_mut(&mut self, task: TaskId, attempt: u32) -> Option<&mut RunView> {
+        self.runs.get_mut(&(task, attempt))
+    }
+
     /// Gives it no work for a while.
     pub fn cool(&mut self, now_ms: u64, for_ms: u64) {
         self.cooling_until_ms = self.cooling_until_ms.max(now_ms + for_ms);
--- a/tests/control/leases.rs
+++ b/tests/control/leases.rs
@@ -7,7 +7,7 @@
 #[test]
 fn a_lease_has_lapsed_only_when_the_slowest_clock_has_passed_its_end() {
     let mut link = WorkerLink::new(0, LEASE_MS);
-    link.listed(100, 77_000, &[], &[]);
+    link.listed(100, 100, 77_000, &[], &[]);
     let end_ms = link.grant(1_000).unwrap();
     assert_eq!(end_ms, 77_000 + 900 + LEASE_MS);
     // 5,900 ms on a clock that is 2 % slow take 6,020 ms; a first listing also lets a
@@ -29,11 +29,11 @@
 #[test]
 fn a_silent_worker_is_granted_nothing() {
     let mut link = WorkerLink::new(0, LEASE_MS);
-    link.listed(100, 5, &[], &[]);
+    link.listed(100, 100, 5, &[], &[]);
     assert!(link.renewal_end(200).is_some());
     link.renewal_failed(1_700);
     assert_eq!(link.renewal_end(1_800), None);
-    link.listed(1_900, 1_805, &[], &[]);
+    link.listed(1_900, 1_900, 1_805, &[], &[]);
     assert!(link.renewal_end(2_000).is_some());
 }
 
@@ -49,14 +49,14 @@
 #[test]
 fn failures_in_a_row_give_a_worker_a_rest() {
     let mut link = WorkerLink::new(0, LEASE_MS);
-    link.listed(10, 10, &[], &[]);
+    link.listed(10, 10, 10, &[], &[]);
     link.run_failed(100);
     link.run_failed(200);
     assert!(link.takes_work(300));
     link.run_failed(300);
     assert!(!link.takes_work(400));
     let mut mixed = WorkerLink::new(0, LEASE_MS);
-    mixed.listed(10, 10, &[], &[]);
+    mixed.listed(10, 10, 10, &[], &[]);
     for at in 1..20 {
         mixed.run_failed(at * 50);
         mixed.run_done(at * 50 + 10);
@@ -64,3 +64,48 @@
     }
     assert!(mixed.takes_work(1_000));
 }
+
+/// Two renewals are under way, as one was sent early; a task starts between them. The
+/// answer to the first does not list it and comes late: the task must not be taken for
+/// gone, or it would start a second time elsewhere.
+#[test]
+fn an_old_listing_says_nothing_of_a_later_start() {
+    use rosemarygauge::control::{Change, Command, Fleet, RunPhase, State};
+    use rosemarygauge::jobs::{JobId, TaskId};
+    let task = TaskId {
+        job: JobId::from(1),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    let mut state = State::default();
+    let changes = vec![
+        Change::Configure(std::sync::Arc::new(crate::world::configuration(1))),
+        Change::Accept {
+            job: task.job,
+            queue: "quick".into(),
+            spec: std::sync::Arc::new(crate::world::job(vec![crate::world::step(1)])),
+        },
+        Change::Place {
+            task,
+            attempt: 1,
+            worker: "i-1".into(),
+        },
+    ];
+    state.apply(&Command {
+        by: "10.0.0.1".into(),
+        start: 1,
+        sequence: 1,
+        at_unix_ms: 0,
+        changes,
+    });
+    let mut fleet = Fleet::new(0, LEASE_MS, &state);
+    let link = fleet.link_mut(&"i-1".into()).unwrap();
+    let start = |link: &mut WorkerLink| {
+        let view = link.run_mut(task, 1).unwrap();
+        view.phase = RunPhase::Running { since_ms: 150 };
+    };
+    start(link);
+    assert!(link.listed(300, 100, 5, &[], &[]).is_empty());
+    assert_eq!(link.listed(400, 200, 6, &[], &[]), [(task, 1)]);
+}
--- a/tests/control/scheduler.rs
+++ b/tests/control/scheduler.rs
@@ -59,7 +59,7 @@
 
 fn hear(fleet: &mut Fleet, name: &str) {
     let link: &mut WorkerLink = fleet.link_mut(&name.into()).unwrap();
-    link.listed(NOW_MS, 77, &[], &[]);
+    link.listed(NOW_MS, NOW_MS, 77, &[], &[]);
 }
 
 fn apply(state: &mut State, change: Change) {
--- a/tests/platform/stand_in.rs
+++ b/tests/platform/stand_in.rs
@@ -2,7 +2,7 @@
 //! instance makes, runs tasks by a clock of its own, and reports itself.
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
