--- a/src/control/desk.rs
+++ b/src/control/desk.rs
@@ -1,9 +1,10 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 use tokio::sync::{mpsc, oneshot};
 
-use super::{Answer, Call};
+use super::{Answer, Call, Metrics};
 use crate::model::EntryName;
 
 /// Where an instance's listeners hand in calls and wait for their answers.
@@ -15,6 +16,7 @@
     calls: mpsc::UnboundedSender<Incoming>,
     open: Mutex<Open>,
     board: Mutex<Board>,
+    metrics: Metrics,
 }
 
 /// A call on its way to the loop.
@@ -56,12 +58,14 @@
             calls: tx,
             open: Mutex::new(open),
             board: Mutex::default(),
+            metrics: Metrics::default(),
         };
         (Arc::new(desk), rx)
     }
 
     /// Hands in a call and waits for its answer.
     pub async fn call(&self, call: Call, patience_ms: u64) -> Answer {
+        let began = Instant::now();
         let (tx, rx) = oneshot::channel();
         let id = {
             let mut open = lock(&self.open);
@@ -79,7 +83,10 @@
             return Answer::Unknown;
         }
         // The loop ends without an answer only when the process does.
-        rx.await.unwrap_or(Answer::Unknown)
+        let answer = rx.await.unwrap_or(Answer::Unknown);
+        self.metrics
+            .answered(&answer, began.elapsed().as_secs_f64());
+        answer
     }
 
     /// Answers a call; nobody may wait for it any more.
@@ -96,6 +103,11 @@
         lock(&self.open).answers.len()
     }
 
+    /// The instance's counters and latencies.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// What the loop last let know.
     pub fn board(&self) -> Board {
         lock(&self.board).clone()
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -203,6 +203,7 @@
                     let answer = outside.advise(step, workers, timeout_ms);
                     spawn(done, answer, move |allowed| Event::Advised { id, allowed });
                 }
+                Effect::Count(decision) => self.desk.metrics().decided(decision),
                 Effect::Stopped => stopped = true,
             }
         }
--- a/src/control/effect.rs
+++ b/src/control/effect.rs
@@ -1,4 +1,4 @@
-use super::{Answer, MachineOrder, Order, PeerMessage};
+use super::{Answer, Decision, MachineOrder, Order, PeerMessage};
 use crate::consensus::Record;
 use crate::model::{EntryName, InstanceName};
 
@@ -43,6 +43,8 @@
         /// How long its answer is waited for.
         timeout_ms: u64,
     },
+    /// Count a decision.
+    Count(Decision),
     /// The planned stop is over.
     Stopped,
 }
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -221,6 +221,10 @@
     }
 
     fn answer(&mut self, caller: &Caller, answer: super::Answer) {
+        if let super::Answer::Refused(refusal) = &answer {
+            let version = self.state.configuration().map(|c| c.version);
+            tracing::info!(?caller, %refusal, version, "call: refused");
+        }
         match caller {
             Caller::Here(id) => self.out.push(Effect::Answer { id: *id, answer }),
             Caller::Peer(to, id) => {
--- a/src/control/node/keeping.rs
+++ b/src/control/node/keeping.rs
@@ -1,8 +1,8 @@
 //! What the leader orders of the keeper of the machines: upkeeps and moves.
 
 use super::super::{
-    Change, Effect, Machine, MachineOrder, MachineOrderKind, MachineOutcome, Upkeep, UpkeepStep,
-    UpkeepWorld, demand,
+    Change, Decision, Effect, Machine, MachineOrder, MachineOrderKind, MachineOutcome, Upkeep,
+    UpkeepStep, UpkeepWorld, demand,
 };
 use super::Node;
 use super::lead::{Waiter, want_stop};
@@ -30,6 +30,7 @@
         lead.keep_ms = now_ms;
         if now_ms >= lead.list_ms && !lead.listing {
             lead.listing = true;
+            lead.asked_ms = now_ms;
             self.out.push(Effect::ListMachines);
         }
         self.keep_waves(now_ms);
@@ -53,12 +54,17 @@
         };
         let steps = lead.upkeep.tick(now_ms, now_unix_ms, &world);
         let known = |machine: &String| Upkeep::worker_on(&self.state, machine).is_some();
+        lead.missing.retain(|machine, _| !known(machine));
         for wave in self.state.waves().values() {
             let missing = wave.due().filter(|m| !known(m) && !lead.capacity.is_off(m));
             for machine in missing {
                 // It may have gone since: the list is read anew, sooner than usual.
                 lead.list_ms = lead.list_ms.min(lead.listed_ms + LIST_MISSING_MS);
-                if lead.capacity.is_gone(machine) && lead.gone.insert(machine.clone()) {
+                // Only a list that was asked for since it is missing tells: one that came
+                // or moved after an older list would be taken for gone.
+                let missing_ms = *lead.missing.entry(machine.clone()).or_insert(now_ms);
+                let told = lead.listed_as_of_ms > missing_ms && lead.capacity.is_gone(machine);
+                if told && lead.gone.insert(machine.clone()) {
                     tracing::info!(
                         wave = wave.number,
                         machine,
@@ -154,6 +160,11 @@
         };
         lead.machine_orders
             .insert(order.id, (order.clone(), worker));
+        let decision = match order.kind {
+            MachineOrderKind::Upkeep { .. } => Decision::Upkeep,
+            MachineOrderKind::Move { .. } => Decision::MachineMoved,
+        };
+        self.out.push(Effect::Count(decision));
         self.out.push(Effect::OrderMachine(order));
     }
 
@@ -168,6 +179,7 @@
         };
         lead.list_ms = now_ms + LIST_MS;
         lead.listed_ms = now_ms;
+        lead.listed_as_of_ms = lead.asked_ms;
         lead.capacity.listed(now_ms, &self.state, &machines);
         tracing::info!(
             machines = machines.len(),
--- a/src/control/node/lead.rs
+++ b/src/control/node/lead.rs
@@ -6,8 +6,8 @@
 use super::super::pending::Pending;
 use super::super::upkeep::runs_on;
 use super::super::{
-    Answer, Capacity, Change, Command, Estimates, Fleet, MachineOrder, Placement, Reports,
-    RunPhase, RunView, Scheduler, Throttle, Turns, Upkeep,
+    Answer, Capacity, Change, Command, Decision, Effect, Estimates, Fleet, MachineOrder, Placement,
+    Reports, RunPhase, RunView, Scheduler, Throttle, Turns, Upkeep,
 };
 use super::orders::Sent;
 use super::{Caller, Node};
@@ -76,8 +76,12 @@
     /// When the list of the machines is read next, and whether it is awaited.
     pub(super) list_ms: u64,
     pub(super) listing: bool,
-    /// When the list was read last.
+    /// When the list was read last, when it was asked for, and when one is asked for.
     pub(super) listed_ms: u64,
+    pub(super) listed_as_of_ms: u64,
+    pub(super) asked_ms: u64,
+    /// Machines of waves that are not to be seen, and since when.
+    pub(super) missing: BTreeMap<String, u64>,
     /// Machines that are gone for good, as far as waves ask for them.
     pub(super) gone: BTreeSet<String>,
     due: BTreeSet<(JobId, u32)>,
@@ -135,6 +139,9 @@
             list_ms: now_ms,
             listing: false,
             listed_ms: now_ms,
+            listed_as_of_ms: 0,
+            asked_ms: now_ms,
+            missing: BTreeMap::new(),
             gone: BTreeSet::new(),
             due: BTreeSet::new(),
             ending: BTreeSet::new(),
@@ -152,6 +159,7 @@
             jobs = self.state.active().count(),
             "lead: begins"
         );
+        self.out.push(Effect::Count(Decision::LeadBegan));
         for (id, call) in self.relay.take_all() {
             self.answer_call(now_ms, Caller::Here(id), call);
         }
@@ -391,6 +399,7 @@
                 let runs = runs_on(&self.state, worker).count();
                 tracing::info!(%worker, runs, ?change, "worker: its leases have run out");
                 lead.ending.insert(worker.clone());
+                self.out.push(Effect::Count(Decision::WorkerLapsed));
             }
             lead.pending.add(change, None);
         }
--- a/src/control/node/orders.rs
+++ b/src/control/node/orders.rs
@@ -7,7 +7,8 @@
 //! worker refuses it for good. Only then may the task start elsewhere.
 
 use super::super::{
-    Change, Effect, Order, OrderKind, OrderOutcome, Placement, Rejection, RunPhase, RunView,
+    Change, Decision, Effect, Order, OrderKind, OrderOutcome, Placement, Rejection, RunPhase,
+    RunView,
 };
 use super::Node;
 use super::lead::want_stop;
@@ -119,6 +120,10 @@
         };
         let tickets = lead.scheduler.tickets.get(&step);
         let ticket = tickets.and_then(|t| t.get(&start.worker)?.text.clone());
+        tracing::info!(
+            task = %start.task, attempt = start.attempt, worker = %start.worker, lease_end_ms,
+            "task: placed, its start is ordered"
+        );
         let kind = OrderKind::Start {
             task: start.task,
             attempt: start.attempt,
@@ -203,6 +208,7 @@
                 view.phase = RunPhase::Starting {
                     unanswered: unanswered + 1,
                 };
+                self.out.push(Effect::Count(Decision::StartSentAgain));
                 if unanswered + 1 > START_AGAIN_MAX {
                     want_stop(now_ms, Some(view));
                 } else {
@@ -214,6 +220,8 @@
                     task = %start.task, attempt = start.attempt, worker = %start.worker,
                     %reason, unanswered, "task: a start is rejected"
                 );
+                self.out
+                    .push(Effect::Count(Decision::StartRejected(*reason)));
                 // An earlier sending of the same start may still arrive.
                 if unanswered > 0 || *reason == Rejection::Fence {
                     want_stop(now_ms, Some(view));
--- a/src/control/node/renewals.rs
+++ b/src/control/node/renewals.rs
@@ -1,8 +1,8 @@
 //! Renewals of workers' leases, which also list what runs and what ended.
 
 use super::super::{
-    Change, Ended, OrderKind, OrderOutcome, Placement, Rejection, RunPhase, Running, Throttle,
-    stands_still,
+    Change, Decision, Effect, Ended, OrderKind, OrderOutcome, Placement, Rejection, RunPhase,
+    Running, Throttle, stands_still,
 };
 use super::Node;
 use super::lead::{Waiter, want_stop};
@@ -161,6 +161,7 @@
             task = %end.task, attempt = end.attempt, %worker, ending = %end.ending,
             "task: a run ended"
         );
+        self.out.push(Effect::Count(Decision::RunEnded(end.ending)));
         let change = Change::End {
             task: end.task,
             attempt: end.attempt,
@@ -199,6 +200,7 @@
                     %task, attempt, %worker, percent = view.percent,
                     "task: it stands still and starts anew"
                 );
+                self.out.push(Effect::Count(Decision::StoodStill));
                 want_stop(now_ms, Some(view));
                 still += 1;
             }
--- a/src/platform/entry_calls.rs
+++ b/src/platform/entry_calls.rs
@@ -1,14 +1,17 @@
 use std::sync::Arc;
+use std::time::Instant;
 
 use http::{Method, StatusCode};
 use serde_json::json;
 
 use super::incoming::{done, refused, unknown};
 use super::read_job;
-use crate::control::{Answer, Call, Desk, Place};
+use crate::control::{Answer, Call, Desk, Place, outcome};
 use crate::http::{Handler, Incoming, Reply, text};
 use crate::jobs::JobState;
 
+/// A caller's name for one call, for logs.
+const REQUEST_HEADER: &str = "request-id";
 /// How long a caller waits, in milliseconds.
 const DEADLINE_HEADER: &str = "deadline-ms";
 /// If the caller does not say: the shortest time that queues usually allow.
@@ -57,7 +60,13 @@
             Method::DELETE => Call::Cancel { place },
             _ => return text(StatusCode::METHOD_NOT_ALLOWED, "use POST, GET or DELETE\n"),
         };
+        let began = Instant::now();
         let answer = self.desk.call(call, patience_ms).await;
+        tracing::info!(
+            request = incoming.header(REQUEST_HEADER), %method, path = incoming.head.uri.path(),
+            outcome = outcome(&answer), patience_ms, took_ms = began.elapsed().as_millis() as u64,
+            "call: answered"
+        );
         reply(&method, &answer)
     }
 }
--- a/src/platform/serve.rs
+++ b/src/platform/serve.rs
@@ -27,6 +27,8 @@
 const LINK_KEY: &[u8] = b"rosemarygauge links, version 1";
 /// The largest body at a control instance: a report has 4 MiB at most.
 const CONTROL_BODY_BYTES: usize = 4 << 20;
+/// Where metrics are fetched, as the deploy file names it.
+const METRICS_PORT: u16 = 9_464;
 /// An idle connection is kept for as long as the callers' side promises.
 const IDLE: Duration = Duration::from_secs(15);
 /// The last moments of a planned stop, for answers on their way.
@@ -99,8 +101,9 @@
             ..Limits::default()
         };
         let server = tokio::task::spawn_local(
-            server("control", listen(control)?, limits, handler).run(stopped),
+            server("control", listen(control)?, limits, handler).run(stopped.clone()),
         );
+        serve_metrics(&settings, &desk, stopped.clone());
         tracing::info!(%control, "serve: a control instance is up");
         let driver = Driver::new(desk, calls, signalled, links);
         driver.run_control(node, disk, outside).await?;
@@ -138,8 +141,9 @@
         let health = health(Arc::clone(&desk));
         let callers = server("callers", listen(front)?, limits, callers).run(stopped.clone());
         let callers = tokio::task::spawn_local(callers);
-        let health = server("health", listen(ready)?, limits, health).run(stopped);
+        let health = server("health", listen(ready)?, limits, health).run(stopped.clone());
         tokio::task::spawn_local(health);
+        serve_metrics(&settings, &desk, stopped.clone());
         tracing::info!(%front, "serve: an entry instance is up");
         let driver = Driver::new(desk, calls, signalled, links);
         driver.run_entry(gateway, grace_ms).await;
@@ -195,6 +199,25 @@
     })
 }
 
+/// Serves counters and latencies at [`METRICS_PORT`]. They are no reason to end: where
+/// the port is taken the instance goes on without.
+fn serve_metrics(settings: &Settings, desk: &Arc<Desk>, stopped: watch::Receiver<bool>) {
+    let listener = match listen((settings.ip, METRICS_PORT).into()) {
+        Ok(listener) => listener,
+        Err(err) => {
+            tracing::warn!(%err, port = METRICS_PORT, "serve: no metrics");
+            return;
+        }
+    };
+    let desk = Arc::clone(desk);
+    let handler: Handler = Arc::new(move |_| {
+        let text = desk.metrics().text();
+        Box::pin(async move { crate::http::text(StatusCode::OK, text) })
+    });
+    let server = server("metrics", listener, Limits::default(), handler);
+    tokio::task::spawn_local(server.run(stopped));
+}
+
 fn start_links(
     settings: &Settings,
     signals: UnboundedSender<Signal>,
--- a/tests/control/upkeep.rs
+++ b/tests/control/upkeep.rs
@@ -80,3 +80,16 @@
     assert_eq!(world.upkeeps.len(), 5, "{:?}", world.upkeeps);
     assert!(completed(&mut world));
 }
+
+/// A machine came after the keeper's list was read, and is away for a second as its wave
+/// begins: the old list does not name it. Taken for gone, its wave would be said to be
+/// done without its upkeep.
+#[test]
+fn a_machine_that_came_after_the_list_is_not_taken_for_gone() {
+    let mut world = World::new(55, 6, 2);
+    world.come_later(1_050, "east", 1_500);
+    world.start_wave(1, &["m-1050"], 1);
+    world.run_ms(15_000);
+    assert!(completed(&mut world));
+    assert!(world.upkeeps.iter().any(|(_, machine)| machine == "m-1050"));
+}
--- a/tests/control/world.rs
+++ b/tests/control/world.rs
@@ -1,5 +1,7 @@
 //! Three control instances, fake workers and a fake keeper of machines in one thread.
 
+mod deliveries;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,14 +10,12 @@
 use rand_chacha::ChaCha8Rng;
 use rosemarygauge::consensus::{Record, Recovered};
 use rosemarygauge::control::{
-    Answer, Call, Configuration, Effect, Event, Machine, MachineOrder, MachineOrderKind,
-    MachineOutcome, MachinePhase, Node, NodeSettings, Order, OrderKind, OrderOutcome, PeerMessage,
-    Place, Queue, Rejection, Timing, Wave,
+    Answer, Call, Configuration, Event, MachineOrder, Node, NodeSettings, Order, OrderOutcome,
+    PeerMessage, Place, Queue, Timing, Wave,
 };
 use rosemarygauge::jobs::{JobId, JobSpec, JobState, Room, Step, TaskId};
 use rosemarygauge::model::EntryName;
 
-use crate::naive_disk::replay;
 use crate::worker::Worker;
 
 pub const STEP_MS: u64 = 5;
@@ -281,6 +281,12 @@
         self.returning.push((back, worker.address, worker.pool));
     }
 
+    /// A new machine comes after a while.
+    pub fn come_later(&mut self, port: u16, pool: &str, after_ms: u64) {
+        let at_ms = self.now_ms + after_ms;
+        self.returning.push((at_ms, address(port), pool.to_owned()));
+    }
+
     pub fn kill(&mut self, at: &EntryName) {
         self.controls.get_mut(at).unwrap().node = None;
     }
@@ -473,288 +479,4 @@
     fn is_cut(&self, from: &str, to: &str) -> bool {
         self.cut.contains(&(from.to_owned(), to.to_owned()))
     }
-
-    fn fly(&mut self, after_ms: u64, flying: Flying) {
-        self.sent += 1;
-        self.flying
-            .insert((self.now_ms + after_ms, self.sent), flying);
-    }
-
-    fn arrive(&mut self, flying: Flying) {
-        match flying {
-            Flying::Peer { from, to, message } => {
-                if !self.is_cut(from.as_str(), to.as_str()) {
-                    self.feed(&to, Event::Peer { from, message });
-                }
-            }
-            Flying::Persisted {
-                at,
-                start,
-                token,
-                records,
-            } => {
-                if self.starts[&at] != start || self.controls[&at].node.is_none() {
-                    return;
-                }
-                let disk = &mut self.controls.get_mut(&at).unwrap().disk;
-                records.iter().for_each(|record| replay(disk, record));
-                self.feed(&at, Event::Persisted { token });
-            }
-            Flying::Order { from, start, order } => self.order_arrives(&from, start, order),
-            Flying::Ordered {
-                to,
-                start,
-                id,
-                outcome,
-            } => {
-                if self.starts[&to] == start {
-                    self.feed(&to, Event::Ordered { id, outcome });
-                }
-            }
-            Flying::Machine { from, start, order } => self.machine_order(&from, start, order),
-            Flying::Event { to, start, event } => {
-                if self.starts[&to] == start {
-                    self.feed(&to, event);
-                }
-            }
-        }
-    }
-
-    fn order_arrives(&mut self, from: &EntryName, start: u64, order: Order) {
-        let there = order.address.to_string();
-        let (to, id) = (from.clone(), order.id);
-        if self.is_cut(from.as_str(), &there) {
-            let outcome = OrderOutcome::Unanswered;
-            let after_ms = order.timeout_ms;
-            return self.fly(
-                after_ms,
-                Flying::Ordered {
-                    to,
-                    start,
-                    id,
-                    outcome,
-                },
-            );
-        }
-        if self.late_per_mille > 0 && self.rng.random_range(0..1_000) < self.late_per_mille {
-            let outcome = OrderOutcome::Unanswered;
-            let after_ms = order.timeout_ms;
-            self.fly(
-                after_ms,
-                Flying::Ordered {
-                    to,
-                    start,
-                    id,
-                    outcome,
-                },
-            );
-            let late_ms = self.rng.random_range(2_000..12_000);
-            let order = Order { id: 0, ..order };
-            return self.fly(
-                late_ms,
-                Flying::Order {
-                    from: from.clone(),
-                    start: 0,
-                    order,
-                },
-            );
-        }
-        let outcome = self.carry_out(&order);
-        let back_cut = self.is_cut(&there, from.as_str());
-        let outcome = match outcome {
-            Some(outcome) if !back_cut => outcome,
-            _ => OrderOutcome::Unanswered,
-        };
-        let waits = match &order.kind {
-            OrderKind::Renew { wait_ms, .. } => (*wait_ms).min(100),
-            _ => 2,
-        };
-        let after_ms = match outcome {
-            OrderOutcome::Unanswered => order.timeout_ms,
-            _ => waits,
-        };
-        self.fly(
-            after_ms,
-            Flying::Ordered {
-                to,
-                start,
-                id,
-                outcome,
-            },
-        );
-    }
-
-    fn carry_out(&mut self, order: &Order) -> Option<OrderOutcome> {
-        let now_ms = self.now_ms;
-        let worker = self.workers.get_mut(&order.address)?;
-        worker.tick(now_ms);
-        if worker.name != order.worker.as_str() {
-            return Some(OrderOutcome::Rejected {
-                reason: Rejection::Incarnation,
-                clock_ms: None,
-            });
-        }
-        let before = worker.going.len();
-        let outcome = worker.order(now_ms, order.fence, &order.kind);
-        let began = worker.going.len() > before;
-        if let (true, OrderKind::Start { task, .. }) = (began, &order.kind) {
-            let seen = Seen {
-                task: *task,
-                worker: worker.name.clone(),
-                began_ms: now_ms,
-            };
-            self.check_start(&seen);
-            self.runs.push(seen);
-        }
-        Some(outcome)
-    }
-
-    /// The promises that hold at every start.
-    fn check_start(&self, seen: &Seen) {
-        let elsewhere = self.workers.values().filter(|w| w.name != seen.worker);
-        let twice = elsewhere
-            .filter(|w| w.going.contains_key(&seen.task))
-            .count();
-        assert!(
-            twice == 0 || self.copies,
-            "{seen:?} runs twice at {}",
-            self.now_ms
-        );
-        if let Some(at) = self.cancelled_ms.get(&seen.task.job) {
-            assert!(
-                self.now_ms < at + 3_000,
-                "{seen:?} starts after its job was cancelled"
-            );
-        }
-    }
-
-    fn machine_order(&mut self, from: &EntryName, start: u64, order: MachineOrder) {
-        let now_ms = self.now_ms;
-        let found = self.workers.values().find(|w| w.machine == order.machine);
-        let found = found.map(|w| (w.address, w.pool.clone()));
-        let outcome = match (found, order.kind) {
-            (None, _) => MachineOutcome::Busy,
-            (Some(_), MachineOrderKind::Upkeep { .. })
-                if self.upkeeps.iter().any(|(_, done)| *done == order.machine) =>
-            {
-                MachineOutcome::Done
-            }
-            (Some((address, pool)), MachineOrderKind::Upkeep { .. }) => {
-                self.workers.remove(&address);
-                self.returning
-                    .push((now_ms + TIMING.upkeep_ms, address, pool));
-                self.upkeeps.push((now_ms, order.machine));
-                let down = self
-                    .upkeeps
-                    .iter()
-                    .filter(|(at, _)| now_ms < at + TIMING.upkeep_ms);
-                self.down_most = self.down_most.max(down.count());
-                MachineOutcome::Done
-            }
-            (Some((address, _)), MachineOrderKind::Move { pool }) => {
-                self.workers.remove(&address);
-                self.returning
-                    .push((now_ms + 1_500, address, pool.to_string()));
-                self.moves.push((now_ms, order.machine, pool.to_string()));
-                MachineOutcome::Done
-            }
-        };
-        let event = Event::MachineOrdered {
-            id: order.id,
-            outcome,
-        };
-        let to = from.clone();
-        self.fly(5, Flying::Event { to, start, event });
-    }
-
-    pub fn feed(&mut self, at: &EntryName, event: Event) {
-        let now_ms = self.now_ms;
-        let Some(control) = self.controls.get_mut(at) else {
-            return;
-        };
-        let Some(node) = control.node.as_mut().filter(|_| !control.frozen) else {
-            return;
-        };
-        let effects = node.handle(now_ms, event);
-        let start = self.starts[at];
-        for effect in effects {
-            self.effect(at, start, effect);
-        }
-    }
-
-    fn effect(&mut self, at: &EntryName, start: u64, effect: Effect) {
-        let from = at.clone();
-        match effect {
-            Effect::Answer { id, answer } => {
-                self.answers.insert(id, answer);
-            }
-            Effect::Send { to, message } => {
-                let after_ms = self.rng.random_range(1..4);
-                self.fly(after_ms, Flying::Peer { from, to, message });
-            }
-            Effect::Persist { token, records } => {
-                self.fly(
-                    5,
-                    Flying::Persisted {
-                        at: from,
-                        start,
-                        token,
-                        records,
-                    },
-                );
-            }
-            Effect::Order(order) => {
-                let after_ms = self.rng.random_range(1..4);
-                self.fly(after_ms, Flying::Order { from, start, order });
-            }
-            Effect::OrderMachine(order) => self.fly(5, Flying::Machine { from, start, order }),
-            Effect::ListMachines => {
-                let machines = Some(self.machines());
-                let event = Event::MachinesListed { machines };
-                self.fly(
-                    5,
-                    Flying::Event {
-                        to: from,
-                        start,
-                        event,
-                    },
-                );
-            }
-            Effect::Advise { id, workers, .. } => {
-                let allowed = workers.into_iter().map(|w| (w, "ticket".to_owned()));
-                let event = Event::Advised {
-                    id,
-                    allowed: Some(allowed.collect()),
-                };
-                self.fly(
-                    30,
-                    Flying::Event {
-                        to: from,
-                        start,
-                        event,
-                    },
-                );
-            }
-            Effect::Stopped => self.kill(&from),
-        }
-    }
-
-    /// The list names those that are there or on their way back.
-    fn machines(&self) -> Vec<Machine> {
-        let workers = self.workers.values();
-        workers
-            .map(|w| Machine {
-                name: w.machine.clone(),
-                pool: w.pool.as_str().into(),
-                phase: MachinePhase::Up,
-                worker: Some(w.name.as_str().into()),
-            })
-            .chain(self.returning.iter().map(|(_, address, pool)| Machine {
-                name: format!("m-{}", address.port()),
-                pool: pool.as_str().into(),
-                phase: MachinePhase::Down,
-                worker: None,
-            }))
-            .collect()
-    }
 }
