--- a/src/control/capacity.rs
+++ b/src/control/capacity.rs
@@ -53,8 +53,6 @@
 /// The leader's plan of who goes where.
 #[derive(Debug, Default)]
 pub struct Capacity {
-    /// All machines of the list that was read last.
-    listed: BTreeSet<String>,
     /// Machines that are off, with their standby pools.
     standby: BTreeMap<String, PoolName>,
     /// Machines that are being emptied, their workers, and where they go.
@@ -82,7 +80,6 @@
             return;
         };
         let standby = configuration.standby();
-        self.listed = machines.iter().map(|m| m.name.clone()).collect();
         self.standby = machines
             .iter()
             .filter(|m| m.phase == MachinePhase::Up && standby.contains(&m.pool))
@@ -101,11 +98,6 @@
         self.standby.contains_key(machine)
     }
 
-    /// Whether a machine is gone for good: the keeper's list does not name it.
-    pub fn is_gone(&self, machine: &str) -> bool {
-        !self.listed.is_empty() && !self.listed.contains(machine)
-    }
-
     /// The machines that are off.
     pub fn standby(&self) -> impl Iterator<Item = &String> {
         self.standby.keys()
--- a/src/control/node/keeping.rs
+++ b/src/control/node/keeping.rs
@@ -11,14 +11,6 @@
 /// How often waves and pools are looked at: a fraction of the time that a machine
 /// takes for either.
 const KEEP_MS: u64 = 100;
-/// How often the list of machines is read: only others' doings change it, and each
-/// reading is a call to the platform.
-const LIST_MS: u64 = 15_000;
-/// How often it is read while a machine that is due for upkeep is not to be seen.
-const LIST_MISSING_MS: u64 = 4_000;
-/// Pause before a list that did not come is asked for again.
-const LIST_RETRY_MS: u64 = 1_000;
-
 impl Node {
     pub(super) fn keep_machines(&mut self, now_ms: u64) {
         let Some(lead) = &mut self.lead else {
@@ -28,12 +20,11 @@
             return;
         }
         lead.keep_ms = now_ms;
-        if now_ms >= lead.list_ms && !lead.listing {
-            lead.listing = true;
-            lead.asked_ms = now_ms;
+        if lead.machines.ask(now_ms) {
             self.out.push(Effect::ListMachines);
         }
         self.keep_waves(now_ms);
+        self.tell_gone(now_ms);
         self.keep_pools(now_ms);
         self.order_stops(now_ms);
     }
@@ -53,31 +44,6 @@
             timing: &self.settings.timing,
         };
         let steps = lead.upkeep.tick(now_ms, now_unix_ms, &world);
-        let known = |machine: &String| Upkeep::worker_on(&self.state, machine).is_some();
-        lead.missing.retain(|machine, _| !known(machine));
-        for wave in self.state.waves().values() {
-            let missing = wave.due().filter(|m| !known(m) && !lead.capacity.is_off(m));
-            for machine in missing {
-                // It may have gone since: the list is read anew, sooner than usual.
-                lead.list_ms = lead.list_ms.min(lead.listed_ms + LIST_MISSING_MS);
-                // Only a list that was asked for since it is missing tells: one that came
-                // or moved after an older list would be taken for gone.
-                let missing_ms = *lead.missing.entry(machine.clone()).or_insert(now_ms);
-                let told = lead.listed_as_of_ms > missing_ms && lead.capacity.is_gone(machine);
-                if told && lead.gone.insert(machine.clone()) {
-                    tracing::info!(
-                        wave = wave.number,
-                        machine,
-                        "upkeep: the machine is gone for good"
-                    );
-                    let change = Change::UpkeepBegun {
-                        wave: wave.number,
-                        machine: machine.clone(),
-                    };
-                    lead.pending.add(change, None);
-                }
-            }
-        }
         for step in steps {
             match step {
                 UpkeepStep::Stop {
@@ -109,6 +75,32 @@
         }
     }
 
+    /// Waves do not wait for machines that are gone for good.
+    fn tell_gone(&mut self, now_ms: u64) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        for wave in self.state.waves().values() {
+            for machine in wave.due() {
+                let known = Upkeep::worker_on(&self.state, machine).is_some();
+                if known || lead.capacity.is_off(machine) {
+                    lead.machines.seen(machine);
+                } else if lead.machines.has_gone(now_ms, machine) {
+                    tracing::info!(
+                        wave = wave.number,
+                        machine,
+                        "upkeep: the machine is gone for good"
+                    );
+                    let change = Change::UpkeepBegun {
+                        wave: wave.number,
+                        machine: machine.clone(),
+                    };
+                    lead.pending.add(change, None);
+                }
+            }
+        }
+    }
+
     fn keep_pools(&mut self, now_ms: u64) {
         let now_unix_ms = self.clock.unix_ms(now_ms);
         let Some(lead) = &mut self.lead else {
@@ -172,14 +164,10 @@
         let Some(lead) = &mut self.lead else {
             return;
         };
-        lead.listing = false;
+        lead.machines.read(now_ms, machines.as_deref());
         let Some(machines) = machines else {
-            lead.list_ms = now_ms + LIST_RETRY_MS;
             return;
         };
-        lead.list_ms = now_ms + LIST_MS;
-        lead.listed_ms = now_ms;
-        lead.listed_as_of_ms = lead.asked_ms;
         lead.capacity.listed(now_ms, &self.state, &machines);
         tracing::info!(
             machines = machines.len(),
--- a/src/control/node/lead.rs
+++ b/src/control/node/lead.rs
@@ -6,8 +6,8 @@
 use super::super::pending::Pending;
 use super::super::upkeep::runs_on;
 use super::super::{
-    Answer, Capacity, Change, Command, Decision, Effect, Estimates, Fleet, MachineOrder, Placement,
-    Reports, RunPhase, RunView, Scheduler, Throttle, Turns, Upkeep,
+    Answer, Capacity, Change, Command, Decision, Effect, Estimates, Fleet, MachineList,
+    MachineOrder, Placement, Reports, RunPhase, RunView, Scheduler, Throttle, Turns, Upkeep,
 };
 use super::orders::Sent;
 use super::{Caller, Node};
@@ -73,17 +73,7 @@
     pub(super) upkeep: Upkeep,
     pub(super) machine_orders: BTreeMap<u64, (MachineOrder, Option<InstanceName>)>,
     pub(super) capacity: Capacity,
-    /// When the list of the machines is read next, and whether it is awaited.
-    pub(super) list_ms: u64,
-    pub(super) listing: bool,
-    /// When the list was read last, when it was asked for, and when one is asked for.
-    pub(super) listed_ms: u64,
-    pub(super) listed_as_of_ms: u64,
-    pub(super) asked_ms: u64,
-    /// Machines of waves that are not to be seen, and since when.
-    pub(super) missing: BTreeMap<String, u64>,
-    /// Machines that are gone for good, as far as waves ask for them.
-    pub(super) gone: BTreeSet<String>,
+    pub(super) machines: MachineList,
     due: BTreeSet<(JobId, u32)>,
     /// Workers about whose end a change is on its way.
     pub(super) ending: BTreeSet<InstanceName>,
@@ -136,13 +126,7 @@
             upkeep: Upkeep::new(now_ms, &self.state),
             machine_orders: BTreeMap::new(),
             capacity: Capacity::default(),
-            list_ms: now_ms,
-            listing: false,
-            listed_ms: now_ms,
-            listed_as_of_ms: 0,
-            asked_ms: now_ms,
-            missing: BTreeMap::new(),
-            gone: BTreeSet::new(),
+            machines: MachineList::new(now_ms),
             due: BTreeSet::new(),
             ending: BTreeSet::new(),
             next_id: start >> 16,
@@ -299,7 +283,7 @@
                 lead.due.remove(&(*job, *occurrence));
             }
             Change::UpkeepBegun { machine, .. } => {
-                let gone = lead.gone.contains(machine);
+                let gone = lead.machines.is_gone(machine);
                 lead.upkeep.begun(now_ms, machine, gone);
             }
             Change::Configure(c) => {
