Write the last lines before a process ends

The process waits for it, 300 ms at most. The test that missed the line waits for it now, as its reader is a thread as well.

--- a/src/cmd/platform.rs
+++ b/src/cmd/platform.rs
@@ -42,6 +42,12 @@
 /// Wrong settings, or something that cannot be set up or used any more.
 pub fn run(args: &Args) -> eyre::Result<Exit> {
     logs::start_lines();
+    let ended = serve(args);
+    logs::finish();
+    ended
+}
+
+fn serve(args: &Args) -> eyre::Result<Exit> {
     let settings = Settings::load().map_err(platform::ServeError::Settings)?;
     tracing::info!(role = ?args.role, node = settings.node, version = env!("CARGO_PKG_VERSION"), "serve: starts");
     match args.role {
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -4,6 +4,8 @@
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
 
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::fmt::MakeWriter;
@@ -40,11 +42,27 @@
         .flatten_event(true)
         .with_env_filter(filter)
         .with_target(false)
-        .with_writer(Lines::to(io::stdout()));
+        .with_writer(STDOUT.get_or_init(|| Lines::to(io::stdout())).clone());
     // An error means that logging was started before, as in a test.
     let _ = lines.try_init();
 }
 
+/// Waits for the lines on their way, but no longer than [`FINISH`]: a process that ends
+/// with lines in its queue loses the ones that say why it ends.
+pub fn finish() {
+    if let Some(lines) = STDOUT.get() {
+        lines.drain(FINISH);
+    }
+}
+
+/// Standard output, once it is written to.
+static STDOUT: OnceLock<Lines> = OnceLock::new();
+
+/// How long the end of a process waits for a reader of its last lines.
+const FINISH: Duration = Duration::from_millis(300);
+/// How often it looks whether they are written.
+const FINISH_LOOK: Duration = Duration::from_millis(2);
+
 /// Hands lines to a thread that writes them, and drops those for which there is no
 /// room.
 ///
@@ -53,22 +71,37 @@
 #[derive(Clone, Debug)]
 pub struct Lines {
     queue: SyncSender<Vec<u8>>,
-    dropped: std::sync::Arc<AtomicU64>,
+    dropped: Arc<AtomicU64>,
+    /// Lines that are queued and not written.
+    waiting: Arc<AtomicU64>,
 }
 
 impl Lines {
     /// Lines to this writer, written by a thread of their own.
     pub fn to(writer: impl Write + Send + 'static) -> Self {
         let (queue, lines) = sync_channel(QUEUE_LINES);
-        let dropped = std::sync::Arc::new(AtomicU64::new(0));
-        let counted = std::sync::Arc::clone(&dropped);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let waiting = Arc::new(AtomicU64::new(0));
+        let (counted, left) = (Arc::clone(&dropped), Arc::clone(&waiting));
         let thread = std::thread::Builder::new()
             .name("logs".into())
-            .spawn(move || write_lines(&lines, &counted, writer));
+            .spawn(move || write_lines(&lines, &counted, &left, writer));
         if let Err(err) = thread {
             eprintln!("logs: no thread to write them: {err}");
         }
-        Self { queue, dropped }
+        Self {
+            queue,
+            dropped,
+            waiting,
+        }
+    }
+
+    /// Waits until all lines are written, `limit` at most.
+    pub fn drain(&self, limit: Duration) {
+        let end = Instant::now() + limit;
+        while self.waiting.load(Ordering::Acquire) > 0 && Instant::now() < end {
+            std::thread::sleep(FINISH_LOOK);
+        }
     }
 
     /// Lines dropped since the last one that said how many.
@@ -77,7 +110,12 @@
     }
 }
 
-fn write_lines(lines: &Receiver<Vec<u8>>, dropped: &AtomicU64, mut writer: impl Write) {
+fn write_lines(
+    lines: &Receiver<Vec<u8>>,
+    dropped: &AtomicU64,
+    waiting: &AtomicU64,
+    mut writer: impl Write,
+) {
     while let Ok(line) = lines.recv() {
         let lost = dropped.swap(0, Ordering::Relaxed);
         let said = match lost {
@@ -88,7 +126,9 @@
             ),
         };
         // Nobody reads any more: there is nowhere left to say so.
-        if said.and_then(|()| writer.write_all(&line)).is_err() {
+        let written = said.and_then(|()| writer.write_all(&line));
+        waiting.fetch_sub(1, Ordering::AcqRel);
+        if written.is_err() {
             return;
         }
     }
@@ -96,8 +136,12 @@
 
 impl Write for Lines {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if let Err(TrySendError::Full(_)) = self.queue.try_send(line.to_vec()) {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+        self.waiting.fetch_add(1, Ordering::AcqRel);
+        if let Err(err) = self.queue.try_send(line.to_vec()) {
+            self.waiting.fetch_sub(1, Ordering::AcqRel);
+            if let TrySendError::Full(_) = err {
+                self.dropped.fetch_add(1, Ordering::Relaxed);
+            }
         }
         Ok(line.len())
     }
--- a/tests/platform/path.rs
+++ b/tests/platform/path.rs
@@ -244,7 +244,9 @@
     assert!(place.control.logged("task: a run ended").len() >= 8);
     assert!(place.entry.terminate().success());
     assert!(place.control.terminate().success());
-    assert_eq!(place.control.logged("serve: stopped").len(), 1);
+    until("the line of the stop", || {
+        place.control.logged("serve: stopped").pop()
+    });
 }
 
 #[test]
