--- a/src/cmd/measure.rs
+++ b/src/cmd/measure.rs
@@ -4,7 +4,9 @@
 
 use clap::{Args as ClapArgs, Subcommand};
 
-use super::{Exit, measure_capacity, measure_entry, measure_load, measure_log, measure_waves};
+use super::{
+    Exit, measure_capacity, measure_entry, measure_lead, measure_load, measure_log, measure_waves,
+};
 
 /// What `--help` says.
 pub const HELP: &str = "\
@@ -19,6 +21,8 @@
          force on nine of them, over loopback
   capacity  traffic, processor time, memory and state of entry instances by the
          size of the fleet, in one process
+  lead   processor time of a leader's decisions by the size of the fleet, in
+         simulated time
 
 Example:
 
@@ -55,6 +59,12 @@
     Entry,
     /// Entry instances by the size of the fleet.
     Capacity,
+    /// A leader's decisions by the size of the fleet.
+    Lead {
+        /// Only this size.
+        #[arg(long)]
+        workers: Option<u16>,
+    },
 }
 
 /// Runs a measurement.
@@ -67,6 +77,7 @@
         What::Waves { seed } => measure_waves::run(*seed)?,
         What::Entry => measure_entry::run()?,
         What::Capacity => measure_capacity::run()?,
+        What::Lead { workers } => measure_lead::run(*workers)?,
         What::Log { folder: None } => measure_log::run(tempfile::tempdir()?.path())?,
         What::Log {
             folder: Some(folder),
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -10,6 +10,7 @@
 pub mod measure;
 pub mod measure_capacity;
 pub mod measure_entry;
+pub mod measure_lead;
 pub mod measure_load;
 pub mod measure_log;
 pub mod measure_waves;
--- a/src/control/timing.rs
+++ b/src/control/timing.rs
@@ -1,5 +1,5 @@
 /// Times that the deployment sets, each in milliseconds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Timing {
     /// How often a worker reports.
     pub report_interval_ms: u64,
