Add a fault soak of the real programs on loopback

Processes, links, workers, the keeper and the time of day are made to fail by a seeded plan; a ledger checks what callers, workers and the keeper see. Instances can be bound to another address than they are known by, and given an offset of the time of day, so that the proxy and jumps of one clock need nothing of the machine. Not yet shown to fail.

--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::mpsc::Sender;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{MissedTickBehavior, interval};
@@ -14,7 +14,7 @@
 use super::steady::steady_ms;
 use super::{
     Effect, Event, Gateway, GatewayEffect, Machine, MachineOrder, MachineOutcome, Node, Order,
-    OrderOutcome, PeerMessage,
+    OrderOutcome, PeerMessage, WallClock,
 };
 use crate::jobs::TaskId;
 use crate::model::{EntryName, InstanceName};
@@ -111,6 +111,7 @@
         mut node: Node,
         disk: Sender<storage::Job>,
         outside: Rc<dyn Outside>,
+        wall: WallClock,
     ) -> Result<(), StorageError> {
         let (done, mut outcomes) = unbounded_channel();
         let mut tick = interval(CONTROL_TICK);
@@ -150,7 +151,7 @@
             self.last_ms = now_ms;
             if now_ms >= compare_ms {
                 compare_ms = now_ms + COMPARE_MS;
-                node.compare_clock(now_ms, unix_ms());
+                node.compare_clock(now_ms, wall.unix_ms());
             }
             self.desk.show(Board {
                 leader: node.known_leader(),
@@ -288,9 +289,3 @@
         Signal::Stop => Event::Stop,
     }))
 }
-
-/// The time of day, in milliseconds since 1970.
-pub fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
-}
--- a/src/platform/serve.rs
+++ b/src/platform/serve.rs
@@ -15,7 +15,7 @@
 
 use super::{ControlCalls, EntryCalls, Platform, Settings, SettingsFault};
 use crate::control::{
-    self, Desk, Driver, Gateway, Node, NodeSettings, PeerMessage, Signal, steady_ms, unix_ms,
+    self, Desk, Driver, Gateway, Node, NodeSettings, PeerMessage, Signal, WallClock, steady_ms,
 };
 use crate::http::{Handler, HttpServer, Limits, text};
 use crate::link::{Directory, LinkError, Links, LinksConfig, PeerKey};
@@ -89,10 +89,12 @@
         timing: settings.timing,
         seed: rand::random(),
     };
-    let node = Node::new(node, recovered, unix_ms(), steady_ms());
+    let wall = WallClock::default();
+    wall.set_offset_ms(settings.clock_offset_ms);
+    let node = Node::new(node, recovered, wall.unix_ms(), steady_ms());
     let outside = Rc::new(Platform::new(&settings));
     let handler = ControlCalls::new(Arc::clone(&desk), settings.clone()).handler();
-    watch_signals(signals)?;
+    watch_signals(signals, wall.clone())?;
     run(async move {
         let (stop, stopped) = watch::channel(false);
         let limits = Limits {
@@ -101,12 +103,13 @@
             ..Limits::default()
         };
         let server = tokio::task::spawn_local(
-            server("control", listen(control)?, limits, handler).run(stopped.clone()),
+            server("control", listen(settings.bound(control))?, limits, handler)
+                .run(stopped.clone()),
         );
         serve_metrics(&settings, &desk, stopped.clone());
         tracing::info!(%control, "serve: a control instance is up");
         let driver = Driver::new(desk, calls, signalled, links);
-        driver.run_control(node, disk, outside).await?;
+        driver.run_control(node, disk, outside, wall).await?;
         stop.send_replace(true);
         let _ = tokio::time::timeout(LINGER, server).await;
         Ok(())
@@ -130,7 +133,7 @@
     let (desk, calls) = Desk::new(rand::random::<u64>() >> 1);
     let gateway = Gateway::new(settings.seed_names());
     let grace_ms = settings.timing.grace_ms;
-    watch_signals(signals)?;
+    watch_signals(signals, WallClock::default())?;
     run(async move {
         let (stop, stopped) = watch::channel(false);
         let limits = Limits {
@@ -139,9 +142,11 @@
         };
         let callers = EntryCalls::new(Arc::clone(&desk)).handler();
         let health = health(Arc::clone(&desk));
-        let callers = server("callers", listen(front)?, limits, callers).run(stopped.clone());
+        let callers =
+            server("callers", listen(settings.bound(front))?, limits, callers).run(stopped.clone());
         let callers = tokio::task::spawn_local(callers);
-        let health = server("health", listen(ready)?, limits, health).run(stopped.clone());
+        let health =
+            server("health", listen(settings.bound(ready))?, limits, health).run(stopped.clone());
         tokio::task::spawn_local(health);
         serve_metrics(&settings, &desk, stopped.clone());
         tracing::info!(%front, "serve: an entry instance is up");
@@ -202,7 +207,7 @@
 /// Serves counters and latencies at [`METRICS_PORT`]. They are no reason to end: where
 /// the port is taken the instance goes on without.
 fn serve_metrics(settings: &Settings, desk: &Arc<Desk>, stopped: watch::Receiver<bool>) {
-    let listener = match listen((settings.ip, METRICS_PORT).into()) {
+    let listener = match listen(settings.bound((settings.ip, METRICS_PORT).into())) {
         Ok(listener) => listener,
         Err(err) => {
             tracing::warn!(%err, port = METRICS_PORT, "serve: no metrics");
@@ -229,7 +234,7 @@
             port: settings.link_port,
         },
     };
-    let listener = listen((settings.ip, settings.link_port).into())?;
+    let listener = listen(settings.bound((settings.ip, settings.link_port).into()))?;
     let links = Links::start(conf, listener, move |from, message| {
         signals.send(Signal::Peer(from, message)).is_ok()
     })?;
@@ -253,14 +258,14 @@
 }
 
 /// Hands planned stops and changed settings to the loop.
-fn watch_signals(signals: UnboundedSender<Signal>) -> Result<(), ServeError> {
+fn watch_signals(signals: UnboundedSender<Signal>, wall: WallClock) -> Result<(), ServeError> {
     let mut watched = Signals::new([SIGTERM, SIGHUP])?;
     std::thread::Builder::new()
         .name("signals".into())
         .spawn(move || {
             for signal in watched.forever() {
                 let signal = match signal {
-                    SIGHUP => reload(),
+                    SIGHUP => reload(&wall),
                     _ => Some(Signal::Stop),
                 };
                 if signal.is_some_and(|signal| signals.send(signal).is_err()) {
@@ -272,10 +277,11 @@
 }
 
 /// Reads the settings again; wrong ones change nothing.
-fn reload() -> Option<Signal> {
+fn reload(wall: &WallClock) -> Option<Signal> {
     match Settings::load() {
         Ok(settings) => {
             tracing::info!(seeds = ?settings.seeds, "serve: the settings are read again");
+            wall.set_offset_ms(settings.clock_offset_ms);
             Some(Signal::Found(settings.seed_names()))
         }
         Err(faults) => {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -19,6 +19,12 @@
     pub node: String,
     /// The machine's address, which is the instance's name.
     pub ip: IpAddr,
+    /// The address that listeners are bound to, if it is another: a forwarder stands
+    /// before the instance. The platform does not tell one.
+    pub bind_ip: Option<IpAddr>,
+    /// Added to the time of day, in milliseconds; the platform does not tell it. With it
+    /// a trial sets one instance's clock without touching the machine's.
+    pub clock_offset_ms: i64,
     /// The first port for links between instances.
     pub link_port: u16,
     /// Where control instances take calls; at most three.
@@ -82,6 +88,11 @@
         }
     }
 
+    /// Where a listener with this address is bound.
+    pub fn bound(&self, address: SocketAddr) -> SocketAddr {
+        (self.bind_ip.unwrap_or(address.ip()), address.port()).into()
+    }
+
     /// This instance's name among all: its address.
     pub fn me(&self) -> EntryName {
         EntryName::from(self.ip.to_string())
@@ -117,6 +128,8 @@
             .collect::<Option<Vec<_>>>()
     });
     let node = rdr.need("node", "the machine's name", text);
+    let bind_ip = rdr.maybe("bind_ip", "an IP address", |v| v.as_str()?.parse().ok());
+    let offset = rdr.maybe("clock_offset_ms", "a whole number", Value::as_i64);
     let first_start = rdr.maybe("bootstrap", "true or false", Value::as_bool);
     let data_folder = rdr.maybe("data_dir", "a folder", text).map(PathBuf::from);
     let front = rdr.maybe("listen.front", "an address IP:PORT", address);
@@ -129,6 +142,8 @@
     Some(Settings {
         node: node?,
         ip: ip?,
+        bind_ip,
+        clock_offset_ms: offset.unwrap_or(0),
         link_port: link_port?,
         seeds: seeds?,
         first_start: first_start.unwrap_or(false),
--- /dev/null
+++ b/tests/soak/main.rs
@@ -0,0 +1,69 @@
+//! The fault soak: the real programs as separate processes on loopback, stand-ins for
+//! everything around them, and faults injected from outside by a seeded plan.
+//!
+//! What is checked while it runs: see `ledger`. Fresh seeds by hand, with the logs of a
+//! failed seed kept in its folder:
+//!
+//!     SOAK_SEEDS=1..50 SOAK_SECONDS=20 cargo test --release --test soak -- --ignored --nocapture
+#![allow(missing_docs, clippy::unwrap_used)]
+
+mod callers;
+mod fault;
+mod fleet;
+mod http;
+mod keeper;
+mod ledger;
+mod operator;
+mod play;
+mod process;
+mod site;
+
+use std::time::Duration;
+
+use play::{Play, Size};
+
+/// A few dozen processes and workers, as usual.
+const USUAL: Size = Size {
+    controls: 3,
+    entries: 2,
+    workers: 12,
+    callers: 6,
+};
+
+fn passes(seed: u64, size: Size, seconds: u64) -> bool {
+    let broken = Play::new(seed, size).run(Duration::from_secs(seconds));
+    for line in &broken {
+        println!("seed {seed}: {line}");
+    }
+    broken.is_empty()
+}
+
+#[test]
+fn a_short_run_keeps_every_promise() {
+    assert!(passes(7, USUAL, 8), "see the lines above");
+}
+
+/// Seeds from the environment, or the time of day.
+#[test]
+#[ignore = "by hand: minutes"]
+fn fresh_seeds_keep_every_promise() {
+    let text = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| {
+        let first = std::time::UNIX_EPOCH.elapsed().unwrap().as_secs();
+        format!("{first}..{}", first + 5)
+    });
+    let (first, last) = text.split_once("..").expect("SOAK_SEEDS is FIRST..LAST");
+    let seeds = first.parse().unwrap()..last.parse::<u64>().unwrap();
+    let number = |name: &str, usual: usize| {
+        let text = std::env::var(name).ok();
+        text.map_or(usual, |text| text.parse().unwrap())
+    };
+    let size = Size {
+        controls: number("SOAK_CONTROLS", USUAL.controls),
+        entries: number("SOAK_ENTRIES", USUAL.entries),
+        workers: number("SOAK_WORKERS", USUAL.workers),
+        callers: number("SOAK_CALLERS", USUAL.callers),
+    };
+    let seconds = number("SOAK_SECONDS", 20) as u64;
+    let failed: Vec<u64> = seeds.filter(|seed| !passes(*seed, size, seconds)).collect();
+    assert!(failed.is_empty(), "seeds that failed: {failed:?}");
+}
--- /dev/null
+++ b/tests/soak/site.rs
@@ -0,0 +1,149 @@
+//! The processes with their links: each instance is known by one address, on which the
+//! proxy listens, and takes connections at another, to which the proxy passes them on.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU8, Ordering};
+
+use rosemarygauge::proxy::{Hub, Link, LinkFaults};
+use serde_json::json;
+
+use crate::process::Process;
+
+const LINK_PORT: u16 = 7_000;
+const CONTROL_PORT: u16 = 7_001;
+const FRONT_PORT: u16 = 7_003;
+const READY_PORT: u16 = 7_004;
+/// Added to the last byte of an address that is known, gives the one that is bound.
+const BOUND: u8 = 100;
+
+/// One instance and the ways to it.
+pub struct Instance {
+    pub process: Process,
+    links: Vec<Link>,
+}
+
+impl Instance {
+    pub fn set_links(&self, faults: &LinkFaults) {
+        self.links.iter().for_each(|link| link.set(faults.clone()));
+    }
+
+    pub fn reset_links(&self) {
+        self.links.iter().for_each(Link::reset_open);
+    }
+
+    pub fn silence_links(&self) {
+        self.links.iter().for_each(Link::silence_open);
+    }
+}
+
+pub struct Site {
+    pub controls: Vec<Instance>,
+    pub entries: Vec<Instance>,
+    block: [u8; 2],
+}
+
+/// Sites of this process so far: each has a block of addresses of its own, so that
+/// their fixed ports cannot meet.
+static SITES: AtomicU8 = AtomicU8::new(0);
+
+impl Site {
+    pub fn new(
+        hub: &Hub,
+        folder: &Path,
+        controls: usize,
+        entries: usize,
+        keeper: SocketAddr,
+    ) -> Self {
+        let block = [
+            30 + (std::process::id() % 200) as u8,
+            SITES.fetch_add(1, Ordering::Relaxed),
+        ];
+        let mut site = Self {
+            controls: Vec::new(),
+            entries: Vec::new(),
+            block,
+        };
+        for place in 0..controls {
+            let instance = site.instance(hub, folder, "control", place as u8, keeper);
+            site.controls.push(instance);
+        }
+        for place in 0..entries {
+            let instance = site.instance(hub, folder, "entry", 30 + place as u8, keeper);
+            site.entries.push(instance);
+        }
+        site
+    }
+
+    pub fn control_addresses(&self) -> Vec<SocketAddr> {
+        (0..self.controls.len())
+            .map(|at| self.known(at as u8, CONTROL_PORT))
+            .collect()
+    }
+
+    pub fn entry_addresses(&self) -> Vec<SocketAddr> {
+        let places = 0..self.entries.len();
+        places
+            .map(|at| self.known(30 + at as u8, FRONT_PORT))
+            .collect()
+    }
+
+    pub fn all(&mut self) -> impl Iterator<Item = &mut Instance> {
+        self.controls.iter_mut().chain(&mut self.entries)
+    }
+
+    fn known(&self, place: u8, port: u16) -> SocketAddr {
+        self.address(1 + place, port)
+    }
+
+    fn address(&self, last: u8, port: u16) -> SocketAddr {
+        let ip = Ipv4Addr::new(127, self.block[0], self.block[1], last);
+        (ip, port).into()
+    }
+
+    fn instance(
+        &self,
+        hub: &Hub,
+        folder: &Path,
+        role: &'static str,
+        place: u8,
+        keeper: SocketAddr,
+    ) -> Instance {
+        let name = format!("{role}-{place}");
+        let known = |port| self.known(place, port);
+        let bound = |port| self.address(1 + place + BOUND, port);
+        let data: Option<PathBuf> =
+            (role == "control").then(|| folder.join(format!("data-{place}")));
+        if let Some(data) = &data {
+            std::fs::create_dir(data).unwrap();
+        }
+        let seeds: Vec<String> = (0..3)
+            .map(|at| self.known(at, CONTROL_PORT).to_string())
+            .collect();
+        let ports: &[u16] = match role {
+            "control" => &[LINK_PORT, CONTROL_PORT],
+            _ => &[LINK_PORT, FRONT_PORT, READY_PORT],
+        };
+        let link = |port: &u16| hub.link(known(*port), bound(*port)).unwrap();
+        let settings = json!({
+            "node": name, "ip": known(0).ip(), "bind_ip": bound(0).ip(),
+            "port_range": [LINK_PORT, LINK_PORT], "seeds": seeds, "bootstrap": true,
+            "data_dir": data,
+            "listen": {
+                "control": (role == "control").then(|| known(CONTROL_PORT)),
+                "front": (role == "entry").then(|| known(FRONT_PORT)),
+                "ready": (role == "entry").then(|| known(READY_PORT)),
+            },
+            "fault_tolerance": {"machines": 1}, "heartbeat_ms": 500,
+            "bounds": {
+                "max_hold_ms": 10_000, "stop_timeout_ms": 400, "status_s": 120,
+                "maintenance_s": 0.7, "grace_s": 6, "early_ms": 250, "notice_ms": 4_500,
+            },
+            "cloud": {"address": keeper}, "advice": null,
+        });
+        Instance {
+            process: Process::new(role, &name, folder, settings),
+            links: ports.iter().map(link).collect(),
+        }
+    }
+}
