--- a/src/control/configuration.rs
+++ b/src/control/configuration.rs
@@ -71,6 +71,12 @@
             .max_by_key(|q| q.path_prefix.len())
     }
 
+    /// All queues by their names, for whoever looks many up: with some hundred queues a
+    /// walk through them for every job took most of a leader's time.
+    pub fn queues_by_name(&self) -> BTreeMap<&str, &Queue> {
+        self.queues.iter().map(|q| (q.name.as_str(), q)).collect()
+    }
+
     /// The queue with this name.
     pub fn queue(&self, name: &str) -> Option<&Queue> {
         self.queues.iter().find(|q| q.name == name)
--- a/src/control/demand.rs
+++ b/src/control/demand.rs
@@ -64,9 +64,10 @@
     estimates: &Estimates,
 ) -> BTreeMap<PoolName, PoolDemand> {
     let mut pools: BTreeMap<PoolName, PoolDemand> = BTreeMap::new();
+    let queues = state.queues_by_name();
     for job in state.active().filter(|job| job.verdict.is_none()) {
         let pool = pools.entry(job.pool.clone()).or_default();
-        let queue = state.configuration().and_then(|c| c.queue(&job.queue));
+        let queue = queues.get(job.queue.as_str()).copied();
         add_work(now_unix_ms, job, queue, &estimates.run_times_ms(job), pool);
     }
     for (name, worker, link) in fleet.linked(state) {
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -92,9 +92,10 @@
     ) -> Vec<Placement> {
         self.unadvised.clear();
         let mut pools = self.candidates(now_ms, state, fleet);
+        let queues = state.queues_by_name();
         let mut order: Vec<(Rank, &Job, u32, usize)> = Vec::new();
         for job in state.active().filter(|job| job.verdict.is_none()) {
-            self.waiting_steps(now_unix_ms, state, job, estimates, &mut order);
+            self.waiting_steps(now_unix_ms, &queues, job, estimates, &mut order);
         }
         order.sort_by(|a, b| a.0.compare(&b.0).then(a.1.id.cmp(&b.1.id)));
         let mut starts = Vec::new();
@@ -106,7 +107,7 @@
                 continue;
             };
             if starts.len() < starts_max {
-                let queue = state.configuration().and_then(|c| c.queue(&job.queue));
+                let queue = queues.get(job.queue.as_str()).copied();
                 let place = StepPlace {
                     job,
                     k,
@@ -126,12 +127,12 @@
     fn waiting_steps<'a>(
         &self,
         now_unix_ms: u64,
-        state: &'a State,
+        queues: &BTreeMap<&str, &Queue>,
         job: &'a Job,
         estimates: &Estimates,
         order: &mut Vec<(Rank, &'a Job, u32, usize)>,
     ) {
-        let queue = state.configuration().and_then(|c| c.queue(&job.queue));
+        let queue = queues.get(job.queue.as_str()).copied();
         let mut times = None;
         for (k, occurrence) in job.occurrences() {
             for step in 0..job.spec.steps.len() {
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -3,7 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Change, Command, Configuration, Report, Wave, Worker};
+use super::{Change, Command, Configuration, Queue, Report, Wave, Worker};
 use crate::codec::CodecError;
 use crate::jobs::{Job, JobId, JobSpec, JobState};
 use crate::model::{InstanceName, PoolName};
@@ -33,6 +33,12 @@
         self.configuration.as_deref()
     }
 
+    /// The queues of the configuration in force, by their names.
+    pub fn queues_by_name(&self) -> BTreeMap<&str, &Queue> {
+        self.configuration()
+            .map_or_else(BTreeMap::new, Configuration::queues_by_name)
+    }
+
     /// A job, while it is remembered.
     pub fn job(&self, id: JobId) -> Option<&Job> {
         self.jobs.get(&id)
