--- a/src/control/node/lead.rs
+++ b/src/control/node/lead.rs
@@ -322,8 +322,9 @@
                     && !job.spec.lasts()
                 {
                     let takes_ms = lead.estimates.run_times_ms(job);
-                    lead.turns
-                        .arrived(now_ms, &job.pool, job.spec.work(&takes_ms));
+                    let work = job.spec.work(&takes_ms);
+                    lead.turns.arrived(now_ms, &job.pool, work);
+                    lead.scheduler.sizes.arrived(&job.queue, job.id, work);
                 }
             }
             Change::Cancel { .. }
@@ -461,6 +462,9 @@
         let state = &self.state;
         lead.estimates
             .retain(|job| state.job(job).is_some_and(|job| job.verdict.is_none()));
+        lead.scheduler
+            .sizes
+            .retain(|job| state.job(job).is_some_and(|job| job.verdict.is_none()));
         lead.scheduler
             .tickets
             .retain(|step, _| state.job(step.job).is_some_and(|job| job.verdict.is_none()));
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{Estimates, Fleet, Queue, Rank, State, rank};
+use super::{Estimates, Fleet, Queue, Rank, Shares, Sizes, State, rank};
 use crate::jobs::{Job, Occurrence, Room, Step, TaskId};
 use crate::model::{InstanceName, PoolName};
 
@@ -33,6 +33,8 @@
     pub(super) due: BTreeSet<InstanceName>,
     /// Tickets by step (job, occurrence, step, index 0) and worker.
     pub(super) tickets: BTreeMap<TaskId, BTreeMap<InstanceName, Ticket>>,
+    /// Which jobs are large in their queues.
+    pub(super) sizes: Sizes,
     /// Steps whose advice is missing, with the workers to ask about.
     pub(super) unadvised: BTreeMap<TaskId, Vec<InstanceName>>,
 }
@@ -46,6 +48,16 @@
     pub(super) until_ms: u64,
 }
 
+/// A step of which tasks wait.
+struct Waiting<'a> {
+    rank: Rank,
+    job: &'a Job,
+    k: u32,
+    step: usize,
+    /// What the tasks that wait ask for.
+    cores: f64,
+}
+
 /// A worker with what is left of its room in this pass.
 #[derive(Debug)]
 struct Candidate<'a> {
@@ -91,15 +103,15 @@
         starts_max: usize,
     ) -> Vec<Placement> {
         self.unadvised.clear();
-        let mut pools = self.candidates(now_ms, state, fleet);
+        let (mut pools, shares) = self.candidates(now_ms, state, fleet);
         let queues = state.queues_by_name();
-        let mut order: Vec<(Rank, &Job, u32, usize)> = Vec::new();
+        let mut order: Vec<Waiting> = Vec::new();
         for job in state.active().filter(|job| job.verdict.is_none()) {
             self.waiting_steps(now_unix_ms, &queues, job, estimates, &mut order);
         }
-        order.sort_by(|a, b| a.0.compare(&b.0).then(a.1.id.cmp(&b.1.id)));
+        order.sort_by(|a, b| a.rank.compare(&b.rank).then(a.job.id.cmp(&b.job.id)));
         let mut starts = Vec::new();
-        for (_, job, k, step) in order {
+        for Waiting { job, k, step, .. } in self.share(order, &shares) {
             let Some(pool) = pools.get_mut(&job.pool) else {
                 continue;
             };
@@ -124,20 +136,68 @@
         starts
     }
 
+    /// The same order, but that where steps of one class compete for a pool the large
+    /// jobs get their share; pools take turns.
+    fn share<'a>(
+        &self,
+        order: Vec<Waiting<'a>>,
+        shares: &BTreeMap<&PoolName, Shares>,
+    ) -> Vec<Waiting<'a>> {
+        let mut shared = Vec::with_capacity(order.len());
+        let mut rest = order.into_iter().peekable();
+        while let Some(first) = rest.next() {
+            let rank = first.rank;
+            let mut class = vec![first];
+            while let Some(next) = rest.next_if(|next| next.rank.shares_with(&rank)) {
+                class.push(next);
+            }
+            if class.len() == 1 {
+                shared.append(&mut class);
+            } else {
+                shared.extend(self.share_class(class, shares));
+            }
+        }
+        shared
+    }
+
+    fn share_class<'a>(
+        &self,
+        class: Vec<Waiting<'a>>,
+        shares: &BTreeMap<&PoolName, Shares>,
+    ) -> Vec<Waiting<'a>> {
+        let mut pools: BTreeMap<&PoolName, (Shares, [Vec<Waiting>; 2])> = BTreeMap::new();
+        for waiting in class {
+            let pool = &waiting.job.pool;
+            let large = self.sizes.is_large(waiting.job.id);
+            let (share, rows) = pools.entry(pool).or_insert_with(|| {
+                let share = shares.get(pool).copied().unwrap_or_default();
+                (share, Default::default())
+            });
+            share.asks(large, waiting.cores);
+            rows[usize::from(large)].push(waiting);
+        }
+        let merged = pools.into_values().map(|(share, [small, large])| {
+            let merged = share.merge(small, large, |waiting| waiting.cores);
+            merged.into_iter()
+        });
+        take_turns(merged.collect())
+    }
+
     fn waiting_steps<'a>(
         &self,
         now_unix_ms: u64,
         queues: &BTreeMap<&str, &Queue>,
         job: &'a Job,
         estimates: &Estimates,
-        order: &mut Vec<(Rank, &'a Job, u32, usize)>,
+        order: &mut Vec<Waiting<'a>>,
     ) {
         let queue = queues.get(job.queue.as_str()).copied();
         let mut times = None;
         for (k, occurrence) in job.occurrences() {
             for step in 0..job.spec.steps.len() {
-                let waits = occurrence.step(step).iter().any(|t| t.is_waiting());
-                if !waits || !occurrence.may_start(&job.spec, step) {
+                let waits = occurrence.step(step).iter().filter(|t| t.is_waiting());
+                let waits = waits.count();
+                if waits == 0 || !occurrence.may_start(&job.spec, step) {
                     continue;
                 }
                 let (takes_ms, chains) = times.get_or_insert_with(|| {
@@ -158,24 +218,25 @@
                     left_ms,
                     work,
                 );
-                order.push((rank, job, k, step));
+                let cpu_milli = job.spec.steps[step].demand.cpu_milli;
+                order.push(Waiting {
+                    rank,
+                    job,
+                    k,
+                    step,
+                    cores: waits as f64 * f64::from(cpu_milli) / 1_000.0,
+                });
             }
         }
     }
 
-    fn candidates<'a>(
-        &self,
-        now_ms: u64,
-        state: &'a State,
-        fleet: &'a Fleet,
-    ) -> BTreeMap<&'a PoolName, Vec<Candidate<'a>>> {
-        let mut proposed: BTreeMap<&InstanceName, Vec<&Step>> = BTreeMap::new();
+    fn candidates<'a>(&self, now_ms: u64, state: &'a State, fleet: &'a Fleet) -> Pools<'a> {
+        let mut proposed: BTreeMap<&InstanceName, Vec<TaskId>> = BTreeMap::new();
         for start in self.proposed.values() {
-            if let Some(step) = step_of(state, start.task) {
-                proposed.entry(&start.worker).or_default().push(step);
-            }
+            proposed.entry(&start.worker).or_default().push(start.task);
         }
         let mut pools: BTreeMap<&PoolName, Vec<Candidate>> = BTreeMap::new();
+        let mut shares: BTreeMap<&PoolName, Shares> = BTreeMap::new();
         for (name, worker, link) in fleet.linked(state) {
             let usable = link.takes_work(now_ms) && worker.takes_work();
             if !usable || self.closed.contains(name) {
@@ -193,16 +254,21 @@
                 failures: link.failures(),
                 here: 0,
             };
-            let runs = link.runs.keys();
-            runs.filter_map(|(task, _)| step_of(state, *task))
-                .chain(proposed.get(name).into_iter().flatten().copied())
-                .for_each(|step| candidate.take(step));
+            let share = shares.entry(&worker.report.pool).or_default();
+            let runs = link.runs.keys().map(|(task, _)| *task);
+            for task in runs.chain(proposed.get(name).into_iter().flatten().copied()) {
+                if let Some(step) = step_of(state, task) {
+                    candidate.take(step);
+                    let cores = f64::from(step.demand.cpu_milli) / 1_000.0;
+                    share.has(self.sizes.is_large(task.job), cores);
+                }
+            }
             pools
                 .entry(&worker.report.pool)
                 .or_default()
                 .push(candidate);
         }
-        pools
+        (pools, shares)
     }
 
     fn place_step(
@@ -298,6 +364,24 @@
     }
 }
 
+/// Candidates and shares by pool.
+type Pools<'a> = (
+    BTreeMap<&'a PoolName, Vec<Candidate<'a>>>,
+    BTreeMap<&'a PoolName, Shares>,
+);
+
+/// One of each row after the other, until all are through.
+fn take_turns<T>(mut rows: Vec<impl Iterator<Item = T>>) -> Vec<T> {
+    let mut all = Vec::new();
+    loop {
+        let before = all.len();
+        all.extend(rows.iter_mut().filter_map(Iterator::next));
+        if all.len() == before {
+            return all;
+        }
+    }
+}
+
 fn step_of(state: &State, task: TaskId) -> Option<&Step> {
     let job = state.job(task.job)?;
     job.spec.steps.get(usize::from(task.step))
--- a/src/control/ranking.rs
+++ b/src/control/ranking.rs
@@ -21,6 +21,9 @@
     key: f64,
 }
 
+/// The class of lasting jobs.
+const LASTING: u8 = 0;
+
 /// Where a job with this much left to do stands.
 ///
 /// `chain_ms` is its longest chain of estimated run times, `left_ms` what is left of
@@ -38,7 +41,7 @@
     if job.spec.lasts() {
         return Rank {
             priority: 0,
-            class: 0,
+            class: LASTING,
             key: job.accepted_unix_ms as f64,
         };
     }
@@ -61,6 +64,12 @@
 }
 
 impl Rank {
+    /// Whether two jobs stand in the same class, so that their order among each other is
+    /// a matter of shares.
+    pub fn shares_with(&self, other: &Self) -> bool {
+        (self.priority, self.class) == (other.priority, other.class) && self.class != LASTING
+    }
+
     /// Orders by priority, class, then key.
     pub fn compare(&self, other: &Self) -> std::cmp::Ordering {
         self.priority
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -15,6 +15,7 @@
 mod random;
 mod relay;
 mod scheduler;
+mod sizes;
 mod specs;
 mod throttle;
 mod upkeep;
--- /dev/null
+++ b/tests/control/sizes.rs
@@ -0,0 +1,67 @@
+//! Shares of a pool's room for small and for large jobs.
+
+use rosemarygauge::control::{Shares, Sizes};
+use rosemarygauge::jobs::JobId;
+
+#[test]
+fn the_upper_third_of_a_queue_is_large_once_its_sizes_are_known() {
+    let mut sizes = Sizes::default();
+    for job in 0..30 {
+        sizes.arrived("quick", JobId::from(job), 10.0 + job as f64 % 10.0);
+    }
+    let large = |sizes: &Sizes, job| sizes.is_large(JobId::from(job));
+    assert!(!large(&sizes, 9), "nothing is known of the queue yet");
+    assert!(large(&sizes, 29) && large(&sizes, 28));
+    assert!(!large(&sizes, 20) && !large(&sizes, 25));
+    // What is large elsewhere is not large here.
+    sizes.arrived("long", JobId::from(99), 1_000.0);
+    assert!(!large(&sizes, 99));
+    sizes.retain(|job| job != JobId::from(29));
+    assert!(!large(&sizes, 29) && large(&sizes, 28));
+}
+
+/// A pool has room for a third of what is asked for. With the least work first the
+/// callers of large jobs wait until the turn is over, all of them; with shares about
+/// half as many of the large jobs are served as of the small ones.
+#[test]
+fn large_jobs_are_served_half_as_often_and_not_never() {
+    let mut shares = Shares::default();
+    let small = vec![2.0; 60];
+    let large = vec![12.0; 10];
+    small.iter().for_each(|cores| shares.asks(false, *cores));
+    large.iter().for_each(|cores| shares.asks(true, *cores));
+    let merged = shares.merge(small, large, |cores| *cores);
+    assert_eq!(merged.len(), 70);
+    let mut room = 80.0;
+    let mut served = [0.0, 0.0];
+    for cores in merged {
+        if cores <= room {
+            room -= cores;
+            served[usize::from(cores > 2.0)] += 1.0;
+        }
+    }
+    let parts = [served[0] / 60.0, served[1] / 10.0];
+    assert!(parts[1] >= 0.45 * parts[0], "{parts:?}");
+    assert!(parts[0] > parts[1], "{parts:?}");
+}
+
+/// What runs already counts: a group that has its share waits for the other.
+#[test]
+fn a_group_that_has_its_share_lets_the_other_go_first() {
+    let mut shares = Shares::default();
+    shares.has(true, 24.0);
+    shares.asks(false, 4.0);
+    shares.asks(true, 12.0);
+    assert_eq!(
+        shares.merge(vec!["small"], vec!["large"], |_| 4.0),
+        ["small", "large"]
+    );
+    let mut shares = Shares::default();
+    shares.has(false, 24.0);
+    shares.asks(false, 4.0);
+    shares.asks(true, 12.0);
+    assert_eq!(
+        shares.merge(vec!["small"], vec!["large"], |_| 4.0),
+        ["large", "small"]
+    );
+}
