--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -14,7 +14,8 @@
     Account, Experiment, Mix, Outcome, Plan, ServiceShare, TeamShare, fetch_runs,
 };
 use crate::model::Pool;
-use crate::upstream::{RunTimes, unix_ms};
+use crate::unix_time::unix_ms;
+use crate::upstream::RunTimes;
 
 /// What `--help` says.
 pub const HELP: &str = "\
--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -6,7 +6,7 @@
 use crate::account::{
     Account, Error, Experiment, Mix, Outcome, Plan, Quantiles, ServiceShare, TeamShare, fetch_runs,
 };
-use crate::upstream::unix_ms;
+use crate::unix_time::unix_ms;
 
 /// What `--help` says.
 pub const HELP: &str = "\
--- a/src/cmd/measure_entry.rs
+++ b/src/cmd/measure_entry.rs
@@ -11,7 +11,8 @@
 
 use super::trial::{Entries, Upstreams, ask, change, wait};
 use crate::account::{Account, Experiment, Mix, Plan, fetch_runs};
-use crate::upstream::{RunTimes, unix_ms};
+use crate::unix_time::unix_ms;
+use crate::upstream::RunTimes;
 use crate::upstream_api as api;
 
 const ZONES: [&str; 3] = ["a", "b", "c"];
--- a/src/cmd/proxy.rs
+++ b/src/cmd/proxy.rs
@@ -110,10 +110,8 @@
 }
 
 fn handler(links: Vec<Link>) -> Handler {
-    let links = Arc::new(links);
-    Arc::new(move |incoming| {
-        let links = Arc::clone(&links);
-        Box::pin(async move { answer(&links, &incoming) })
+    crate::http::handler(Arc::new(links), |links, incoming| async move {
+        answer(&links, &incoming)
     })
 }
 
--- a/src/cmd/trial.rs
+++ b/src/cmd/trial.rs
@@ -19,7 +19,8 @@
 use crate::link::PeerKey;
 use crate::model::{EntryName, ZoneName};
 use crate::storage::Disk;
-use crate::upstream::{Faults, Host, HostSettings, RunTimes, Spec, unix_ms};
+use crate::unix_time::unix_ms;
+use crate::upstream::{Faults, Host, HostSettings, RunTimes, Spec};
 
 const TOKEN: &str = "token-of-the-trial";
 /// Longest wait for any one step; more means that something is broken.
--- a/src/cmd/upstream.rs
+++ b/src/cmd/upstream.rs
@@ -12,7 +12,8 @@
 use tokio::sync::Notify;
 
 use super::Exit;
-use crate::upstream::{CutShort, Error, Faults, Host, HostSettings, RunTimes, Spec, unix_ms};
+use crate::unix_time::unix_ms;
+use crate::upstream::{CutShort, Error, Faults, Host, HostSettings, RunTimes, Spec};
 
 /// What `--help` says.
 pub const HELP: &str = "\
--- /dev/null
+++ b/src/control/candidate.rs
@@ -0,0 +1,103 @@
+use std::collections::BTreeMap;
+
+use crate::jobs::{Room, Step};
+use crate::model::InstanceName;
+
+/// A worker with what is left of its room in this pass.
+#[derive(Debug)]
+pub(super) struct Candidate<'a> {
+    pub(super) name: &'a InstanceName,
+    pub(super) rack: Option<&'a str>,
+    pub(super) labels: &'a [String],
+    pub(super) free: Room,
+    pub(super) serving: u32,
+    pub(super) best_effort: u32,
+    pub(super) lasting: u32,
+    pub(super) due: bool,
+    pub(super) failures: f64,
+    /// Runs of the step that is being placed, where their number matters.
+    pub(super) here: u16,
+}
+
+/// Moves a lasting task away from where it would disturb or be disturbed; larger
+/// than any difference in load.
+const APART_COST: f64 = 1_000.0;
+/// Moves a lasting task away from a machine that is due for upkeep.
+const DUE_COST: f64 = 300.0;
+/// Spreads the lasting tasks of one step: a lost worker should cost it one.
+const SAME_STEP_COST: f64 = 60.0;
+/// Brings lasting tasks of different steps together, so that other machines stay
+/// free to move between pools.
+const TOGETHER_GAIN: f64 = 20.0;
+/// Up to so many of them on a worker.
+const LASTING_TOGETHER: u32 = 3;
+/// Moves work away from a worker with recent failures.
+const FAILURE_COST: f64 = 200.0;
+/// Work far from its data takes a multiple of the time.
+const FAR_COST: f64 = 500.0;
+
+impl Candidate<'_> {
+    pub(super) fn suits(&self, step: &Step) -> bool {
+        let labelled = step
+            .label
+            .as_ref()
+            .is_none_or(|label| self.labels.contains(label));
+        labelled && step.per_worker_max.is_none_or(|max| self.here < max)
+    }
+
+    pub(super) fn cost(
+        &self,
+        step: &Step,
+        avoid: Option<&InstanceName>,
+        rack: Option<&str>,
+    ) -> f64 {
+        let mut cost = self.free.cores();
+        cost += self.failures * FAILURE_COST;
+        if avoid == Some(self.name) {
+            cost += APART_COST;
+        }
+        if step.data_rack.is_some() && step.data_rack.as_deref() != self.rack {
+            cost += FAR_COST;
+        }
+        if rack.is_some() && rack != self.rack {
+            cost += FAR_COST;
+        }
+        if step.lasting {
+            cost += f64::from(self.here) * SAME_STEP_COST;
+            cost -= f64::from(self.lasting.min(LASTING_TOGETHER)) * TOGETHER_GAIN;
+            cost += if self.due { DUE_COST } else { 0.0 };
+        }
+        if step.best_effort {
+            cost += f64::from(self.serving) * APART_COST;
+        } else if step.tail_target_ms.is_some() {
+            cost += f64::from(self.best_effort) * APART_COST;
+        }
+        cost
+    }
+
+    pub(super) fn take(&mut self, step: &Step) {
+        self.free = self.free.less(&step.reserved());
+        self.lasting += u32::from(step.lasting);
+        self.best_effort += u32::from(step.best_effort);
+        self.serving += u32::from(step.tail_target_ms.is_some() && !step.best_effort);
+    }
+
+    pub(super) fn give_back(&mut self, step: &Step) {
+        self.free = self.free.plus(&step.reserved());
+        self.lasting -= u32::from(step.lasting);
+        self.best_effort -= u32::from(step.best_effort);
+        self.serving -= u32::from(step.tail_target_ms.is_some() && !step.best_effort);
+    }
+}
+
+/// The rack with the most room.
+pub(super) fn best_rack(pool: &[Candidate], demand: &Room) -> Option<String> {
+    let mut room: BTreeMap<&str, u64> = BTreeMap::new();
+    for candidate in pool.iter().filter(|c| c.free.holds(demand)) {
+        if let Some(rack) = candidate.rack {
+            *room.entry(rack).or_default() += u64::from(candidate.free.cpu_milli);
+        }
+    }
+    let best = room.into_iter().max_by_key(|(_, free)| *free);
+    best.map(|(rack, _)| rack.to_owned())
+}
--- a/src/control/demand.rs
+++ b/src/control/demand.rs
@@ -81,7 +81,7 @@
         let runs = link.runs.keys();
         let lasting = runs.filter(|(task, _)| is_lasting(task)).count();
         let pool = pools.entry(worker.report.pool.clone()).or_default();
-        pool.cores += f64::from(worker.report.capacity.cpu_milli) / 1_000.0;
+        pool.cores += worker.report.capacity.cores();
         pool.workers.push(WorkerUse {
             worker: name.clone(),
             machine: worker.report.machine.clone(),
@@ -105,7 +105,7 @@
         let mut work = 0.0;
         let mut left_ms = SHORTEST_MS;
         for (step, spec) in job.spec.steps.iter().enumerate() {
-            let cores = f64::from(spec.demand.cpu_milli) / 1_000.0;
+            let cores = spec.demand.cores();
             for task in occurrence.step(step).iter().filter(|t| !t.done) {
                 if spec.lasting {
                     let most = spec.per_worker_max.unwrap_or(u16::MAX).max(1);
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,7 @@
 
 mod answer;
 mod call;
+mod candidate;
 mod capacity;
 mod change;
 mod clock;
@@ -41,6 +42,7 @@
 mod stall;
 mod state;
 mod steady;
+mod step_place;
 mod timing;
 mod turns;
 mod upkeep;
--- a/src/control/pending.rs
+++ b/src/control/pending.rs
@@ -78,11 +78,12 @@
     /// How many of the changes that gathered make the next command.
     fn count(&self) -> usize {
         let mut size_bytes = 0;
-        let fit = self.gathering.iter().take_while(|(change, _)| {
+        let first = self.gathering.iter().take(CHANGES_MAX);
+        let fit = first.take_while(|(change, _)| {
             size_bytes += change.size_bytes();
             size_bytes <= COMMAND_BYTES
         });
-        fit.count().clamp(1, CHANGES_MAX)
+        fit.count().max(1)
     }
 
     /// A command was applied; what waited for its changes, in their order.
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -7,8 +7,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::candidate::{Candidate, best_rack};
+use super::step_place::StepPlace;
 use super::{Estimates, Fleet, Queue, Rank, Shares, Sizes, State, rank};
-use crate::jobs::{Job, Occurrence, Room, Step, TaskId};
+use crate::jobs::{Job, Occurrence, Step, TaskId};
 use crate::model::{InstanceName, PoolName};
 
 /// A start that should be ordered.
@@ -51,46 +53,11 @@
 /// A step of which tasks wait.
 struct Waiting<'a> {
     rank: Rank,
-    job: &'a Job,
-    k: u32,
-    step: usize,
+    place: StepPlace<'a>,
     /// What the tasks that wait ask for.
     cores: f64,
 }
 
-/// A worker with what is left of its room in this pass.
-#[derive(Debug)]
-struct Candidate<'a> {
-    name: &'a InstanceName,
-    rack: Option<&'a str>,
-    labels: &'a [String],
-    free: Room,
-    serving: u32,
-    best_effort: u32,
-    lasting: u32,
-    due: bool,
-    failures: f64,
-    /// Runs of the step that is being placed, where their number matters.
-    here: u16,
-}
-
-/// Moves a lasting task away from where it would disturb or be disturbed; larger
-/// than any difference in load.
-const APART_COST: f64 = 1_000.0;
-/// Moves a lasting task away from a machine that is due for upkeep.
-const DUE_COST: f64 = 300.0;
-/// Spreads the lasting tasks of one step: a lost worker should cost it one.
-const SAME_STEP_COST: f64 = 60.0;
-/// Brings lasting tasks of different steps together, so that other machines stay
-/// free to move between pools.
-const TOGETHER_GAIN: f64 = 20.0;
-/// Up to so many of them on a worker.
-const LASTING_TOGETHER: u32 = 3;
-/// Moves work away from a worker with recent failures.
-const FAILURE_COST: f64 = 200.0;
-/// Work far from its data takes a multiple of the time.
-const FAR_COST: f64 = 500.0;
-
 impl Scheduler {
     /// The starts to order now, `starts_max` or little more.
     pub fn pass(
@@ -109,23 +76,18 @@
         for job in state.active().filter(|job| job.verdict.is_none()) {
             self.waiting_steps(now_unix_ms, &queues, job, estimates, &mut order);
         }
-        order.sort_by(|a, b| a.rank.compare(&b.rank).then(a.job.id.cmp(&b.job.id)));
+        order.sort_by(|a, b| {
+            a.rank
+                .compare(&b.rank)
+                .then(a.place.job.id.cmp(&b.place.job.id))
+        });
         let mut starts = Vec::new();
-        for Waiting { job, k, step, .. } in self.share(order, &shares) {
-            let Some(pool) = pools.get_mut(&job.pool) else {
-                continue;
-            };
-            let Some(occurrence) = job.occurrence(k) else {
+        for Waiting { place, .. } in self.share(order, &shares) {
+            let Some(pool) = pools.get_mut(&place.job.pool) else {
                 continue;
             };
             if starts.len() < starts_max {
-                let queue = queues.get(job.queue.as_str()).copied();
-                let place = StepPlace {
-                    job,
-                    k,
-                    step,
-                    occurrence,
-                };
+                let queue = queues.get(place.job.queue.as_str()).copied();
                 let most = starts_max - starts.len();
                 self.place_step(now_ms, &place, queue, pool, most, &mut starts);
             }
@@ -151,11 +113,7 @@
             while let Some(next) = rest.next_if(|next| next.rank.shares_with(&rank)) {
                 class.push(next);
             }
-            if class.len() == 1 {
-                shared.append(&mut class);
-            } else {
-                shared.extend(self.share_class(class, shares));
-            }
+            shared.extend(self.share_class(class, shares));
         }
         shared
     }
@@ -167,8 +125,9 @@
     ) -> Vec<Waiting<'a>> {
         let mut pools: BTreeMap<&PoolName, (Shares, [Vec<Waiting>; 2])> = BTreeMap::new();
         for waiting in class {
-            let pool = &waiting.job.pool;
-            let large = self.sizes.is_large(waiting.job.id);
+            let job = waiting.place.job;
+            let pool = &job.pool;
+            let large = self.sizes.is_large(job.id);
             let (share, rows) = pools.entry(pool).or_insert_with(|| {
                 let share = shares.get(pool).copied().unwrap_or_default();
                 (share, Default::default())
@@ -218,13 +177,15 @@
                     left_ms,
                     work,
                 );
-                let cpu_milli = job.spec.steps[step].demand.cpu_milli;
                 order.push(Waiting {
                     rank,
-                    job,
-                    k,
-                    step,
-                    cores: waits as f64 * f64::from(cpu_milli) / 1_000.0,
+                    place: StepPlace {
+                        job,
+                        k,
+                        step,
+                        occurrence,
+                    },
+                    cores: waits as f64 * job.spec.steps[step].demand.cores(),
                 });
             }
         }
@@ -259,7 +220,7 @@
             for task in runs.chain(proposed.get(name).into_iter().flatten().copied()) {
                 if let Some(step) = step_of(state, task) {
                     candidate.take(step);
-                    let cores = f64::from(step.demand.cpu_milli) / 1_000.0;
+                    let cores = step.demand.cores();
                     share.has(self.sizes.is_large(task.job), cores);
                 }
             }
@@ -362,6 +323,34 @@
         }
         any
     }
+
+    /// Takes the advisor's word on a step: tickets for the allowed workers, and the
+    /// lasting knowledge that the others are not.
+    pub(super) fn take_advice(
+        &mut self,
+        now_ms: u64,
+        step: TaskId,
+        asked: &[InstanceName],
+        allowed: Vec<(InstanceName, String)>,
+        until_ms: u64,
+        refusal_ms: u64,
+    ) {
+        let tickets = self.tickets.entry(step).or_default();
+        for name in asked {
+            let ticket = Ticket {
+                text: None,
+                until_ms: now_ms + refusal_ms,
+            };
+            tickets.insert(name.clone(), ticket);
+        }
+        for (name, text) in allowed {
+            let ticket = Ticket {
+                text: Some(text),
+                until_ms,
+            };
+            tickets.insert(name, ticket);
+        }
+    }
 }
 
 /// Candidates and shares by pool.
@@ -397,157 +386,13 @@
         .is_some_and(|t| t.text.is_some() && now_ms < t.until_ms)
 }
 
-/// The rack with the most room.
-fn best_rack(pool: &[Candidate], demand: &Room) -> Option<String> {
-    let mut room: BTreeMap<&str, u64> = BTreeMap::new();
-    for candidate in pool.iter().filter(|c| c.free.holds(demand)) {
-        if let Some(rack) = candidate.rack {
-            *room.entry(rack).or_default() += u64::from(candidate.free.cpu_milli);
-        }
-    }
-    let best = room.into_iter().max_by_key(|(_, free)| *free);
-    best.map(|(rack, _)| rack.to_owned())
-}
-
 /// The core-milliseconds that an occurrence still needs.
 fn work_left(job: &Job, occurrence: &Occurrence, takes_ms: &[u64]) -> f64 {
     let steps = job.spec.steps.iter().enumerate();
     steps
         .map(|(step, spec)| {
             let left = occurrence.step(step).iter().filter(|t| !t.done).count();
-            left as f64 * f64::from(spec.demand.cpu_milli) * takes_ms[step] as f64 / 1_000.0
+            left as f64 * spec.demand.cores() * takes_ms[step] as f64
         })
         .sum()
 }
-
-/// A step of an occurrence of a job.
-struct StepPlace<'a> {
-    job: &'a Job,
-    k: u32,
-    step: usize,
-    occurrence: &'a Occurrence,
-}
-
-impl StepPlace<'_> {
-    fn task(&self, index: u16) -> TaskId {
-        TaskId {
-            job: self.job.id,
-            occurrence: self.k,
-            step: self.step as u16,
-            index,
-        }
-    }
-
-    fn waiting(&self, proposed: &BTreeMap<TaskId, Placement>) -> Vec<u16> {
-        let tasks = self.occurrence.step(self.step).iter().enumerate();
-        let waiting: Vec<u16> = tasks
-            .filter(|(_, task)| task.is_waiting())
-            .map(|(index, _)| index as u16)
-            .filter(|index| !proposed.contains_key(&self.task(*index)))
-            .collect();
-        let step = &self.job.spec.steps[self.step];
-        // A gang starts whole or not at all.
-        if step.gang && waiting.len() < usize::from(step.tasks) {
-            return Vec::new();
-        }
-        waiting
-    }
-
-    fn gang_attempt(&self) -> u32 {
-        let tasks = self.occurrence.step(self.step).iter();
-        tasks.map(|t| t.attempt).max().unwrap_or(0) + 1
-    }
-
-    /// Runs of the step on each worker.
-    fn counts(&self, proposed: &BTreeMap<TaskId, Placement>) -> BTreeMap<InstanceName, u16> {
-        let mut counts: BTreeMap<InstanceName, u16> = BTreeMap::new();
-        for run in self.occurrence.step(self.step).iter().flat_map(|t| &t.runs) {
-            *counts.entry(run.worker.clone()).or_default() += 1;
-        }
-        let first = self.task(0);
-        let last = self.task(u16::MAX);
-        for (_, start) in proposed.range(first..=last) {
-            *counts.entry(start.worker.clone()).or_default() += 1;
-        }
-        counts
-    }
-}
-
-impl Candidate<'_> {
-    fn suits(&self, step: &Step) -> bool {
-        let labelled = step
-            .label
-            .as_ref()
-            .is_none_or(|label| self.labels.contains(label));
-        labelled && step.per_worker_max.is_none_or(|max| self.here < max)
-    }
-
-    fn cost(&self, step: &Step, avoid: Option<&InstanceName>, rack: Option<&str>) -> f64 {
-        let mut cost = f64::from(self.free.cpu_milli) / 1_000.0;
-        cost += self.failures * FAILURE_COST;
-        if avoid == Some(self.name) {
-            cost += APART_COST;
-        }
-        if step.data_rack.is_some() && step.data_rack.as_deref() != self.rack {
-            cost += FAR_COST;
-        }
-        if rack.is_some() && rack != self.rack {
-            cost += FAR_COST;
-        }
-        if step.lasting {
-            cost += f64::from(self.here) * SAME_STEP_COST;
-            cost -= f64::from(self.lasting.min(LASTING_TOGETHER)) * TOGETHER_GAIN;
-            cost += if self.due { DUE_COST } else { 0.0 };
-        }
-        if step.best_effort {
-            cost += f64::from(self.serving) * APART_COST;
-        } else if step.tail_target_ms.is_some() {
-            cost += f64::from(self.best_effort) * APART_COST;
-        }
-        cost
-    }
-
-    fn take(&mut self, step: &Step) {
-        self.free = self.free.less(&step.reserved());
-        self.lasting += u32::from(step.lasting);
-        self.best_effort += u32::from(step.best_effort);
-        self.serving += u32::from(step.tail_target_ms.is_some() && !step.best_effort);
-    }
-
-    fn give_back(&mut self, step: &Step) {
-        self.free = self.free.plus(&step.reserved());
-        self.lasting -= u32::from(step.lasting);
-        self.best_effort -= u32::from(step.best_effort);
-        self.serving -= u32::from(step.tail_target_ms.is_some() && !step.best_effort);
-    }
-}
-
-impl Scheduler {
-    /// Takes the advisor's word on a step: tickets for the allowed workers, and the
-    /// lasting knowledge that the others are not.
-    pub(super) fn take_advice(
-        &mut self,
-        now_ms: u64,
-        step: TaskId,
-        asked: &[InstanceName],
-        allowed: Vec<(InstanceName, String)>,
-        until_ms: u64,
-        refusal_ms: u64,
-    ) {
-        let tickets = self.tickets.entry(step).or_default();
-        for name in asked {
-            let ticket = Ticket {
-                text: None,
-                until_ms: now_ms + refusal_ms,
-            };
-            tickets.insert(name.clone(), ticket);
-        }
-        for (name, text) in allowed {
-            let ticket = Ticket {
-                text: Some(text),
-                until_ms,
-            };
-            tickets.insert(name, ticket);
-        }
-    }
-}
--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -166,13 +166,8 @@
     }
 
     fn send(&mut self, now_ms: u64, id: u64) -> Option<RelayStep> {
-        let again = self.open.get(&id).is_some_and(|open| open.sent);
-        if again
-            && self
-                .open
-                .get(&id)
-                .is_some_and(|o| now_ms >= o.next_ms + RESEND_MS)
-        {
+        let open = self.open.get(&id)?;
+        if open.sent && now_ms >= open.next_ms + RESEND_MS {
             self.leader = None;
         }
         let to = self.target()?;
--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -106,7 +106,7 @@
     /// The plan of a leader that begins: a machine whose upkeep has begun and that
     /// has no worker is down; one whose upkeep an earlier leader ordered may be.
     pub fn new(now_ms: u64, state: &State) -> Self {
-        let known: BTreeMap<&String, &InstanceName> = machines(state).collect();
+        let known = Self::machines(state);
         let begun = state.waves().values().flat_map(|w| &w.begun);
         let down = begun
             .filter(|machine| !known.contains_key(machine))
@@ -188,7 +188,7 @@
     /// What to do now.
     pub fn tick(&mut self, now_ms: u64, now_unix_ms: u64, world: &UpkeepWorld) -> Vec<UpkeepStep> {
         let (state, timing) = (world.state, world.timing);
-        let known: BTreeMap<&String, &InstanceName> = machines(state).collect();
+        let known = Self::machines(state);
         let back_ms = timing.upkeep_ms + BACK_LATE_MS;
         self.down.retain(|machine, down| {
             let back = match known.get(machine) {
--- a/src/control/wall_clock.rs
+++ b/src/control/wall_clock.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicI64, Ordering};
-use std::time::{SystemTime, UNIX_EPOCH};
+
+use crate::unix_time::unix_ms;
 
 /// The machine's time of day with an offset, which trials set to let one instance's
 /// time of day jump; clones share it.
@@ -17,8 +18,6 @@
 
     /// The time of day, in milliseconds since 1970.
     pub fn unix_ms(&self) -> u64 {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH);
-        let unix_ms = since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
-        unix_ms.saturating_add_signed(self.offset_ms.load(Ordering::Relaxed))
+        unix_ms().saturating_add_signed(self.offset_ms.load(Ordering::Relaxed))
     }
 }
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use tokio::sync::watch;
 
@@ -16,6 +16,7 @@
 use crate::link::{Directory, LinkError, Links, LinksConfig, PeerKey};
 use crate::model::EntryName;
 use crate::storage::{self, Disk, StorageError};
+use crate::unix_time::unix_ms;
 
 /// How often time is fed to the node. Fine enough for queue waits and election
 /// timeouts, coarse enough to cost a fraction of a percent of a core.
@@ -285,10 +286,7 @@
 ) -> Result<(), DriverError> {
     let start = Instant::now();
     let since_ms = || u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX);
-    let unix_ms = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX));
-    let mut node = Node::new(settings, recovered, unix_ms, since_ms());
+    let mut node = Node::new(settings, recovered, unix_ms(), since_ms());
     let mut next_tick = start;
     loop {
         let wait = next_tick.saturating_duration_since(Instant::now());
--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -4,7 +4,7 @@
 
 use super::reply::{Reply, json, set, text};
 use super::waiting::Waiting;
-use super::{Handler, HealthBoard, Incoming};
+use super::{Handler, HealthBoard, Incoming, handler};
 use crate::entry::{Call, CallAnswer, CallId, Event, JobView};
 use crate::model::{Class, Outcome, RefusalReason, RequestKey, ServiceName, TeamName};
 
@@ -45,16 +45,12 @@
 
     /// The handler for the callers' listener.
     pub fn handler(self: &Arc<Self>) -> Handler {
-        let edge = Arc::clone(self);
-        Arc::new(move |incoming| {
-            let edge = Arc::clone(&edge);
-            Box::pin(async move {
-                let mut reply = edge.handle(incoming).await;
-                if edge.health.is_draining() {
-                    set(&mut reply, "connection", "close");
-                }
-                reply
-            })
+        handler(Arc::clone(self), |edge, incoming| async move {
+            let mut reply = edge.handle(incoming).await;
+            if edge.health.is_draining() {
+                set(&mut reply, "connection", "close");
+            }
+            reply
         })
     }
 
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -21,5 +21,5 @@
 pub use operators::{OperatorKeys, Operators};
 pub use outgoing::{Outgoing, OutgoingError};
 pub use reply::{Reply, json, set, text, with_type};
-pub use server::{Handler, HttpServer, Incoming};
+pub use server::{Handler, HttpServer, Incoming, handler};
 pub use upstreams::Upstreams;
--- a/src/http/operators.rs
+++ b/src/http/operators.rs
@@ -8,7 +8,7 @@
 use super::callers::EventSink;
 use super::reply::{Reply, json, text, with_type};
 use super::waiting::Waiting;
-use super::{Handler, HealthBoard, Incoming, metrics};
+use super::{Handler, HealthBoard, Incoming, handler, metrics};
 use crate::entry::{Event, OperatorAnswer, OperatorId, OperatorRequest, Subject};
 use crate::model::ChangeId;
 
@@ -62,14 +62,10 @@
 
     /// The handler for the operators' listener.
     pub fn handler(self: &Arc<Self>) -> Handler {
-        let edge = Arc::clone(self);
-        Arc::new(move |incoming| {
-            let edge = Arc::clone(&edge);
-            Box::pin(async move { edge.handle(incoming).await })
-        })
+        handler(Arc::clone(self), Self::handle)
     }
 
-    async fn handle(&self, incoming: Incoming) -> Reply {
+    async fn handle(self: Arc<Self>, incoming: Incoming) -> Reply {
         // A balancer and a collector of metrics have no token.
         match (&incoming.head.method, incoming.head.uri.path()) {
             (&Method::GET, "/health") => return self.health.reply(),
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -40,6 +40,18 @@
 pub type Handler =
     Arc<dyn Fn(Incoming) -> Pin<Box<dyn Future<Output = Reply> + Send>> + Send + Sync>;
 
+/// A handler that hands each request to one shared object.
+pub fn handler<T, A>(
+    shared: Arc<T>,
+    answer: impl Fn(Arc<T>, Incoming) -> A + Send + Sync + 'static,
+) -> Handler
+where
+    T: Send + Sync + 'static,
+    A: Future<Output = Reply> + Send + 'static,
+{
+    Arc::new(move |incoming| Box::pin(answer(Arc::clone(&shared), incoming)))
+}
+
 /// One listener and its handler.
 pub struct HttpServer {
     /// For logs.
--- a/src/http/upstreams.rs
+++ b/src/http/upstreams.rs
@@ -6,7 +6,7 @@
 use super::callers::EventSink;
 use super::reply::{Reply, json, text};
 use super::waiting::Waiting;
-use super::{Handler, Incoming};
+use super::{Handler, Incoming, handler};
 use crate::entry::{CallId, Event};
 use crate::model::UpstreamReport;
 use crate::upstream_api::AnnounceReply;
@@ -33,14 +33,10 @@
 
     /// The handler for the upstreams' listener.
     pub fn handler(self: &Arc<Self>) -> Handler {
-        let edge = Arc::clone(self);
-        Arc::new(move |incoming| {
-            let edge = Arc::clone(&edge);
-            Box::pin(async move { edge.handle(incoming).await })
-        })
+        handler(Arc::clone(self), Self::handle)
     }
 
-    async fn handle(&self, incoming: Incoming) -> Reply {
+    async fn handle(self: Arc<Self>, incoming: Incoming) -> Reply {
         if incoming.head.method != Method::POST || incoming.head.uri.path() != "/announce" {
             let line = "path: not served here: POST /announce\n";
             return text(StatusCode::NOT_FOUND, line);
--- a/src/jobs/room.rs
+++ b/src/jobs/room.rs
@@ -12,6 +12,11 @@
 }
 
 impl Room {
+    /// Its cores.
+    pub fn cores(&self) -> f64 {
+        f64::from(self.cpu_milli) / 1_000.0
+    }
+
     /// Whether `other` fits in.
     pub fn holds(&self, other: &Self) -> bool {
         other.cpu_milli <= self.cpu_milli
--- a/src/jobs/spec.rs
+++ b/src/jobs/spec.rs
@@ -83,7 +83,7 @@
         let steps = self.steps.iter().zip(takes_ms);
         steps
             .map(|(step, takes_ms)| {
-                let cores = f64::from(step.demand.cpu_milli) / 1_000.0;
+                let cores = step.demand.cores();
                 cores * f64::from(step.tasks) * *takes_ms as f64
             })
             .sum()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod state;
 pub mod storage;
 pub mod table;
+pub mod unix_time;
 pub mod upstream;
 pub mod upstream_api;
--- a/src/platform/control_calls.rs
+++ b/src/platform/control_calls.rs
@@ -9,7 +9,7 @@
 use super::incoming::{done, refused, unknown};
 use super::{Settings, read_configuration, read_report};
 use crate::control::{Answer, Call, Desk, Refusal, Wave};
-use crate::http::{Handler, Incoming, Reply, text, with_type};
+use crate::http::{Handler, Incoming, Reply, handler, text, with_type};
 use crate::model::InstanceName;
 
 /// Workers and operators move on after a second without an answer.
@@ -40,14 +40,10 @@
 
     /// What answers workers and operators.
     pub fn handler(self) -> Handler {
-        let calls = Arc::new(self);
-        Arc::new(move |incoming| {
-            let calls = Arc::clone(&calls);
-            Box::pin(async move { calls.answer(incoming).await })
-        })
+        handler(Arc::new(self), Self::answer)
     }
 
-    async fn answer(&self, incoming: Incoming) -> Reply {
+    async fn answer(self: Arc<Self>, incoming: Incoming) -> Reply {
         let path = incoming.head.uri.path();
         let call = match read(&incoming.head.method, path, &incoming.body) {
             Ok(Some(call)) => call,
--- a/src/platform/entry_calls.rs
+++ b/src/platform/entry_calls.rs
@@ -7,7 +7,7 @@
 use super::incoming::{done, refused, unknown};
 use super::read_job;
 use crate::control::{Answer, Call, Desk, Place, outcome};
-use crate::http::{Handler, Incoming, Reply, text};
+use crate::http::{Handler, Incoming, Reply, handler, text};
 use crate::jobs::JobState;
 
 /// A caller's name for one call, for logs.
@@ -33,14 +33,10 @@
 
     /// What answers callers.
     pub fn handler(self) -> Handler {
-        let calls = Arc::new(self);
-        Arc::new(move |incoming| {
-            let calls = Arc::clone(&calls);
-            Box::pin(async move { calls.answer(incoming).await })
-        })
+        handler(Arc::new(self), Self::answer)
     }
 
-    async fn answer(&self, incoming: Incoming) -> Reply {
+    async fn answer(self: Arc<Self>, incoming: Incoming) -> Reply {
         let patience_ms = incoming
             .header(DEADLINE_HEADER)
             .and_then(|text| text.parse::<u64>().ok())
--- a/src/upstream/announcer.rs
+++ b/src/upstream/announcer.rs
@@ -6,8 +6,8 @@
 
 use ureq::Agent;
 
-use super::host::unix_ms;
 use super::member::Member;
+use crate::unix_time::unix_ms;
 use crate::upstream_api::AnnounceReply;
 
 /// Refresh until an entry instance has said otherwise, in milliseconds.
--- a/src/upstream/host.rs
+++ b/src/upstream/host.rs
@@ -1,7 +1,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -15,6 +15,7 @@
 use super::member::{Member, lock};
 use super::service::{self, Scope};
 use super::{Faults, RunBook, RunTimes, Spec, Step, Worker};
+use crate::unix_time::unix_ms;
 
 /// How often an instance looks at the clock for what no event announces.
 const STEP_MS: u64 = 20;
@@ -116,12 +117,6 @@
     }
 }
 
-/// Milliseconds of Unix time: the clock that all stand-ins' records share.
-pub fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
-}
-
 /// One instance through all its incarnations.
 async fn live(host: Arc<Host>, member: Arc<Member>, mut listener: TcpListener) -> io::Result<()> {
     loop {
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -23,7 +23,7 @@
 
 pub use error::Error;
 pub use faults::{CutShort, Faults};
-pub use host::{Host, HostSettings, unix_ms};
+pub use host::{Host, HostSettings};
 pub use orders::Orders;
 pub use refusal::Refusal;
 pub use run_book::RunBook;
--- a/src/upstream/service.rs
+++ b/src/upstream/service.rs
@@ -12,8 +12,8 @@
 use tokio::time::sleep;
 
 use super::answer_body::AnswerBody;
-use super::host::unix_ms;
 use super::member::{Member, lock};
+use crate::unix_time::unix_ms;
 use crate::upstream_api as api;
 
 use super::{CutShort, Faults, Host, Refusal, RunEnd, RunRecord};
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -419,10 +419,8 @@
 }
 
 fn handler(fleet: &Arc<Fleet>, at: usize) -> Handler {
-    let fleet = Arc::clone(fleet);
-    Arc::new(move |incoming| {
-        let fleet = Arc::clone(&fleet);
-        Box::pin(async move { answer(&fleet, at, incoming).await })
+    rosemarygauge::http::handler(Arc::clone(fleet), move |fleet, incoming| async move {
+        answer(&fleet, at, incoming).await
     })
 }
 
--- a/tests/soak/keeper.rs
+++ b/tests/soak/keeper.rs
@@ -214,10 +214,8 @@
 }
 
 fn handler(keeper: &Arc<Keeper>) -> Handler {
-    let keeper = Arc::clone(keeper);
-    Arc::new(move |incoming| {
-        let keeper = Arc::clone(&keeper);
-        Box::pin(async move { answer(&keeper, &incoming) })
+    rosemarygauge::http::handler(Arc::clone(keeper), |keeper, incoming| async move {
+        answer(&keeper, &incoming)
     })
 }
 
