Keep the bound of waiting log lines, and tell what was dropped after what came before

Cause: since lines are written together, the writer's thread takes some thousand short lines out of the queue before it stalls, so more than the bound of 4,096 waited; and the line that tells of dropped ones could come before lines that were logged earlier. The test is as it was.

--- a/src/logs.rs
+++ b/src/logs.rs
@@ -210,17 +210,18 @@
             text.extend_from_slice(&line);
             count += 1;
         }
-        let lost = dropped.swap(0, Ordering::Relaxed);
-        let said = match lost {
-            0 => Ok(()),
-            lost => writeln!(
-                writer,
-                "{{\"level\":\"WARN\",\"message\":\"logs: lines were dropped\",\"lines\":{lost}}}"
-            ),
-        };
-        // Nobody reads any more: there is nowhere left to say so.
-        let written = said.and_then(|()| writer.write_all(&text));
+        let written = writer.write_all(&text).and_then(|()| {
+            // After what was logged before them.
+            match dropped.swap(0, Ordering::Relaxed) {
+                0 => Ok(()),
+                lost => writeln!(
+                    writer,
+                    "{{\"level\":\"WARN\",\"message\":\"logs: lines were dropped\",\"lines\":{lost}}}"
+                ),
+            }
+        });
         waiting.fetch_sub(count, Ordering::AcqRel);
+        // Nobody reads any more: there is nowhere left to say so.
         if written.is_err() {
             return;
         }
@@ -229,8 +230,14 @@
 
 impl Write for Lines {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        self.waiting.fetch_add(1, Ordering::AcqRel);
-        if let Err(err) = self.queue.try_send(line.to_vec()) {
+        // Lines that were taken from the queue and wait for a writer that stalls count as
+        // well, or the bound would be the queue and whatever was taken before.
+        let waiting = self.waiting.fetch_add(1, Ordering::AcqRel);
+        let sent = match waiting < QUEUE_LINES as u64 {
+            true => self.queue.try_send(line.to_vec()),
+            false => Err(TrySendError::Full(Vec::new())),
+        };
+        if let Err(err) = sent {
             self.waiting.fetch_sub(1, Ordering::AcqRel);
             if let TrySendError::Full(_) = err {
                 self.dropped.fetch_add(1, Ordering::Relaxed);
