Answer the connections that wait to be accepted at a planned stop

A connection that the system had taken and the server had not yet accepted was reset with the listener. Ruled out: the handlers made one before (the same reset in a test of the server alone, which fails without this change). Now what waits is accepted, and a connection without a request so far has 100 ms for its first.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -3,6 +3,7 @@
 use std::net::TcpListener;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -90,10 +91,10 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    let handler = Arc::clone(&self.handler);
-                    let (limits, stop) = (self.limits, stop.clone());
+                    let served =
+                        connection(stream, self.limits, Arc::clone(&self.handler), stop.clone());
                     open.spawn(async move {
-                        connection(stream, limits, handler, stop).await;
+                        served.await;
                         drop(permit);
                     });
                 }
@@ -105,11 +106,38 @@
             }
             while open.try_join_next().is_some() {}
         }
-        drop(listener);
+        for stream in waiting(listener) {
+            let handler = Arc::clone(&self.handler);
+            open.spawn(connection(stream, self.limits, handler, stop.clone()));
+        }
         while open.join_next().await.is_some() {}
     }
 }
 
+/// How long a connection that was taken just before a stop has for its first request,
+/// which its caller sends at once: some round trips.
+const FIRST_REQUEST: Duration = Duration::from_millis(100);
+
+/// Closes a listener and returns the connections that waited to be accepted.
+///
+/// The system has taken them, and their requests may have been sent whole. Closing the
+/// listener alone resets them, and callers cannot tell that from a lost answer; only
+/// what connects between the last of these and the close, microseconds, still meets
+/// that.
+fn waiting(listener: tokio::net::TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    // It does not block: the first error says that nobody waits.
+    let accepted = std::iter::from_fn(|| listener.accept().ok());
+    accepted
+        .filter_map(|(stream, _)| {
+            stream.set_nonblocking(true).ok()?;
+            TcpStream::from_std(stream).ok()
+        })
+        .collect()
+}
+
 async fn connection(
     stream: TcpStream,
     limits: Limits,
@@ -117,7 +145,10 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let _ = stream.set_nodelay(true);
+    let begun = Arc::new(AtomicBool::new(false));
+    let first = Arc::clone(&begun);
     let service = service_fn(move |request: http::Request<Body>| {
+        first.store(true, Ordering::Relaxed);
         let handler = Arc::clone(&handler);
         async move { Ok::<_, Infallible>(answer(request, limits, handler).await) }
     });
@@ -131,6 +162,9 @@
         _ = conn.as_mut() => return,
         _ = stop.wait_for(|stop| *stop) => {}
     }
+    if !begun.load(Ordering::Relaxed) && timeout(FIRST_REQUEST, conn.as_mut()).await.is_ok() {
+        return;
+    }
     // An idle connection is closed, one with a request open ends after its
     // answer, which says `Connection: close`.
     conn.as_mut().graceful_shutdown();
