Show what a control instance's loop was busy with in each second

An on-call engineer saw starts ordered all the time and no job end, and a leader whose mean use of the processor was 0.15 of 0.35 cores. Nothing told passes of the scheduler from answers of workers, how many events waited, or how late the loop came to them.

Each control instance now logs one line a second and counts the same in its metrics: time by kind of event, the longest of them, the most events that waited, the most that time was late, and orders without an answer. Busy time comes from the runtime and includes calls and listeners.

--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::mpsc::Sender;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{MissedTickBehavior, interval};
@@ -13,8 +13,8 @@
 use super::desk::{Board, Desk, Incoming};
 use super::steady::steady_ms;
 use super::{
-    Effect, Event, Gateway, GatewayEffect, Machine, MachineOrder, MachineOutcome, Node, Order,
-    OrderOutcome, PeerMessage, WallClock,
+    Effect, Event, EventKind, Gateway, GatewayEffect, LoopMeter, Machine, MachineOrder,
+    MachineOutcome, Node, Order, OrderOutcome, PeerMessage, WallClock,
 };
 use crate::jobs::TaskId;
 use crate::model::{EntryName, InstanceName};
@@ -120,26 +120,36 @@
         let mut tick = interval(CONTROL_TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut compare_ms = 0;
+        let mut meter = LoopMeter::new(Instant::now());
+        let runtime = tokio::runtime::Handle::current().metrics();
         loop {
             let mut event = tokio::select! {
                 Some(signal) = self.signals.recv() => signal_event(signal)?,
                 Some(outcome) = outcomes.recv() => Some(outcome),
                 Some(call) = self.calls.recv() => Some(call_event(call)),
-                _ = tick.tick() => Some(Event::Tick),
+                due = tick.tick() => {
+                    meter.late(due.elapsed());
+                    Some(Event::Tick)
+                }
                 else => return Ok(()),
             };
+            meter.waiting(self.signals.len() + outcomes.len() + self.calls.len());
             if steady_ms() > self.last_ms + GAP_MS {
                 let effects = node.handle(steady_ms(), Event::Tick);
                 self.carry_out(effects, &disk, &outside, &done);
             }
             let mut taken = 0;
             while let Some(next) = event.take() {
-                let now_ms = steady_ms();
-                let effects = node.handle(now_ms, next);
+                let kind = EventKind::from(&next);
+                let began = Instant::now();
+                let effects = node.handle(steady_ms(), next);
+                let decided = Instant::now();
+                meter.handled(kind, decided - began);
                 if self.carry_out(effects, &disk, &outside, &done) {
                     self.desk.give_up();
                     return Ok(());
                 }
+                meter.handled(EventKind::Effects, decided.elapsed());
                 taken += 1;
                 if taken < BATCH {
                     event = match outcomes.try_recv() {
@@ -157,10 +167,13 @@
                 compare_ms = now_ms + COMPARE_MS;
                 node.compare_clock(now_ms, wall.unix_ms());
             }
+            let leads = node.leads(now_ms);
             self.desk.show(Board {
                 report_places: node.report_places(now_ms),
-                ready: node.leads(now_ms),
+                ready: leads,
             });
+            let busy = runtime.worker_total_busy_duration(0);
+            meter.report(Instant::now(), busy, leads, self.desk.metrics());
         }
     }
 
--- a/src/control/metrics.rs
+++ b/src/control/metrics.rs
@@ -1,9 +1,9 @@
 use prometheus::{
-    Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
-    exponential_buckets,
+    CounterVec, Gauge, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder, exponential_buckets,
 };
 
-use super::{Answer, Decision, Refusal};
+use super::{Answer, Decision, EventKind, Refusal};
 
 /// The shortest latency that is told apart, in seconds, the factor from one bucket to
 /// the next, and how many there are: 1 ms to 8 s.
@@ -17,6 +17,10 @@
     decisions: IntCounterVec,
     latency: Histogram,
     open: IntGauge,
+    loop_seconds: CounterVec,
+    loop_events: IntCounterVec,
+    loop_waiting: IntGauge,
+    loop_late: Gauge,
 }
 
 impl Default for Metrics {
@@ -29,6 +33,14 @@
         );
         let calls = Opts::new("rosemarygauge_calls_total", "Calls by their outcome");
         let decisions = Opts::new("rosemarygauge_decisions_total", "Decisions by their kind");
+        let loop_seconds = Opts::new(
+            "rosemarygauge_loop_seconds_total",
+            "Time that the loop spent, by what it handled",
+        );
+        let loop_events = Opts::new(
+            "rosemarygauge_loop_events_total",
+            "What the loop handled, by its kind",
+        );
         let metrics = Self {
             registry: Registry::new(),
             calls: IntCounterVec::new(calls, &["outcome"]).expect("a plain name and label"),
@@ -37,6 +49,20 @@
             latency: Histogram::with_opts(latency.buckets(buckets)).expect("a plain name"),
             open: IntGauge::new("rosemarygauge_calls_open", "Calls that wait for an answer")
                 .expect("a plain name"),
+            loop_seconds: CounterVec::new(loop_seconds, &["event"])
+                .expect("a plain name and label"),
+            loop_events: IntCounterVec::new(loop_events, &["event"])
+                .expect("a plain name and label"),
+            loop_waiting: IntGauge::new(
+                "rosemarygauge_loop_waiting_most",
+                "Events that waited at once for the loop, at most in the last second",
+            )
+            .expect("a plain name"),
+            loop_late: Gauge::new(
+                "rosemarygauge_loop_late_most_seconds",
+                "How late the loop came to its time, at most in the last second",
+            )
+            .expect("a plain name"),
         };
         let registered = [
             metrics.registry.register(Box::new(metrics.calls.clone())),
@@ -45,6 +71,18 @@
                 .register(Box::new(metrics.decisions.clone())),
             metrics.registry.register(Box::new(metrics.latency.clone())),
             metrics.registry.register(Box::new(metrics.open.clone())),
+            metrics
+                .registry
+                .register(Box::new(metrics.loop_seconds.clone())),
+            metrics
+                .registry
+                .register(Box::new(metrics.loop_events.clone())),
+            metrics
+                .registry
+                .register(Box::new(metrics.loop_waiting.clone())),
+            metrics
+                .registry
+                .register(Box::new(metrics.loop_late.clone())),
         ];
         for result in registered {
             result.expect("names that differ");
@@ -66,6 +104,20 @@
         self.decisions.with_label_values(&[name.as_str()]).inc();
     }
 
+    /// The loop handled so many events of a kind, in so long.
+    pub fn spent(&self, kind: EventKind, events: u64, seconds: f64) {
+        let name = kind.to_string();
+        let labels = [name.as_str()];
+        self.loop_events.with_label_values(&labels).inc_by(events);
+        self.loop_seconds.with_label_values(&labels).inc_by(seconds);
+    }
+
+    /// How far the loop was behind in the last second, at most.
+    pub fn loop_late(&self, waiting: usize, late_seconds: f64) {
+        self.loop_waiting.set(waiting as i64);
+        self.loop_late.set(late_seconds);
+    }
+
     /// All of them, as text, while so many calls are open.
     pub fn text(&self, open_calls: usize) -> String {
         self.open.set(open_calls as i64);
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -12,6 +12,7 @@
 mod faults;
 mod forecast;
 mod leases;
+mod loop_meter;
 mod members;
 mod policy;
 mod random;
