Reproduce a leader that collapses under its backlog, with processor time as part of the test

After a cut callers waited for jobs that never ended though workers stood idle. The tests of decisions could not show it: their instances take no time.

The simulated world can now give instances little processor time. An instance handles one event after the other; each costs what a model says, in simulated time; an answer whose turn comes after its order's time is none; a worker gets four orders at once; renewals wait at the worker for an end. Costs follow the log of a loaded leader: 0.12 ms for a call to a worker, 0.1 ms for a peer's message, 4 us for a thing that a recurring look walks over. With 2,000 open jobs a tick comes to 38 ms in the model; the log has 600 to 800 ms a second in ticks of up to 40 to 60 ms.

Sample jobs and queues of the tests moved to a file of their own.

--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -14,6 +14,7 @@
 mod leases;
 mod loop_meter;
 mod members;
+mod overload;
 mod policy;
 mod random;
 mod relay;
--- a/tests/control/worker.rs
+++ b/tests/control/worker.rs
@@ -35,6 +35,8 @@
     pub acknowledged: u64,
     /// How long tasks take here; lasting ones go on.
     pub run_ms: u64,
+    /// How late its answers come at most.
+    pub answer_late_ms: u64,
     pub fails_all: bool,
     pub stands_still: bool,
     /// Its clock runs at this part of true time, in thousandths.
@@ -61,6 +63,7 @@
             highest: BTreeMap::new(),
             acknowledged: 0,
             run_ms: 300,
+            answer_late_ms: 0,
             fails_all: false,
             stands_still: false,
             clock_rate: 1_000,
--- a/tests/control/world.rs
+++ b/tests/control/world.rs
@@ -1,6 +1,8 @@
 //! Three control instances, fake workers and a fake keeper of machines in one thread.
 
 mod deliveries;
+mod processor;
+mod samples;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -10,13 +12,17 @@
 use rand_chacha::ChaCha8Rng;
 use rosemarygauge::consensus::{Record, Recovered};
 use rosemarygauge::control::{
-    Answer, Call, Configuration, Event, MachineOrder, Node, NodeSettings, Order, OrderOutcome,
-    PeerMessage, Place, Policy, Queue, Timing, Wave,
+    Answer, Call, Event, MachineOrder, Node, NodeSettings, Order, OrderOutcome, PeerMessage, Place,
+    Policy, Timing, Wave,
 };
-use rosemarygauge::jobs::{JobId, JobSpec, JobState, Room, Step, TaskId};
+use rosemarygauge::jobs::{JobId, JobSpec, JobState, TaskId};
 use rosemarygauge::model::EntryName;
 
+pub use processor::LOOK_US;
+pub use samples::{configuration, job, lasting, queue, step};
+
 use crate::worker::Worker;
+use processor::Processor;
 
 pub const STEP_MS: u64 = 5;
 pub const TIMING: Timing = Timing {
@@ -93,6 +99,8 @@
     report_ms: u64,
     /// Every run by task: attempt, worker, began, ended and how.
     pub runs: Vec<Seen>,
+    /// Runs whose end as done a leader took note of.
+    pub done: u64,
     pub upkeeps: Vec<(u64, String)>,
     pub moves: Vec<(u64, String, String)>,
     pub down_most: usize,
@@ -103,6 +111,13 @@
     pub fences: BTreeMap<String, u64>,
     /// How often each instance aborted its open orders.
     aborted: BTreeMap<EntryName, u64>,
+    /// The processors of instances that have little of one; the others take no time.
+    processors: BTreeMap<EntryName, Processor>,
+    /// What a look at a thing costs them.
+    look_us: Option<u64>,
+    /// How long the instance that is at work still works on what it now sends.
+    work_left_ms: u64,
+    policy: Policy,
 }
 
 /// The keeper of machines as an end of a cut.
@@ -123,84 +138,46 @@
     SocketAddr::from(([10, 1, 0, 1], port))
 }
 
-pub fn queue(name: &str, pool: &str) -> Queue {
-    Queue {
-        name: name.into(),
-        host: "h.example".into(),
-        path_prefix: format!("/{name}/"),
-        pool: pool.into(),
-        priority: 0,
-        attempts_max: 3,
-        slack_factor: 1.6,
-        target_latency_ms: 600,
-        timeout_ms: 3_000,
-        advice: None,
-    }
-}
-
-pub fn configuration(version: u64) -> Configuration {
-    Configuration {
-        version,
-        queues: vec![queue("quick", "east"), queue("long", "west")],
-        pools: BTreeMap::from([
-            ("east".into(), false),
-            ("west".into(), false),
-            ("spare".into(), true),
-        ]),
-        document: format!("document {version}").into_bytes(),
+impl World {
+    /// Three control instances with empty folders and so many workers in each pool.
+    pub fn new(seed: u64, east: u16, west: u16) -> Self {
+        let mut world = Self::bare(seed);
+        world.begin(east, west);
+        world
     }
-}
 
-pub fn step(tasks: u16) -> Step {
-    Step {
-        tasks,
-        demand: Room {
-            cpu_milli: 1_000,
-            memory_mb: 1_000,
-            accelerators: 0,
-        },
-        estimate_ms: 300,
-        ..Step::default()
+    /// The same, but that no machine moves to another pool or goes off.
+    pub fn without_moves(seed: u64, east: u16, west: u16) -> Self {
+        let mut world = Self::bare(seed);
+        world.policy.moves.enabled = false;
+        world.policy.standby.enabled = false;
+        world.begin(east, west);
+        world
     }
-}
 
-pub fn job(steps: Vec<Step>) -> JobSpec {
-    JobSpec {
-        payload: "work".into(),
-        steps,
-        recurrence: None,
+    /// The same, but that the instances have little processor time: a thing that their
+    /// recurring looks walk over costs them so much.
+    pub fn limited(seed: u64, east: u16, west: u16, look_us: u64) -> Self {
+        let mut world = Self::bare(seed);
+        world.look_us = Some(look_us);
+        world.begin(east, west);
+        world
     }
-}
 
-pub fn lasting(tasks: u16) -> JobSpec {
-    let step = Step {
-        lasting: true,
-        estimate_ms: 0,
-        per_worker_max: Some(1),
-        disruption_budget: Some(1),
-        ..step(tasks)
-    };
-    job(vec![step])
-}
-
-impl World {
-    /// Three control instances with empty folders and so many workers in each pool.
-    pub fn new(seed: u64, east: u16, west: u16) -> Self {
-        let mut world = Self::bare(seed);
+    fn begin(&mut self, east: u16, west: u16) {
         for place in 1..=3 {
-            world.found(place);
+            self.found(place);
         }
         for port in 0..east {
-            world.add_worker(1_000 + port, "east");
+            self.add_worker(1_000 + port, "east");
         }
         for port in 0..west {
-            world.add_worker(2_000 + port, "west");
+            self.add_worker(2_000 + port, "west");
         }
-        world.run_ms(4_000);
-        let id = world.call(1, Call::Configure(Arc::new(configuration(1))));
-        world.run_ms(3_000);
-        assert_eq!(world.answers.get(&id), Some(&Answer::Done));
-        world
+        self.run_ms(4_000);
+        let id = self.call(1, Call::Configure(Arc::new(configuration(1))));
+        self.run_ms(3_000);
+        assert_eq!(self.answers.get(&id), Some(&Answer::Done));
     }
 
     fn bare(seed: u64) -> Self {
@@ -220,6 +197,7 @@
             next_worker: 0,
             report_ms: 0,
             runs: Vec::new(),
+            done: 0,
             upkeeps: Vec::new(),
             moves: Vec::new(),
             down_most: 0,
@@ -227,6 +205,10 @@
             copies: false,
             fences: BTreeMap::new(),
             aborted: BTreeMap::new(),
+            processors: BTreeMap::new(),
+            look_us: None,
+            work_left_ms: 0,
+            policy: Policy::default(),
         }
     }
 
@@ -256,12 +238,13 @@
             first_start,
             losses_borne: 1,
             timing: TIMING,
-            policy: Policy::default(),
+            policy: self.policy.clone(),
             seed: self.rng.random(),
         };
         let unix_ms = 1_700_000_000_000 + self.now_ms;
         let node = Node::new(settings, disk.clone(), unix_ms, self.now_ms);
         *self.starts.entry(me.clone()).or_default() += 1;
+        self.renew_processor(me);
         let control = Control {
             node: Some(node),
             disk,
@@ -461,6 +444,7 @@
                 self.feed(&at, Event::Tick);
             }
         }
+        self.work();
     }
 
     fn bring_back(&mut self) {
--- a/tests/control/world/deliveries.rs
+++ b/tests/control/world/deliveries.rs
@@ -2,19 +2,21 @@
 
 use rand::Rng;
 use rosemarygauge::control::{
-    Effect, Event, Machine, MachineOrder, MachineOrderKind, MachineOutcome, MachinePhase, Order,
-    OrderKind, OrderOutcome, Rejection,
+    Decision, Effect, Event, Machine, MachineOrder, MachineOrderKind, MachineOutcome, MachinePhase,
+    Order, OrderKind, OrderOutcome, Rejection,
 };
+use rosemarygauge::jobs::Ending;
 use rosemarygauge::model::EntryName;
 
+use super::processor::HELD_MS;
 use super::{Flying, KEEPER, Seen, TIMING, World};
 use crate::naive_disk::replay;
 
 impl World {
     pub(super) fn fly(&mut self, after_ms: u64, flying: Flying) {
         self.sent += 1;
-        self.flying
-            .insert((self.now_ms + after_ms, self.sent), flying);
+        let at_ms = self.now_ms + self.work_left_ms + after_ms;
+        self.flying.insert((at_ms, self.sent), flying);
     }
 
     pub(super) fn arrive(&mut self, flying: Flying) {
@@ -102,6 +104,10 @@
             );
         }
         let outcome = self.carry_out(&order);
+        if let Some(order) = outcome.as_ref().and_then(|o| self.held(&order, o)) {
+            let from = from.clone();
+            return self.fly(HELD_MS, Flying::Order { from, start, order });
+        }
         let back_cut = self.is_cut(&there, from.as_str());
         let outcome = match outcome {
             Some(outcome) if !back_cut => outcome,
@@ -113,7 +119,7 @@
         };
         let after_ms = match outcome {
             OrderOutcome::Unanswered => order.timeout_ms,
-            _ => waits,
+            _ => waits + self.answers_late_ms(&order),
         };
         self.fly(
             after_ms,
@@ -241,21 +247,42 @@
         self.fly(5, Flying::Event { to, start, event });
     }
 
+    /// Gives an instance an event, which waits for its turn if it has little processor time.
     pub fn feed(&mut self, at: &EntryName, event: Event) {
-        let now_ms = self.now_ms;
+        match self.processors.get_mut(at) {
+            Some(processor) => processor.receive(event),
+            None => self.handle(at, self.now_ms, event),
+        }
+    }
+
+    /// Lets an instance handle an event, and returns what it wants done.
+    pub(super) fn decide(&mut self, at: &EntryName, now_ms: u64, event: Event) -> Vec<Effect> {
         let Some(control) = self.controls.get_mut(at) else {
-            return;
+            return Vec::new();
         };
         let Some(node) = control.node.as_mut().filter(|_| !control.frozen) else {
-            return;
+            return Vec::new();
         };
-        let effects = node.handle(now_ms, event);
+        node.handle(now_ms, event)
+    }
+
+    fn handle(&mut self, at: &EntryName, now_ms: u64, event: Event) {
+        let effects = self.decide(at, now_ms, event);
+        self.carry_out_all(at, effects);
+    }
+
+    pub(super) fn carry_out_all(&mut self, at: &EntryName, effects: Vec<Effect>) {
         let start = self.starts[at];
         for effect in effects {
             self.effect(at, start, effect);
         }
     }
 
+    pub(super) fn send_order(&mut self, from: EntryName, start: u64, order: Order) {
+        let after_ms = self.rng.random_range(1..4);
+        self.fly(after_ms, Flying::Order { from, start, order });
+    }
+
     fn effect(&mut self, at: &EntryName, start: u64, effect: Effect) {
         let from = at.clone();
         match effect {
@@ -278,8 +305,9 @@
                 );
             }
             Effect::Order(order) => {
-                let after_ms = self.rng.random_range(1..4);
-                self.fly(after_ms, Flying::Order { from, start, order });
+                if let Some(order) = self.leaves(&from, start, order) {
+                    self.send_order(from, start, order);
+                }
             }
             Effect::OrderMachine(order) => {
                 let aborted = self.aborted.get(&from).copied().unwrap_or(0);
@@ -321,6 +349,7 @@
                     },
                 );
             }
+            Effect::Count(Decision::RunEnded(Ending::Done)) => self.done += 1,
             Effect::Count(_) => {}
             Effect::Stopped => self.kill(&from),
         }
