Let pools take turns at the starts that may be on their way

Cause: the starts on their way are bounded for all pools together, to spare the leader, and the bound was given out by rank over all pools. Priorities order jobs that compete for the same workers; here jobs of higher priority in other pools took the whole window of each pass.

Ruled out: the pool's own room and moves (its workers were idle), ranks within the pool (with equal priorities, or with a window of 4,000, the job starts at once).

Now each pool places one step after the other, in turn, and another pool begins in each pass. Within a pool the order is as it was.

Why it holds: no pool's share of the window depends on what other pools' queues are called urgent, and a pool that has nothing to start takes no turn.

--- a/src/control/backlog/order.rs
+++ b/src/control/backlog/order.rs
@@ -45,12 +45,6 @@
         }
     }
 
-    /// The entry that comes next.
-    pub(in super::super) fn peek(&mut self) -> Option<Entry> {
-        let group = self.group()?;
-        self.groups[group].peek().map(|(entry, _)| **entry)
-    }
-
     /// The group whose turn it is.
     fn group(&mut self) -> Option<usize> {
         let [small, large] = &mut self.groups;
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -6,7 +6,9 @@
 //! slow them down by amounts that nobody declares.
 //!
 //! Answers also a backlog that no pool has room for: a pass looks at what may start, not
-//! at all that waits.
+//! at all that waits. Pools take turns at the starts that may be on their way, whatever
+//! the priorities of their queues: those order work that competes for the same workers,
+//! and a pool with idle ones would wait for starts that others' workers take.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -63,6 +65,8 @@
     pub(super) unadvised: BTreeMap<TaskId, Vec<InstanceName>>,
     /// What waits.
     backlog: Backlog,
+    /// The pool whose turn is first in the next pass.
+    turn: usize,
     /// What passes walked over: jobs, steps that wait, and each search for room.
     pub(super) looked: u64,
 }
@@ -192,7 +196,7 @@
                 Some(PoolPass::new(pool, row, here, world.policy))
             })
             .collect();
-        let starts = self.place_all(now_ms, world, &mut pools, starts_max);
+        let starts = self.take_turns(now_ms, world, &mut pools, starts_max);
         let resume: Vec<_> = pools
             .iter()
             .filter_map(|pass| match pass.stage {
@@ -212,8 +216,8 @@
         starts
     }
 
-    /// The steps of all pools by rank, until nothing more fits or may start.
-    fn place_all(
+    /// One step of each pool after the other, until nothing more fits or may start.
+    fn take_turns(
         &mut self,
         now_ms: u64,
         world: &SchedulerWorld,
@@ -222,12 +226,18 @@
     ) -> Vec<Placement> {
         let queues = world.state.queues_by_name();
         let mut starts = Vec::new();
-        while starts.len() < starts_max {
-            let on = pools.iter_mut().filter(|pass| pass.is_on());
-            let ranked = on.map(|pass| (pass.order.peek(), pass));
-            let Some((_, pass)) = ranked.min_by(|(a, _), (b, _)| a.cmp(b)) else {
+        self.turn = self.turn.wrapping_add(1);
+        let mut turn = self.turn;
+        while pools.iter().any(PoolPass::is_on) {
+            turn = turn.wrapping_add(1);
+            let place = turn % pools.len();
+            let pass = &mut pools[place];
+            if !pass.is_on() {
+                continue;
+            }
+            if starts.len() >= starts_max {
                 break;
-            };
+            }
             let most = starts_max - starts.len();
             starts.extend(self.place_next(now_ms, world, &queues, pass, most));
         }
--- a/tests/control/overload.rs
+++ b/tests/control/overload.rs
@@ -307,8 +307,9 @@
 }
 
 /// A caller's job in a pool with free workers does not start for as long as another pool is
-/// busy. All pools share one window of starts on their way, it is given out by priority, and
-/// the other pool's jobs of higher priority take all of it each time.
+/// busy. All pools share one window of starts on their way; where it is given out by priority
+/// the other pool's jobs take all of it each time. With equal priorities, or a window of
+/// 4,000, the job starts at once.
 #[test]
 fn a_pool_of_lower_priority_gets_starts_while_another_fills_the_window() {
     let mut world = World::without_moves(4, 160, 6);
