Take answers that arrived in time though the loop reads them late

Callers saw hundreds of orders a second unanswered at workers that were well, starts sent twice, and new connections for over a quarter of the requests, while the leader was busy.

Cause: the call's limit was a plain timeout. A loop that is held past the limit (a long pass, a batch of events, a suspension) finds the timer and the answer in the same look at its sockets. The head of the answer takes one turn of the loop, its body a second, and the timeout gave up in between: the connection was reset and the order sent again, more work for a loop that was behind already.

Now, at the limit, the call looks on for as long as more of its answer is found, and gives up after four looks that found nothing. The looks cost no waiting, so a silent worker is still given up at its limit and its connection reset. What has not left at its limit does not leave any more: a connection that a late answer frees must not carry an order that its sender counts as given up. This is asked of the clock that counts a suspension, which the runtime's timers do not.

Ruled out: a grace time after the limit. A loop that is held again ends the grace in the same way.

--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,7 +12,10 @@
 use rustix::net::sockopt::set_tcp_user_timeout;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, Semaphore, oneshot};
-use tokio::time::timeout;
+use tokio::task::yield_now;
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+use crate::control::steady_ms;
 
 /// The largest answer that is read: a listing of 500 ends and as many runs has some
 /// 100 kB.
@@ -21,6 +24,9 @@
 /// shortest time after which another leader can be elected (0.9 s): a process that is
 /// suspended cannot throw its open calls away, so its kernel has to.
 const UNACKNOWLEDGED_MS: u32 = 700;
+/// Looks at the sockets in a row that find nothing more of an answer whose limit is
+/// over: one for the socket, one each to hand on the head, the body and its end.
+const LAST_LOOKS: u32 = 4;
 
 /// Why a call has no answer.
 #[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
@@ -53,6 +59,56 @@
     _open: oneshot::Sender<()>,
 }
 
+/// An answer, or why there is none and the request if it never left.
+type Exchanged = Result<(StatusCode, Bytes), (ClientError, Option<Request<Full<Bytes>>>)>;
+
+impl Connection {
+    /// Sends a request and reads its answer; after `due` only what is already there.
+    async fn exchange(&mut self, request: Request<Full<Bytes>>, due: Instant) -> Exchanged {
+        let parts = Cell::new(0);
+        let answer = async {
+            let response = self.sender.try_send_request(request).await;
+            let response = response.map_err(|mut err| {
+                let unsent = err.take_message();
+                (err.into_error().into(), unsent)
+            })?;
+            parts.set(1);
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, ANSWER_LIMIT_BYTES);
+            let counted = body.map_frame(|part| {
+                parts.set(parts.get() + 1);
+                part
+            });
+            let body = counted.collect().await;
+            let body = body.map_err(|_| (ClientError::Body, None))?;
+            Ok((head.status, body.to_bytes()))
+        };
+        tokio::select! {
+            biased;
+            answer = answer => answer,
+            () = given_up(due, &parts) => Err((ClientError::Silent, None)),
+        }
+    }
+}
+
+/// Ends when an answer's limit is over and nothing more of it is there to be read.
+///
+/// A loop that was busy, or suspended, until after the limit finds the timer and the
+/// answer at the same time. Given up at once, a good connection would be reset and the
+/// order sent again: more work for a loop that is behind already, which makes more
+/// answers late. A yield lets the runtime look at its sockets and run what they woke, so
+/// some yields find all that has arrived; `parts` counts what was found.
+async fn given_up(due: Instant, parts: &Cell<u32>) {
+    sleep_until(due).await;
+    let mut found = parts.get();
+    let mut looks = 0;
+    while looks < LAST_LOOKS {
+        yield_now().await;
+        looks = if parts.get() == found { looks + 1 } else { 0 };
+        found = parts.get();
+    }
+}
+
 /// The one client for the platform: HTTP/1.1 with connections that are kept.
 ///
 /// A connection on which an answer did not come in time is reset: it may be one that
@@ -101,42 +157,49 @@
         limit: Duration,
     ) -> Result<(StatusCode, Bytes), ClientError> {
         let aborted = self.aborted.notified();
-        let exchange = self.exchange(address, request);
         tokio::select! {
             biased;
             () = aborted => Err(ClientError::Aborted),
-            answer = timeout(limit, exchange) => answer.unwrap_or(Err(ClientError::Silent)),
+            answer = self.answered(address, request, limit) => answer,
         }
     }
 
-    async fn exchange(
+    async fn answered(
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
+        limit: Duration,
     ) -> Result<(StatusCode, Bytes), ClientError> {
+        let due = Instant::now() + limit;
+        let due_ms = steady_ms() + limit.as_millis() as u64;
         let room = self.room(address);
-        let _place = room.acquire().await.map_err(|_| ClientError::Silent)?;
+        let place = timeout_at(due, room.acquire()).await;
+        let Ok(Ok(_place)) = place else {
+            return Err(ClientError::Silent);
+        };
         loop {
             let (mut connection, kept) = match self.take(address) {
                 Some(connection) => (connection, true),
-                None => (connect(address).await?, false),
-            };
-            let response = match connection.sender.try_send_request(request).await {
-                Ok(response) => response,
-                Err(mut err) => match err.take_message() {
-                    // It never left: the kept connection had been closed.
-                    Some(unsent) if kept => {
-                        request = unsent;
-                        continue;
-                    }
-                    _ => return Err(err.into_error().into()),
+                None => match timeout_at(due, connect(address)).await {
+                    Ok(opened) => (opened?, false),
+                    Err(_) => return Err(ClientError::Silent),
                 },
             };
-            let status = response.status();
-            let body = Limited::new(response.into_body(), ANSWER_LIMIT_BYTES);
-            let body = body.collect().await.map_err(|_| ClientError::Body)?;
-            self.keep(address, connection);
-            return Ok((status, body.to_bytes()));
+            // A loop that was held, or suspended, finds a free connection beside the end
+            // of the limit. What left now would arrive after its sender gave it up.
+            if steady_ms() >= due_ms {
+                self.keep(address, connection);
+                return Err(ClientError::Silent);
+            }
+            match connection.exchange(request, due).await {
+                Ok(answer) => {
+                    self.keep(address, connection);
+                    return Ok(answer);
+                }
+                // It never left: the kept connection had been closed.
+                Err((_, Some(unsent))) if kept => request = unsent,
+                Err((err, _)) => return Err(err),
+            }
         }
     }
 
--- a/tests/platform/connections.rs
+++ b/tests/platform/connections.rs
@@ -1,10 +1,10 @@
 //! What becomes of connections on which an answer did not come.
 
-use std::io::{ErrorKind, Read};
+use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
-use std::sync::mpsc::{Receiver, channel};
-use std::time::Duration;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::Request;
@@ -12,6 +12,8 @@
 use rosemarygauge::platform::Client;
 use tokio::task::LocalSet;
 
+use super::stand_in::read_request;
+
 /// How a connection to the stand-in ended, with the bytes that came before.
 #[derive(Debug, PartialEq)]
 enum End {
@@ -121,3 +123,173 @@
         assert_eq!(later.await.unwrap_err().to_string(), "no answer in time");
     });
 }
+
+/// A service that answers on a word; tells what happens, in order.
+struct WordedService {
+    address: SocketAddr,
+    /// A request is there whole.
+    asked: Receiver<()>,
+    /// Lets it answer one request.
+    word: Sender<()>,
+    /// An answer has left whole.
+    answered: Receiver<()>,
+    /// A connection has ended.
+    ended: Receiver<()>,
+}
+
+impl WordedService {
+    /// Takes one connection after the other.
+    fn start(body_bytes: usize) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (asks, asked) = channel();
+        let (word, words) = channel();
+        let (answers, answered) = channel();
+        let (ends, ended) = channel();
+        let mut answer = format!("HTTP/1.1 200 X\r\ncontent-length: {body_bytes}\r\n\r\n");
+        answer.extend(std::iter::repeat_n('x', body_bytes));
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let mut rdr = BufReader::new(stream.try_clone().unwrap());
+                let mut wtr = stream;
+                while read_request(&mut rdr).is_some() {
+                    // The test is over if nobody takes it.
+                    let _ = asks.send(());
+                    if words.recv().is_err() {
+                        return;
+                    }
+                    wtr.write_all(answer.as_bytes()).unwrap();
+                    let _ = answers.send(());
+                }
+                let _ = ends.send(());
+            }
+        });
+        Self {
+            address,
+            asked,
+            word,
+            answered,
+            ended,
+        }
+    }
+
+    /// Lets the loop go on until the next request is there whole.
+    async fn next_request(&self) {
+        while self.asked.try_recv().is_err() {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Has the request answered and holds the loop until its limit is over.
+    fn answer_unseen(&self, limit: Duration) {
+        let since = Instant::now();
+        self.word.send(()).unwrap();
+        self.answered.recv_timeout(SOON).unwrap();
+        std::thread::sleep((limit * 2).saturating_sub(since.elapsed()));
+    }
+}
+
+const SHORT: Duration = Duration::from_millis(300);
+/// Enough for a hundred calls to leave.
+const LONGER: Duration = Duration::from_secs(2);
+
+type Called = tokio::task::JoinHandle<Result<usize, String>>;
+
+/// Calls; the length of the answer's body, or what went wrong.
+fn call(client: &Rc<Client>, address: SocketAddr, limit: Duration) -> Called {
+    let client = Rc::clone(client);
+    tokio::task::spawn_local(async move {
+        match client.call(address, request(), limit).await {
+            Ok((_, body)) => Ok(body.len()),
+            Err(err) => Err(err.to_string()),
+        }
+    })
+}
+
+/// An order is answered in time, but the loop is busy with other things (or the process
+/// is suspended) until after the order's limit. Its timer and its answer are then found
+/// at the same time. To give it up would reset a good connection and send the order
+/// again, which is more work for a loop that is already behind.
+#[test]
+fn an_answer_that_came_in_time_is_taken_when_it_is_read_late() {
+    // At once, and in several reads.
+    for body_bytes in [2, 60_000] {
+        let service = WordedService::start(body_bytes);
+        on_a_loop(async move {
+            let client = Rc::new(Client::new(1));
+            for _ in 0..3 {
+                let called = call(&client, service.address, SHORT);
+                service.next_request().await;
+                service.answer_unseen(SHORT);
+                assert_eq!(called.await.unwrap(), Ok(body_bytes));
+            }
+            assert!(service.ended.try_recv().is_err(), "a connection was reset");
+        });
+    }
+}
+
+/// As above, with many calls at once: the answers are found beside the timers of all
+/// calls, and each takes several turns of the loop to be read whole.
+#[test]
+fn many_answers_that_came_in_time_are_taken_when_they_are_read_late() {
+    let services: Vec<_> = (0..100).map(|_| WordedService::start(9_000)).collect();
+    on_a_loop(async move {
+        let client = Rc::new(Client::new(1));
+        let call = |s: &WordedService| call(&client, s.address, LONGER);
+        let called: Vec<_> = services.iter().map(call).collect();
+        for service in &services {
+            service.next_request().await;
+        }
+        for service in &services {
+            service.word.send(()).unwrap();
+        }
+        for service in &services {
+            service.answered.recv_timeout(SOON).unwrap();
+        }
+        std::thread::sleep(LONGER);
+        for called in called {
+            assert_eq!(called.await.unwrap(), Ok(9_000));
+        }
+    });
+}
+
+/// The loop is held until after an order's limit, and no answer is there. The worker may
+/// be gone: the order is given up at once and its connection reset.
+#[test]
+fn an_answer_that_does_not_come_is_given_up_when_the_loop_was_held() {
+    let (address, ended) = silent_service();
+    on_a_loop(async move {
+        let client = Rc::new(Client::new(1));
+        let called = call(&client, address, SHORT);
+        tokio::time::sleep(SHORT / 3).await;
+        std::thread::sleep(SHORT);
+        let since = Instant::now();
+        assert_eq!(called.await.unwrap(), Err("no answer in time".to_owned()));
+        assert!(since.elapsed() < SHORT, "{:?}", since.elapsed());
+        let end = tokio::task::spawn_blocking(move || ended.recv_timeout(SOON));
+        let (read_bytes, end) = end.await.unwrap().unwrap();
+        assert!(read_bytes > 0);
+        assert_eq!(end, End::Reset);
+    });
+}
+
+/// The loop is held until after the limits of two orders, of which the second waits for
+/// the connection of the first. The first one's answer is there and frees the
+/// connection. Were the second to leave now, it would arrive after its sender counts it
+/// as given up, perhaps after the orders of another leader.
+#[test]
+fn a_call_whose_limit_is_over_does_not_leave() {
+    let service = WordedService::start(2);
+    on_a_loop(async move {
+        let client = Rc::new(Client::new(1));
+        let first = call(&client, service.address, SHORT);
+        service.next_request().await;
+        let second = call(&client, service.address, SHORT);
+        tokio::task::yield_now().await;
+        service.answer_unseen(SHORT);
+        assert_eq!(first.await.unwrap(), Ok(2));
+        assert_eq!(second.await.unwrap(), Err("no answer in time".to_owned()));
+        assert!(service.asked.recv_timeout(SHORT).is_err(), "it left");
+        assert!(service.ended.try_recv().is_err(), "a connection was reset");
+    });
+}
--- a/tests/platform/stand_in.rs
+++ b/tests/platform/stand_in.rs
@@ -171,9 +171,9 @@
     }
 }
 
-type Headers = BTreeMap<String, String>;
+pub type Headers = BTreeMap<String, String>;
 
-fn read_request(rdr: &mut impl BufRead) -> Option<(String, Headers, Vec<u8>)> {
+pub fn read_request(rdr: &mut impl BufRead) -> Option<(String, Headers, Vec<u8>)> {
     let mut line = String::new();
     rdr.read_line(&mut line).ok().filter(|n| *n > 0)?;
     let path = line.split(' ').nth(1)?.to_owned();
