Let sockets and timers be looked at every few milliseconds under load

Callers and links saw a leader with much to do as silent: heartbeats, answers and timers were served late by the length of its whole queue.

Cause: the loop took up to 256 events in one go, whatever they cost, and did not let go between goes: its channels make it wait only after some hundred goes of finding something. So all that waited was handled before the thread looked at a socket or a timer again. Within a go orders' outcomes came before peers' messages, and those before calls.

Now a go ends after 5 ms, and the runtime looks at its sockets and timers between two goes of which the first was cut short. The queues take turns within a go.

Why it holds: the bound is one of time, so it does not depend on what an event costs, but for a single long one. A go that empties the queues does not yield, so a calm loop makes no more system calls than before.

--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::yield_now;
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::desk::{Board, Desk, Incoming};
@@ -25,8 +26,9 @@
 const CONTROL_TICK: Duration = Duration::from_millis(20);
 /// How often time is fed to an entry instance: it only resends and greets.
 const ENTRY_TICK: Duration = Duration::from_millis(50);
-/// Events taken in one go before time is looked at again.
-const BATCH: usize = 256;
+/// How long events are taken in one go before sockets and timers are looked at: short
+/// beside the limits of calls and links, many times what a look costs.
+const GO: Duration = Duration::from_millis(5);
 /// A gap between two looks at the clock that means that the process stood still:
 /// time has to pass for the decisions before anything that waited is handled.
 const GAP_MS: u64 = 200;
@@ -79,6 +81,26 @@
     Stop,
 }
 
+/// Where events of a control instance wait.
+#[derive(Clone, Copy)]
+enum Queue {
+    Outcomes,
+    Signals,
+    Calls,
+}
+
+impl Queue {
+    const COUNT: usize = 3;
+
+    fn next(self) -> Self {
+        match self {
+            Self::Outcomes => Self::Signals,
+            Self::Signals => Self::Calls,
+            Self::Calls => Self::Outcomes,
+        }
+    }
+}
+
 /// Runs an instance until its planned stop.
 pub struct Driver<L> {
     desk: Arc<Desk>,
@@ -138,7 +160,8 @@
                 let effects = node.handle(steady_ms(), Event::Tick);
                 self.carry_out(effects, &disk, &outside, &done);
             }
-            let mut taken = 0;
+            let go_began = Instant::now();
+            let mut queue = Queue::Calls;
             while let Some(next) = event.take() {
                 let kind = EventKind::from(&next);
                 let began = Instant::now();
@@ -149,16 +172,10 @@
                     self.desk.give_up();
                     return Ok(());
                 }
-                meter.handled(EventKind::Effects, decided.elapsed());
-                taken += 1;
-                if taken < BATCH {
-                    event = match outcomes.try_recv() {
-                        Ok(outcome) => Some(outcome),
-                        Err(_) => match self.signals.try_recv() {
-                            Ok(signal) => signal_event(signal)?,
-                            Err(_) => self.calls.try_recv().ok().map(call_event),
-                        },
-                    };
+                let ended = Instant::now();
+                meter.handled(EventKind::Effects, ended - decided);
+                if ended - go_began < GO {
+                    event = self.waiting(&mut queue, &mut outcomes)?;
                 }
             }
             let now_ms = steady_ms();
@@ -174,7 +191,37 @@
             });
             let busy = runtime.worker_total_busy_duration(0);
             meter.report(Instant::now(), busy, leads, self.desk.metrics());
+            // Channels let a loop that always finds something in them go on through a
+            // hundred goes. Answers and heartbeats would wait in their sockets meanwhile,
+            // and be late through no fault of their senders.
+            if go_began.elapsed() >= GO {
+                yield_now().await;
+            }
+        }
+    }
+
+    /// An event that waits. The queues take turns: under load one of them is never
+    /// empty, and would hold up the others.
+    fn waiting(
+        &mut self,
+        last: &mut Queue,
+        outcomes: &mut UnboundedReceiver<Event>,
+    ) -> Result<Option<Event>, StorageError> {
+        for _ in 0..Queue::COUNT {
+            *last = last.next();
+            let event = match last {
+                Queue::Outcomes => outcomes.try_recv().ok(),
+                Queue::Signals => match self.signals.try_recv() {
+                    Ok(signal) => signal_event(signal)?,
+                    Err(_) => None,
+                },
+                Queue::Calls => self.calls.try_recv().ok().map(call_event),
+            };
+            if event.is_some() {
+                return Ok(event);
+            }
         }
+        Ok(None)
     }
 
     /// `true` at the end of a planned stop.
