Run the platform's processes as tasks of a runtime that wakes without a write

Callers saw late answers while the leader was short of processor time, of which each system call of its one thread takes some.

Cause: the loop and all calls ran in a LocalSet that the runtime blocks on. What the runtime blocks on is woken through a descriptor, also from its own thread: each look at the sockets that found something wrote to it, and was followed by one more look that found only that write. Beside this, each wake-up of any call also polled the whole loop.

Now the work is a task of a LocalRuntime, which queues what its own thread wakes. The tests of the client's connections run on the same kind of runtime.

--- a/src/platform/serve.rs
+++ b/src/platform/serve.rs
@@ -9,9 +9,10 @@
 use http::StatusCode;
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use signal_hook::iterator::Signals;
+use tokio::runtime::LocalOptions;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::watch;
-use tokio::task::LocalSet;
+use tokio::task::spawn_local;
 
 use super::{ControlCalls, EntryCalls, Platform, Settings, SettingsFault};
 use crate::control::{
@@ -125,9 +126,7 @@
             ..Limits::default()
         };
         let listener = listen("listen.control", settings.bound(control))?;
-        let server = tokio::task::spawn_local(
-            server("control", listener, limits, handler).run(stopped.clone()),
-        );
+        let server = spawn_local(server("control", listener, limits, handler).run(stopped.clone()));
         serve_metrics(&settings, &desk, stopped.clone());
         tracing::info!(%control, "serve: a control instance is up");
         let driver = Driver::new(desk, calls, signalled, links);
@@ -166,9 +165,9 @@
         let health = health(Arc::clone(&desk));
         let listener = listen("listen.front", settings.bound(front))?;
         let callers = server("callers", listener, limits, callers).run(stopped.clone());
-        let callers = tokio::task::spawn_local(callers);
+        let callers = spawn_local(callers);
         let listener = listen("listen.ready", settings.bound(ready))?;
-        tokio::task::spawn_local(server("health", listener, limits, health).run(stopped.clone()));
+        spawn_local(server("health", listener, limits, health).run(stopped.clone()));
         serve_metrics(&settings, &desk, stopped.clone());
         tracing::info!(%front, "serve: an entry instance is up");
         let driver = Driver::new(desk, calls, signalled, links);
@@ -179,13 +178,19 @@
     })
 }
 
-fn run(work: impl Future<Output = Result<(), ServeError>>) -> Result<(), ServeError> {
+/// Runs all work on this thread.
+///
+/// As a task of its own: waking what the runtime blocks on, or a `LocalSet` in it, goes
+/// through a descriptor, which costs a write and one more look at the sockets for every
+/// event. Waking a task of the runtime from its own thread costs neither.
+fn run(work: impl Future<Output = Result<(), ServeError>> + 'static) -> Result<(), ServeError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
-        .build()?;
-    let ended = LocalSet::new().block_on(&runtime, work);
+        .build_local(LocalOptions::default())?;
+    let ended = runtime.block_on(async { spawn_local(work).await });
     tracing::info!("serve: stopped");
-    ended
+    // Nobody cancels it, so it ended or panicked, and a panic goes on.
+    ended.unwrap_or_else(|err| std::panic::resume_unwind(err.into_panic()))
 }
 
 fn missing(field: &str, wanted: &'static str) -> ServeError {
@@ -246,7 +251,7 @@
         Box::pin(async move { crate::http::text(StatusCode::OK, text) })
     });
     let server = server("metrics", listener, Limits::default(), handler);
-    tokio::task::spawn_local(server.run(stopped));
+    spawn_local(server.run(stopped));
 }
 
 fn start_links(
--- a/tests/platform/connections.rs
+++ b/tests/platform/connections.rs
@@ -10,7 +10,7 @@
 use http::Request;
 use http_body_util::Full;
 use rosemarygauge::platform::Client;
-use tokio::task::LocalSet;
+use tokio::runtime::LocalOptions;
 
 use super::stand_in::read_request;
 
@@ -60,12 +60,13 @@
         .unwrap()
 }
 
-fn on_a_loop(work: impl Future<Output = ()>) {
+fn on_a_loop(work: impl Future<Output = ()> + 'static) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
-        .build()
+        .build_local(LocalOptions::default())
         .unwrap();
-    LocalSet::new().block_on(&runtime, work);
+    let work = async { tokio::task::spawn_local(work).await };
+    runtime.block_on(work).unwrap();
 }
 
 const SOON: Duration = Duration::from_secs(30);
