Read workers' listings without copying what they say

Listings come a thousand times a second and each of their rows was built as a tree of owned values before its fields were looked at.

Rows are now read into cells whose texts stay in the received bytes; what cannot be used of a row is skipped. An unreadable row is still only left out, with a log line. Ruled out: tuples, which refuse a whole listing for one row of another type, or need the old way beside them.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,6 +5,7 @@
 //! module knows the platform's names.
 
 mod advisor;
+mod cell;
 mod client;
 mod configuration;
 mod control_calls;
@@ -30,3 +31,4 @@
 pub use serve::{ServeError, serve_control, serve_entry};
 pub use settings::{SETTINGS_VARIABLE, Settings};
 pub use settings_fault::SettingsFault;
+pub use workers::read_listing;
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -6,9 +6,9 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
 
 use super::Client;
+use super::cell::Cell;
 use crate::control::{Ended, Order, OrderKind, OrderOutcome, Rejection, Running};
 use crate::jobs::Ending;
 
@@ -60,12 +60,12 @@
 }
 
 #[derive(Deserialize)]
-struct Listing {
+struct Listing<'a> {
     clock_ms: u64,
-    #[serde(default)]
-    running: Vec<Value>,
-    #[serde(default)]
-    finished: Vec<Value>,
+    #[serde(default, borrow)]
+    running: Vec<Cell<'a>>,
+    #[serde(default, borrow)]
+    finished: Vec<Cell<'a>>,
 }
 
 /// Carries out an order.
@@ -176,8 +176,9 @@
     OrderOutcome::Rejected { reason, clock_ms }
 }
 
-fn read_listing(body: &[u8]) -> OrderOutcome {
-    match serde_json::from_slice::<Listing>(body) {
+/// Reads the answer to a renewal; a row that cannot be read is left out.
+pub fn read_listing(body: &[u8]) -> OrderOutcome {
+    match serde_json::from_slice::<Listing<'_>>(body) {
         Ok(listing) => OrderOutcome::Listed {
             clock_ms: listing.clock_ms,
             running: rows(&listing.running, read_running),
@@ -190,11 +191,11 @@
     }
 }
 
-fn rows<T>(rows: &[Value], read: impl Fn(&Value) -> Option<T>) -> Vec<T> {
+fn rows<T>(rows: &[Cell<'_>], read: impl Fn(&Cell<'_>) -> Option<T>) -> Vec<T> {
     let read = |row| {
         let found = read(row);
         if found.is_none() {
-            tracing::warn!(%row, "worker: a row of a listing cannot be read");
+            tracing::warn!(?row, "worker: a row of a listing cannot be read");
         }
         found
     };
@@ -202,21 +203,18 @@
 }
 
 /// A row: task, attempt, saved progress, percent, gauge.
-fn read_running(row: &Value) -> Option<Running> {
+fn read_running(row: &Cell<'_>) -> Option<Running> {
     Some(Running {
         task: row.get(0)?.as_str()?.parse().ok()?,
         attempt: u32::try_from(row.get(1)?.as_u64()?).ok()?,
         checkpoint: row.get(2)?.as_str()?.to_owned(),
         percent: row.get(3)?.as_f64()?.clamp(0.0, 100.0) as u8,
-        gauge: row
-            .get(4)
-            .and_then(Value::as_f64)
-            .map(|g| g.max(0.0) as u64),
+        gauge: row.get(4).and_then(Cell::as_f64).map(|g| g.max(0.0) as u64),
     })
 }
 
 /// A row: number, task, attempt, how it ended, saved progress.
-fn read_ended(row: &Value) -> Option<Ended> {
+fn read_ended(row: &Cell<'_>) -> Option<Ended> {
     let ending = match row.get(3)?.as_str()? {
         "done" => Ending::Done,
         "failed" => Ending::Failed,
@@ -231,6 +229,6 @@
         task: row.get(1)?.as_str()?.parse().ok()?,
         attempt: u32::try_from(row.get(2)?.as_u64()?).ok()?,
         ending,
-        checkpoint: row.get(4).and_then(Value::as_str).unwrap_or("").to_owned(),
+        checkpoint: row.get(4).and_then(Cell::as_str).unwrap_or("").to_owned(),
     })
 }
--- a/tests/platform/formats.rs
+++ b/tests/platform/formats.rs
@@ -1,7 +1,8 @@
 //! Jobs, reports and configurations as the platform writes them.
 
-use rosemarygauge::control::Phase;
-use rosemarygauge::platform::{read_configuration, read_job, read_report};
+use rosemarygauge::control::{OrderOutcome, Phase};
+use rosemarygauge::jobs::Ending;
+use rosemarygauge::platform::{read_configuration, read_job, read_listing, read_report};
 use serde_json::{Value, json};
 
 fn report() -> Value {
@@ -108,3 +109,73 @@
     assert_eq!(read.standby().len(), 1);
     assert!(read_configuration(&text.as_bytes()[..text.len() / 2]).is_err());
 }
+
+#[test]
+fn a_listing_is_read() {
+    let body = json!({
+        "clock_ms": 77, "new": {"a": [1]},
+        "running": [["95d669bf78e7d6d4.0.0.1", 2, "c\n\"1", 50.7, 900], ["95d669bf78e7d6d4.0.0.2", 1, "", 7]],
+        "finished": [[4, "95d669bf78e7d6d4.0.0.3", 3, "lapsed", "c-9"]],
+    });
+    let OrderOutcome::Listed {
+        clock_ms,
+        running,
+        ended,
+    } = read_listing(body.to_string().as_bytes())
+    else {
+        panic!("it cannot be read")
+    };
+    assert_eq!(clock_ms, 77);
+    assert_eq!(running[0].task, "95d669bf78e7d6d4.0.0.1".parse().unwrap());
+    assert_eq!((running[0].attempt, running[0].percent), (2, 50));
+    assert_eq!(running[0].checkpoint, "c\n\"1");
+    assert_eq!((running[0].gauge, running[1].gauge), (Some(900), None));
+    assert_eq!((ended[0].number, ended[0].attempt), (4, 3));
+    assert_eq!(ended[0].ending, Ending::Lapsed);
+    assert_eq!(ended[0].checkpoint, "c-9");
+}
+
+/// A worker of another writer lists rows of other types, lengths or words. Each is left
+/// out and the rows beside it count: a listing refused as a whole would leave the
+/// worker's lease to run out and all of its tasks to be started again.
+#[test]
+fn rows_that_cannot_be_read_cost_no_others() {
+    let task = "95d669bf78e7d6d4.0.0.1";
+    let good = json!([task, 1, "", 50, 900]);
+    let bad = [
+        json!(null),
+        json!(true),
+        json!("text"),
+        json!(-7),
+        json!({"task": [task, {"a": null}]}),
+        json!([]),
+        json!([task, 1, ""]),
+        json!([task, -1, "", 50]),
+        json!([task, 1.5, "", 50]),
+        json!([task, 5_000_000_000_u64, "", 50]),
+        json!([[task], 1, "", 50]),
+        json!(["other", 1, "", 50]),
+    ];
+    for bad in bad {
+        let body = json!({
+            "clock_ms": 1, "running": [good, bad, good],
+            "finished": [[1, task, 1, "done"], bad, [2, task, 1, "vanished"], [3, task, 2, "failed", 7]],
+        });
+        let OrderOutcome::Listed { running, ended, .. } = read_listing(body.to_string().as_bytes())
+        else {
+            panic!("it cannot be read with {bad}")
+        };
+        assert_eq!(running.len(), 2, "{bad}");
+        let numbers: Vec<u64> = ended.iter().map(|end| end.number).collect();
+        assert_eq!(numbers, [1, 3], "{bad}");
+    }
+    let more = json!({"clock_ms": 1, "running": [[task, 1, "", 250, "many", [9]]]});
+    let OrderOutcome::Listed { running, .. } = read_listing(more.to_string().as_bytes()) else {
+        panic!("it cannot be read")
+    };
+    assert_eq!((running[0].percent, running[0].gauge), (100, None));
+    assert_eq!(
+        read_listing(b"{\"clock_ms\":1,\"running\":[["),
+        OrderOutcome::Unanswered
+    );
+}
