Free what ran on a lost worker without a walk of all jobs

Callers saw: nothing by itself; the loop of each control instance stood still for a walk of all active jobs and their tasks for each worker whose leases lapsed or whose incarnation was over, in one command when a rack or a zone is lost.

Cause: State::lapse settled every active job, though only those with a run on the worker change.

--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Change, Command, Configuration, ConfigurationParts, History, Queue, Report, Wave, Worker,
+    Change, Command, Configuration, ConfigurationParts, History, Queue, Report, RunsByWorker, Wave,
+    Worker,
 };
 use crate::codec::CodecError;
 use crate::jobs::{Ending, Job, JobId, JobSpec, JobState, TaskId};
@@ -19,6 +20,8 @@
     jobs: BTreeMap<JobId, Job>,
     /// Jobs of which something may still start or run.
     active: BTreeSet<JobId>,
+    #[serde(skip)]
+    runs: RunsByWorker,
     workers: BTreeMap<InstanceName, Worker>,
     waves: BTreeMap<u64, Wave>,
     parts: ConfigurationParts,
@@ -127,7 +130,9 @@
     /// # Errors
     /// The bytes are no snapshot.
     pub fn decode(bytes: &[u8]) -> Result<Self, CodecError> {
-        crate::codec::decode(bytes)
+        let mut state: Self = crate::codec::decode(bytes)?;
+        state.runs = RunsByWorker::of(state.active());
+        Ok(state)
     }
 
     fn change(&mut self, at_unix_ms: u64, change: &Change) {
@@ -139,9 +144,11 @@
                 }
             }
             Change::Accept { job, queue, spec } => self.accept(at_unix_ms, *job, queue, spec),
-            Change::Cancel { job } => self.with_job(at_unix_ms, *job, |job| {
-                job.verdict.get_or_insert(JobState::Cancelled);
-            }),
+            Change::Cancel { job } => {
+                self.with_job(at_unix_ms, *job, |job| {
+                    job.verdict.get_or_insert(JobState::Cancelled);
+                });
+            }
             Change::Due { job, occurrence } => {
                 self.with_job(at_unix_ms, *job, |job| job.make_due(*occurrence));
             }
@@ -149,16 +156,26 @@
                 task,
                 attempt,
                 worker,
-            } => self.with_job(at_unix_ms, task.job, |job| {
-                job.place(at_unix_ms, *task, *attempt, worker);
-            }),
+            } => {
+                let placed = self.with_job(at_unix_ms, task.job, |job| {
+                    job.place(at_unix_ms, *task, *attempt, worker)
+                });
+                if placed == Some(true) {
+                    self.runs.add(worker, task.job);
+                }
+            }
             Change::Unplace {
                 task,
                 attempt,
                 worker,
-            } => self.with_job(at_unix_ms, task.job, |job| {
-                job.unplace(*task, *attempt, worker);
-            }),
+            } => {
+                let unplaced = self.with_job(at_unix_ms, task.job, |job| {
+                    job.unplace(*task, *attempt, worker)
+                });
+                if unplaced == Some(true) {
+                    self.runs.remove(worker, task.job);
+                }
+            }
             Change::End {
                 task,
                 attempt,
@@ -167,9 +184,12 @@
                 checkpoint,
             } => {
                 self.note_end(at_unix_ms, *task, *attempt, *ending);
-                self.with_job(at_unix_ms, task.job, |job| {
-                    job.end(*task, *attempt, worker, *ending, checkpoint);
+                let ended = self.with_job(at_unix_ms, task.job, |job| {
+                    job.end(*task, *attempt, worker, *ending, checkpoint)
                 });
+                if ended == Some(true) {
+                    self.runs.remove(worker, task.job);
+                }
             }
             Change::Report(report) => self.report(report),
             Change::Leave { worker } => {
@@ -288,22 +308,24 @@
     }
 
     fn lapse(&mut self, at_unix_ms: u64, worker: &InstanceName) {
-        let ids: Vec<JobId> = self.active.iter().copied().collect();
-        for id in ids {
-            self.with_job(at_unix_ms, id, |job| {
-                job.lapse(worker);
-            });
+        for id in self.runs.take(worker) {
+            self.with_job(at_unix_ms, id, |job| job.lapse(worker));
         }
     }
 
-    fn with_job(&mut self, at_unix_ms: u64, id: JobId, change: impl FnOnce(&mut Job)) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        change(job);
+    /// What came of a change to a job; none if it is not remembered.
+    fn with_job<T>(
+        &mut self,
+        at_unix_ms: u64,
+        id: JobId,
+        change: impl FnOnce(&mut Job) -> T,
+    ) -> Option<T> {
+        let job = self.jobs.get_mut(&id)?;
+        let outcome = change(job);
         job.settle(at_unix_ms);
         if job.verdict.is_some() && job.is_quiet() {
             self.active.remove(&id);
         }
+        Some(outcome)
     }
 }
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -13,6 +13,7 @@
 mod failures;
 mod faults;
 mod forecast;
+mod lapsing;
 mod leases;
 mod loop_meter;
 mod members;
