Let followers carry out the leader's orders to workers in a large fleet

Callers of a fleet of 350 workers wait while the leader's one thread is full at each peak and the other control instances are busy for a twentieth of their time. A part of the leader's time goes into the calls themselves: starts, stops, shares and the renewals that wait at each worker.

Decisions stay with the leader. Above a number of workers (policy carriers.own_workers) its orders go to the followers that answer the log, by a rendezvous hash of the worker's name; what came of them comes back gathered. Safety rests on what there is: each order carries the leader's term, which workers check, and a late order is allowed for. Added: a message that is older than its stamp allows is not carried out; a follower throws away what it carries once its leader is over; the leader counts what has no outcome as unanswered and takes out a follower that gives none.

Ruled out: to carry decisions out on more threads of the leader's machine, as its share of the processor is what is full.

--- a/src/consensus/view.rs
+++ b/src/consensus/view.rs
@@ -6,7 +6,7 @@
 
 use super::leading::Leading;
 use super::replica::Part;
-use super::{Replica, Role, Status, VoterState};
+use super::{Replica, Role, Stamp, Status, VoterState};
 
 impl Replica {
     /// What this replica knows.
@@ -55,6 +55,29 @@
         self.leads() && term == Some(self.hard.term)
     }
 
+    /// The present term.
+    pub fn term(&self) -> u64 {
+        self.hard.term
+    }
+
+    /// The age of a stamp in milliseconds, if this start of the replica made it.
+    pub fn stamp_age_ms(&self, now_ms: u64, stamp: Stamp) -> Option<u64> {
+        (stamp.start == self.start).then(|| now_ms.saturating_sub(stamp.at_ms))
+    }
+
+    /// On the leader: each peer that answered it, with the latest stamp heard from it and
+    /// the age in milliseconds of the latest message that it answered.
+    pub fn peers_heard(&self, now_ms: u64) -> Vec<(&EntryName, Stamp, u64)> {
+        let Part::Leader(leading) = &self.part else {
+            return Vec::new();
+        };
+        let peers = leading.peers.iter();
+        let heard = peers.filter_map(|(name, peer)| Some((name, peer.stamp?, peer.echo_ms?)));
+        heard
+            .map(|(name, stamp, echo_ms)| (name, stamp, now_ms.saturating_sub(echo_ms)))
+            .collect()
+    }
+
     /// What this replica knows of the voters' data folders, for a leader.
     fn voter_states(&self, now_ms: u64, leading: &Leading) -> BTreeMap<EntryName, VoterState> {
         let voters = self.log.membership().iter();
--- a/src/control/decision.rs
+++ b/src/control/decision.rs
@@ -29,4 +29,16 @@
     /// This instance began to lead.
     #[display("lead-began")]
     LeadBegan,
+    /// An order was carried out for the leader.
+    #[display("order-carried")]
+    OrderCarried,
+    /// An order for the leader was dropped, as it came too late.
+    #[display("order-stale")]
+    OrderStale,
+    /// An order that a follower was to carry out has no outcome.
+    #[display("order-not-carried")]
+    OrderNotCarried,
+    /// A follower was taken out of those that carry orders.
+    #[display("carrier-out")]
+    CarrierOut,
 }
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -9,7 +9,7 @@
 
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::yield_now;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::desk::{Board, Desk, Incoming};
 use super::steady::steady_ms;
@@ -29,6 +29,9 @@
 /// How long events are taken in one go before sockets and timers are looked at: short
 /// beside the limits of calls and links, many times what a look costs.
 const GO: Duration = Duration::from_millis(5);
+/// How often time is fed to a control instance while outcomes wait for others to leave
+/// with them.
+const GATHER: Duration = Duration::from_millis(4);
 /// A gap between two looks at the clock that means that the process stood still:
 /// time has to pass for the decisions before anything that waited is handled.
 const GAP_MS: u64 = 200;
@@ -153,6 +156,8 @@
                     meter.late(due.elapsed());
                     Some(Event::Tick)
                 }
+                // Outcomes for the leader leave before the next tick.
+                () = sleep(GATHER), if node.gathers() => Some(Event::Tick),
                 else => return Ok(()),
             };
             meter.waiting(self.signals.len() + outcomes.len() + self.calls.len());
--- a/src/control/gateway.rs
+++ b/src/control/gateway.rs
@@ -99,9 +99,11 @@
         let steps = match message {
             PeerMessage::Answer { id, answer } => self.relay.answered(now_ms, id, answer),
             PeerMessage::Welcome { leader, members } => self.welcome(now_ms, from, leader, members),
-            PeerMessage::Log(_) | PeerMessage::Call { .. } | PeerMessage::Hello { .. } => {
-                Vec::new()
-            }
+            PeerMessage::Log(_)
+            | PeerMessage::Call { .. }
+            | PeerMessage::Hello { .. }
+            | PeerMessage::Orders { .. }
+            | PeerMessage::Outcomes { .. } => Vec::new(),
         };
         steps.into_iter().map(effect).collect()
     }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -12,6 +12,8 @@
 mod call;
 mod candidate;
 mod capacity;
+mod carrier;
+mod carriers;
 mod change;
 mod clock;
 mod configuration;
@@ -65,6 +67,8 @@
 pub use arrivals::{Arrivals, JobSize};
 pub use call::{Call, Place};
 pub use capacity::{Capacity, CapacityWorld, Move};
+pub use carrier::Carrier;
+pub use carriers::Carriers;
 pub use change::{Change, Command};
 pub use clock::Clock;
 pub use configuration::{CONFIGURATION_LIMIT_BYTES, Configuration};
@@ -93,8 +97,8 @@
 pub use peer_message::PeerMessage;
 pub use placement::{Placement, Scheduler, SchedulerWorld};
 pub use policy::{
-    MovesPolicy, NeedsPolicy, OrderPolicy, PlacementPolicy, Policy, RunsPolicy, StandbyPolicy,
-    TurnsPolicy, UpkeepPolicy,
+    CarriersPolicy, MovesPolicy, NeedsPolicy, OrderPolicy, PlacementPolicy, Policy, RunsPolicy,
+    StandbyPolicy, TurnsPolicy, UpkeepPolicy,
 };
 pub use policy_fault::PolicyFault;
 pub use queue::{Advice, Queue};
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -3,6 +3,7 @@
 
 mod applied;
 mod calls;
+mod carrying;
 mod keeping;
 mod lead;
 mod log;
@@ -17,7 +18,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::{
-    Call, Clock, Effect, Estimates, Event, PeerMessage, Policy, Relay, RelayStep, State, Timing,
+    Call, Carrier, Clock, Effect, Estimates, Event, PeerMessage, Policy, Relay, RelayStep, State,
+    Timing,
 };
 use crate::consensus::{Input, Recovered, Replica, ReplicaSettings};
 use crate::model::EntryName;
@@ -100,6 +102,8 @@
     relay: Relay,
     rng: ChaCha8Rng,
     lead: Option<Box<Lead>>,
+    /// What it carries out for its leader while it follows.
+    carrier: Carrier,
     /// Control instances that said hello, and when.
     met: BTreeMap<EntryName, u64>,
     hello_ms: u64,
@@ -126,6 +130,7 @@
             clock: Clock::new(unix_ms, now_ms),
             relay,
             lead: None,
+            carrier: Carrier::default(),
             met: BTreeMap::new(),
             hello_ms: now_ms,
             stopping_since_ms: None,
@@ -142,7 +147,7 @@
             Event::Peer { from, message } => self.peer(now_ms, from, *message),
             Event::Persisted { token } => self.log(now_ms, Input::Persisted { token }),
             Event::Call { id, call } => self.called(now_ms, Caller::Here(id), call),
-            Event::Ordered { id, outcome } => self.ordered(now_ms, id, outcome),
+            Event::Ordered { id, outcome } => self.worker_answered(now_ms, id, outcome),
             Event::MachineOrdered { id, outcome } => self.machine_ordered(now_ms, id, outcome),
             Event::MachinesListed { machines } => self.machines_listed(now_ms, machines),
             Event::Advised { id, allowed } => self.advised(now_ms, id, allowed),
@@ -154,7 +159,9 @@
             Event::Stop => self.stop(now_ms),
         }
         self.follow_lead(now_ms);
+        self.follow_carrying(now_ms);
         self.flush(now_ms);
+        self.send_orders(now_ms);
         std::mem::take(&mut self.out)
     }
 
@@ -209,6 +216,16 @@
                     self.meet(now_ms, &member);
                 }
             }
+            PeerMessage::Orders {
+                term,
+                heard,
+                orders,
+            } => self.orders_came(now_ms, &from, term, heard, orders),
+            PeerMessage::Outcomes {
+                term,
+                outcomes,
+                closing,
+            } => self.outcomes_came(now_ms, &from, term, outcomes, closing),
         }
     }
 
@@ -281,6 +298,7 @@
         if self.stopping_since_ms.is_none() {
             tracing::info!("control: planned stop begins");
             self.stopping_since_ms = Some(now_ms);
+            self.close_carrier();
             self.log(now_ms, Input::Resign);
         }
     }
@@ -291,7 +309,8 @@
         };
         let over = now_ms >= since_ms + self.settings.timing.grace_ms / 2;
         let handed_over = now_ms >= since_ms + HAND_OVER_MS && self.relay.waiting() == 0;
-        if over || handed_over {
+        // The last outcomes need a moment to leave.
+        if (over || handed_over) && !self.give_up_carrying(now_ms) {
             self.out.push(Effect::Stopped);
         }
     }
--- a/src/control/node/lead.rs
+++ b/src/control/node/lead.rs
@@ -5,8 +5,8 @@
 
 use super::super::pending::Pending;
 use super::super::{
-    Answer, Capacity, Change, Decision, Effect, Fleet, Forecast, MachineList, MachineOrder,
-    Placement, Reports, Scheduler, Throttle, Upkeep,
+    Answer, Capacity, Carriers, Change, Decision, Effect, Fleet, Forecast, MachineList,
+    MachineOrder, Placement, Reports, Scheduler, Throttle, Upkeep,
 };
 use super::orders::Sent;
 use super::{Caller, Node};
@@ -62,6 +62,8 @@
     pub(super) reports: Reports,
     pub(super) throttles: BTreeMap<InstanceName, Throttle>,
     pub(super) orders: BTreeMap<u64, Sent>,
+    /// The followers that carry orders out.
+    pub(super) carriers: Carriers,
     pub(super) questions: BTreeMap<u64, (TaskId, Vec<InstanceName>, u64)>,
     pub(super) upkeep: Upkeep,
     pub(super) machine_orders: BTreeMap<u64, (MachineOrder, Option<InstanceName>)>,
@@ -134,6 +136,7 @@
             reports: Reports::default(),
             throttles: BTreeMap::new(),
             orders: BTreeMap::new(),
+            carriers: Carriers::default(),
             questions: BTreeMap::new(),
             upkeep: Upkeep::new(now_ms, &self.state),
             machine_orders: BTreeMap::new(),
@@ -196,6 +199,7 @@
     }
 
     pub(super) fn tick_lead(&mut self, now_ms: u64) {
+        self.watch_carriers(now_ms);
         if !self.leads(now_ms) {
             return;
         }
--- a/src/control/node/orders.rs
+++ b/src/control/node/orders.rs
@@ -46,7 +46,7 @@
 }
 
 impl Sent {
-    fn worker(&self) -> &InstanceName {
+    pub(super) fn worker(&self) -> &InstanceName {
         match self {
             Self::Start(p) | Self::Stop(p) | Self::Throttle(p) => &p.worker,
             Self::Renew { worker, .. } => worker,
@@ -64,14 +64,16 @@
             return false;
         };
         let id = lead.draw_id();
-        self.out.push(Effect::Order(Order {
+        let order = Order {
             id,
             address: worker.report.address,
             worker: sent.worker().clone(),
             fence: lead.term,
             timeout_ms,
             kind,
-        }));
+        };
+        let own = lead.carriers.give(order);
+        self.out.extend(own.map(Effect::Order));
         lead.orders.insert(id, sent);
         true
     }
--- a/src/control/order.rs
+++ b/src/control/order.rs
@@ -1,10 +1,12 @@
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::jobs::{Ending, TaskId};
 use crate::model::InstanceName;
 
 /// An order to a worker.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
     /// Names it in the outcome.
     pub id: u64,
@@ -21,7 +23,7 @@
 }
 
 /// What a worker is to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderKind {
     /// Start a run.
     Start {
@@ -66,7 +68,7 @@
 }
 
 /// What came of an order.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderOutcome {
     /// It was carried out.
     Done {
@@ -94,7 +96,7 @@
 }
 
 /// Why a worker refuses an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
 pub enum Rejection {
     /// A higher fencing token was seen.
     #[display("fence")]
@@ -123,7 +125,7 @@
 }
 
 /// A run that a worker lists.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Running {
     /// The task.
     pub task: TaskId,
@@ -139,7 +141,7 @@
 }
 
 /// An end that a worker lists.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ended {
     /// Counts the ends of the worker's incarnation.
     pub number: u64,
--- a/src/control/peer_message.rs
+++ b/src/control/peer_message.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
 
-use super::{Answer, Call};
-use crate::consensus::Message;
+use super::{Answer, Call, Order, OrderOutcome};
+use crate::consensus::{Message, Stamp};
 use crate::model::EntryName;
 
 /// What control instances and entry instances say to each other.
@@ -35,4 +35,23 @@
         /// All control instances that the sender knows.
         members: Vec<EntryName>,
     },
+    /// Orders to workers that a follower carries out for its leader.
+    Orders {
+        /// The term that the sender leads.
+        term: u64,
+        /// The latest stamp that the sender heard from the receiver: tells how old this
+        /// message is at most when it arrives.
+        heard: Stamp,
+        /// The orders, with the numbers of the leader.
+        orders: Vec<Order>,
+    },
+    /// What came of orders that the sender carried out.
+    Outcomes {
+        /// The term of the leader who gave the orders.
+        term: u64,
+        /// By the leader's numbers; none for an order that has not left.
+        outcomes: Vec<(u64, Option<OrderOutcome>)>,
+        /// Whether the sender is about to end and carries nothing more.
+        closing: bool,
+    },
 }
--- a/src/control/policy.rs
+++ b/src/control/policy.rs
@@ -29,6 +29,8 @@
     pub runs: RunsPolicy,
     /// Machines that are due for upkeep.
     pub upkeep: UpkeepPolicy,
+    /// Followers that carry out orders for the leader.
+    pub carriers: CarriersPolicy,
 }
 
 /// How much room each pool needs.
@@ -277,6 +279,23 @@
     }
 }
 
+/// Followers that carry out orders for the leader.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct CarriersPolicy {
+    /// Workers up to which a leader calls all of them itself. The way by a follower is one
+    /// more hop there and one back, some milliseconds of each start and each end, and
+    /// gains nothing while the leader's thread has time: with 49 workers it is busy for a
+    /// small part of each second, with 350 it is busy all the time at their peaks.
+    pub own_workers: usize,
+}
+
+impl Default for CarriersPolicy {
+    fn default() -> Self {
+        Self { own_workers: 120 }
+    }
+}
+
 /// The longest time that is taken for meant, in milliseconds.
 const TIME_MAX_MS: f64 = 600_000.0;
 
@@ -368,6 +387,10 @@
             ("runs.failures_rest_ms", time(self.runs.failures_rest_ms)),
             ("upkeep.patience_ms", time(self.upkeep.patience_ms)),
             ("upkeep.goal_part", part(self.upkeep.goal_part, 1.0)),
+            (
+                "carriers.own_workers",
+                count(self.carriers.own_workers, 0.0),
+            ),
         ];
         let wrong = fields.into_iter().filter(|(_, (value, least, most))| {
             !value.is_finite() || value < least || value > most
