Carry orders by as few followers as are needed, and hold that against faults

With all five followers carrying, the leader's deciding thread was relieved but its links took most of that back: each follower costs it messages of its own. Now one follower for each 120 workers carries (policy carriers.workers_each); up to so many the leader calls its workers itself.

Also: large batches of orders or outcomes are cut into messages of 256 KiB, as one frame holds 4 MiB and heartbeats wait behind it; a follower that begins to lead throws away what it carried before it orders anything of its own; a planned stop ends 100 ms after its time at the latest, whatever is open; the loop's line shows messages with outcomes apart from other peers'.

Why it holds: what a follower still has open is counted as unanswered no sooner than it is over there, or its process is lost; and unanswered orders may arrive late, as before.

--- a/src/control/carrier.rs
+++ b/src/control/carrier.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 
+use super::peer_message::batches;
 use super::{Order, OrderOutcome, PeerMessage};
 use crate::model::EntryName;
 
@@ -57,13 +58,21 @@
         self.outcomes.extend(outcomes);
     }
 
-    fn message(&mut self, closing: bool) -> (EntryName, PeerMessage) {
-        let message = PeerMessage::Outcomes {
+    /// What came of the orders so far; if the follower is about to end, a message also
+    /// without any.
+    fn messages(&mut self, closing: bool) -> Vec<(EntryName, PeerMessage)> {
+        let size_bytes = |(_, outcome): &Carried| outcome.as_ref().map_or(0, |o| o.size_bytes());
+        let mut parts = batches(std::mem::take(&mut self.outcomes), size_bytes);
+        if closing && parts.is_empty() {
+            parts.push(Vec::new());
+        }
+        let message = |outcomes| PeerMessage::Outcomes {
             term: self.term,
-            outcomes: std::mem::take(&mut self.outcomes),
+            outcomes,
             closing,
         };
-        (self.leader.clone(), message)
+        let parts = parts.into_iter().map(message);
+        parts.map(|part| (self.leader.clone(), part)).collect()
     }
 }
 
@@ -144,31 +153,37 @@
     }
 
     /// Outcomes that have gathered for long enough, and for whom.
-    pub fn due(&mut self, now_ms: u64) -> Option<(EntryName, PeerMessage)> {
-        let carrying = self.carrying.as_mut()?;
-        if carrying.outcomes.is_empty() || now_ms < carrying.since_ms + GATHER_MS {
-            return None;
+    pub fn due(&mut self, now_ms: u64) -> Vec<(EntryName, PeerMessage)> {
+        match &mut self.carrying {
+            Some(carrying)
+                if !carrying.outcomes.is_empty() && now_ms >= carrying.since_ms + GATHER_MS =>
+            {
+                carrying.messages(self.closed)
+            }
+            Some(_) | None => Vec::new(),
         }
-        Some(carrying.message(self.closed))
     }
 
     /// A planned stop begins: takes no more orders, and says so at once.
-    pub fn close(&mut self) -> Option<(EntryName, PeerMessage)> {
+    pub fn close(&mut self) -> Vec<(EntryName, PeerMessage)> {
         self.closed = true;
-        Some(self.carrying.as_mut()?.message(true))
+        let carrying = self.carrying.as_mut();
+        carrying.map_or_else(Vec::new, |carrying| carrying.messages(true))
     }
 
-    /// The planned stop is due: what is still open will have no outcome. None if nothing
-    /// is open.
-    pub fn give_up(&mut self, now_ms: u64) -> Option<(EntryName, PeerMessage)> {
-        let carrying = self.carrying.as_mut()?;
+    /// The planned stop is due: what is still open will have no outcome. Nothing if
+    /// nothing is open.
+    pub fn give_up(&mut self, now_ms: u64) -> Vec<(EntryName, PeerMessage)> {
+        let Some(carrying) = &mut self.carrying else {
+            return Vec::new();
+        };
         let open = std::mem::take(&mut carrying.open);
         if open.is_empty() && carrying.outcomes.is_empty() {
-            return None;
+            return Vec::new();
         }
         let open = open.into_values();
         carrying.add(now_ms, open.map(|id| (id, Some(OrderOutcome::Unanswered))));
-        Some(carrying.message(true))
+        carrying.messages(true)
     }
 
     /// The leader is over: nothing is carried any more. How many orders are open, if any
--- a/src/control/carriers.rs
+++ b/src/control/carriers.rs
@@ -1,8 +1,8 @@
 //! Which follower carries out the leader's orders to which worker.
 //!
-//! A worker's orders go by the follower that comes first in an order of all followers by a
-//! hash of both names (rendezvous hashing), so that the loss of one moves none but its own
-//! workers. A follower is there while it answers the log. One that gave no outcome several
+//! As few followers carry orders as the fleet needs: each costs the leader messages of its
+//! own. A worker's orders go by the one of them that comes first by a hash of both names
+//! (rendezvous hashing), so that the loss of one moves few but its own workers. A follower is there while it answers the log. One that gave no outcome several
 //! times in a row, or is about to end, is out for some seconds. A worker that a follower
 //! did not reach is called by the leader itself for a while, as a cut may be between those
 //! two only.
@@ -11,6 +11,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use super::carrier::FRESH_MS;
+use super::peer_message::batches;
 use super::{Order, PeerMessage};
 use crate::consensus::Stamp;
 use crate::model::{EntryName, InstanceName};
@@ -60,13 +61,13 @@
 
 impl Carriers {
     /// Looks at the followers anew: each that answered the log, its latest stamp, and how
-    /// old the latest message is that it answered. `carried` tells whether they carry
-    /// orders at all in a fleet of this size.
+    /// old the latest message is that it answered. So many are `wanted` to carry orders;
+    /// with none the leader calls all workers itself.
     pub fn update(
         &mut self,
         now_ms: u64,
         heard: &[(&EntryName, Stamp, u64)],
-        carried: bool,
+        wanted: usize,
     ) -> Losses {
         let mut losses = Losses::default();
         let silent: BTreeSet<&EntryName> = heard
@@ -86,19 +87,16 @@
                 follower.take_out(now_ms, name, "it is lost", &mut losses);
                 follower.lose_all(&mut losses);
             }
-            follower.lose_overdue(now_ms, name, &mut losses);
         }
-        self.there.clear();
-        if carried {
-            let there = heard.iter().filter(|(name, ..)| !silent.contains(name));
-            let there = there.map(|(name, ..)| (*name).clone());
-            let followers = &self.followers;
-            let fit = |name: &EntryName| {
-                let follower = followers.get(name);
-                follower.is_some_and(|f| now_ms >= f.out_until_ms)
-            };
-            self.there.extend(there.filter(fit));
+        for (name, follower) in &mut self.followers {
+            follower.lose_overdue(now_ms, name, &mut losses);
         }
+        let there = heard.iter().filter(|(name, ..)| !silent.contains(name));
+        let fit = there.filter(|(name, ..)| {
+            let follower = self.followers.get(*name);
+            follower.is_some_and(|f| now_ms >= f.out_until_ms)
+        });
+        self.there = fit.take(wanted).map(|(name, ..)| (*name).clone()).collect();
         self.own.retain(|_, until_ms| now_ms < *until_ms);
         losses
     }
@@ -139,12 +137,15 @@
                 let until_ms = now_ms + order.timeout_ms + MARGIN_MS;
                 follower.open.insert(order.id, until_ms);
             }
-            let message = PeerMessage::Orders {
-                term,
-                heard,
-                orders,
-            };
-            messages.push((name.clone(), message));
+            let batches = batches(orders, Order::size_bytes).into_iter();
+            messages.extend(batches.map(|orders| {
+                let message = PeerMessage::Orders {
+                    term,
+                    heard,
+                    orders,
+                };
+                (name.clone(), message)
+            }));
         }
         messages
     }
--- a/src/control/loop_meter.rs
+++ b/src/control/loop_meter.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::{Event, Metrics, OrderOutcome};
+use super::{Event, Metrics, OrderOutcome, PeerMessage};
 
 /// Between two lines of the log, and two updates of the metrics.
 const REPORT: Duration = Duration::from_secs(1);
@@ -21,6 +21,9 @@
     /// A peer's message.
     #[display("peer")]
     Peer,
+    /// What came of orders that a follower carried out.
+    #[display("carried")]
+    Carried,
     /// A write is synced.
     #[display("persisted")]
     Persisted,
@@ -45,9 +48,10 @@
 }
 
 /// All kinds, in the order of their numbers.
-const KINDS: [EventKind; 9] = [
+const KINDS: [EventKind; 10] = [
     EventKind::Tick,
     EventKind::Peer,
+    EventKind::Carried,
     EventKind::Persisted,
     EventKind::Call,
     EventKind::Listing,
@@ -61,7 +65,10 @@
     fn from(event: &Event) -> Self {
         match event {
             Event::Tick => Self::Tick,
-            Event::Peer { .. } => Self::Peer,
+            Event::Peer { message, .. } => match **message {
+                PeerMessage::Outcomes { .. } => Self::Carried,
+                _ => Self::Peer,
+            },
             Event::Persisted { .. } => Self::Persisted,
             Event::Call { .. } => Self::Call,
             Event::Ordered { outcome, .. } => match outcome {
@@ -159,6 +166,8 @@
             tick_longest_ms = ms(of(EventKind::Tick).longest),
             peer_ms = ms(of(EventKind::Peer).time),
             peers = of(EventKind::Peer).events,
+            carried_ms = ms(of(EventKind::Carried).time),
+            carried = of(EventKind::Carried).events,
             persisted_ms = ms(of(EventKind::Persisted).time),
             call_ms = ms(of(EventKind::Call).time),
             calls = of(EventKind::Call).events,
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -190,6 +190,8 @@
     fn tick(&mut self, now_ms: u64) {
         self.log(now_ms, Input::Tick);
         self.follow_lead(now_ms);
+        // Before a new leader orders anything: what is thrown away here is not its own.
+        self.follow_carrying(now_ms);
         self.greet(now_ms);
         let steps = self.relay.tick(now_ms);
         self.relay_steps(steps);
@@ -309,8 +311,10 @@
         };
         let over = now_ms >= since_ms + self.settings.timing.grace_ms / 2;
         let handed_over = now_ms >= since_ms + HAND_OVER_MS && self.relay.waiting() == 0;
+        let due = over || handed_over;
         // The last outcomes need a moment to leave.
-        if (over || handed_over) && !self.give_up_carrying(now_ms) {
+        let last = now_ms >= since_ms + self.settings.timing.grace_ms / 2 + LAST_OUTCOMES_MS;
+        if due && (!self.give_up_carrying(now_ms) || last) {
             self.out.push(Effect::Stopped);
         }
     }
@@ -322,3 +326,6 @@
 
 /// How long an instance that stops stays for the election of its successor.
 const HAND_OVER_MS: u64 = 400;
+/// How long beyond the time of its end it stays at most for outcomes of its leader's orders
+/// to leave.
+const LAST_OUTCOMES_MS: u64 = 100;
--- a/src/control/node/carrying.rs
+++ b/src/control/node/carrying.rs
@@ -13,9 +13,13 @@
         let Some(lead) = &mut self.lead else {
             return;
         };
-        let carried = self.state.workers().len() > self.settings.policy.carriers.own_workers;
+        let wanted = self
+            .settings
+            .policy
+            .carriers
+            .wanted(self.state.workers().len());
         let heard = self.replica.peers_heard(now_ms);
-        let losses = lead.carriers.update(now_ms, &heard, carried);
+        let losses = lead.carriers.update(now_ms, &heard, wanted);
         self.take_losses(now_ms, losses);
     }
 
@@ -130,7 +134,7 @@
             }
             return;
         }
-        if let Some((to, message)) = self.carrier.due(now_ms) {
+        for (to, message) in self.carrier.due(now_ms) {
             self.send(to, message);
         }
     }
@@ -147,17 +151,20 @@
 
     /// A planned stop begins: the leader is told at once, so that it gives no more orders.
     pub(super) fn close_carrier(&mut self) {
-        if let Some((to, message)) = self.carrier.close() {
+        for (to, message) in self.carrier.close() {
             self.send(to, message);
         }
     }
 
     /// The planned stop is due: gives up what is still open; `false` if nothing is.
     pub(super) fn give_up_carrying(&mut self, now_ms: u64) -> bool {
-        let Some((to, message)) = self.carrier.give_up(now_ms) else {
+        let messages = self.carrier.give_up(now_ms);
+        if messages.is_empty() {
             return false;
-        };
-        self.send(to, message);
+        }
+        for (to, message) in messages {
+            self.send(to, message);
+        }
         self.out.push(Effect::AbortOrders);
         true
     }
--- a/src/control/order.rs
+++ b/src/control/order.rs
@@ -22,6 +22,25 @@
     pub kind: OrderKind,
 }
 
+impl Order {
+    /// About its size in a message.
+    pub fn size_bytes(&self) -> usize {
+        let texts = match &self.kind {
+            OrderKind::Start {
+                payload,
+                checkpoint,
+                ticket,
+                ..
+            } => payload.len() + checkpoint.len() + ticket.as_ref().map_or(0, String::len),
+            OrderKind::Stop { .. } | OrderKind::Renew { .. } | OrderKind::Throttle { .. } => 0,
+        };
+        texts + FIXED_BYTES
+    }
+}
+
+/// About the size of an order, a run or an end in a message, but for its texts.
+const FIXED_BYTES: usize = 100;
+
 /// What a worker is to do.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderKind {
@@ -95,6 +114,18 @@
     Unanswered,
 }
 
+impl OrderOutcome {
+    /// About its size in a message.
+    pub fn size_bytes(&self) -> usize {
+        let Self::Listed { running, ended, .. } = self else {
+            return FIXED_BYTES;
+        };
+        let running = running.iter().map(|run| run.checkpoint.len() + FIXED_BYTES);
+        let ended = ended.iter().map(|end| end.checkpoint.len() + FIXED_BYTES);
+        running.chain(ended).sum::<usize>() + FIXED_BYTES
+    }
+}
+
 /// Why a worker refuses an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
 pub enum Rejection {
--- a/src/control/peer_message.rs
+++ b/src/control/peer_message.rs
@@ -4,6 +4,28 @@
 use crate::consensus::{Message, Stamp};
 use crate::model::EntryName;
 
+/// Orders or outcomes in one message, by their bytes: a heartbeat waits behind no more
+/// than that on a slow link, and with one of the largest on top it fits into a frame.
+const BATCH_LIMIT_BYTES: usize = 256 << 10;
+
+/// Cuts a row into parts of at most [`BATCH_LIMIT_BYTES`], or of one that is larger.
+pub(super) fn batches<T>(all: Vec<T>, size_bytes: impl Fn(&T) -> usize) -> Vec<Vec<T>> {
+    let mut batches: Vec<Vec<T>> = Vec::new();
+    let mut bytes = 0;
+    for one in all {
+        let size = size_bytes(&one);
+        match batches.last_mut() {
+            Some(batch) if bytes + size <= BATCH_LIMIT_BYTES => batch.push(one),
+            _ => {
+                batches.push(vec![one]);
+                bytes = 0;
+            }
+        }
+        bytes += size;
+    }
+    batches
+}
+
 /// What control instances and entry instances say to each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
--- a/src/control/policy.rs
+++ b/src/control/policy.rs
@@ -283,16 +283,32 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct CarriersPolicy {
-    /// Workers up to which a leader calls all of them itself. The way by a follower is one
-    /// more hop there and one back, some milliseconds of each start and each end, and
-    /// gains nothing while the leader's thread has time: with 49 workers it is busy for a
-    /// small part of each second, with 350 it is busy all the time at their peaks.
-    pub own_workers: usize,
+    /// Workers that one instance calls.
+    ///
+    /// Up to so many the leader calls all of them itself: the way by a follower is one more
+    /// hop there and one back, some milliseconds of each start and each end, and gains
+    /// nothing while the leader has time (with 49 workers 0.036 cores on a calm day). Above,
+    /// so many followers share them as are needed for this: each costs the leader messages
+    /// of its own.
+    pub workers_each: usize,
 }
 
 impl Default for CarriersPolicy {
     fn default() -> Self {
-        Self { own_workers: 120 }
+        Self { workers_each: 120 }
+    }
+}
+
+impl CarriersPolicy {
+    /// How many followers a fleet of so many workers needs; none if the leader calls all
+    /// of them itself.
+    pub fn wanted(&self, workers: usize) -> usize {
+        let each = self.workers_each.max(1);
+        if workers <= each {
+            0
+        } else {
+            workers.div_ceil(each)
+        }
     }
 }
 
@@ -388,8 +404,8 @@
             ("upkeep.patience_ms", time(self.upkeep.patience_ms)),
             ("upkeep.goal_part", part(self.upkeep.goal_part, 1.0)),
             (
-                "carriers.own_workers",
-                count(self.carriers.own_workers, 0.0),
+                "carriers.workers_each",
+                count(self.carriers.workers_each, 1.0),
             ),
         ];
         let wrong = fields.into_iter().filter(|(_, (value, least, most))| {
--- a/src/control/worker_link.rs
+++ b/src/control/worker_link.rs
@@ -237,6 +237,14 @@
     }
 
     /// Takes its clock from an answer.
+    ///
+    /// The answer was on its way for a while, longer if a follower carried it: the clock is
+    /// taken to be behind what it is by then, and never ahead. All that is built on it errs
+    /// to the safe side for that. [`Self::grant`] counts from the clock that is believed,
+    /// so a lease ends sooner than meant, and its end is remembered as the worker was told
+    /// it; [`Self::has_lapsed`] waits until the clock that is believed has passed that end,
+    /// which the worker's own has done before. An order that arrives late carries the end
+    /// of its sending: being late extends nothing.
     pub fn heard(&mut self, now_ms: u64, clock_ms: u64) {
         if self.clock.is_none() {
             // What an earlier leader granted ends by then.
--- /dev/null
+++ b/tests/control/carriers.rs
@@ -0,0 +1,307 @@
+//! Followers that carry out the leader's orders to workers.
+
+use std::collections::BTreeSet;
+
+use rosemarygauge::consensus::Stamp;
+use rosemarygauge::control::{Carriers, CarriersPolicy, Event, Order, OrderKind};
+use rosemarygauge::jobs::{JobId, JobState};
+use rosemarygauge::model::{EntryName, InstanceName};
+
+use crate::world::{World, address, job, lasting, name, step};
+
+/// In a large fleet all orders leave from followers, each with a part of the workers.
+#[test]
+fn followers_carry_all_orders() {
+    let mut world = World::carried(500, 8, 8);
+    let leader = world.leader().unwrap();
+    world.ordered.clear();
+    world.submit(1, "quick", 1, job(vec![step(20), step(4)]));
+    world.run_ms(4_000);
+    assert_eq!(world.look(1, "quick", 1), Some(JobState::Completed));
+    assert_eq!(world.ordered_by(&leader), 0);
+    for place in world.followers() {
+        assert!(world.ordered_by(&name(place)) > 20, "{:?}", world.ordered);
+    }
+    assert_eq!(world.counted("order-not-carried"), 0);
+}
+
+/// A small fleet's leader calls its workers itself: the way by a follower costs more.
+#[test]
+fn a_small_fleet_is_called_by_its_leader() {
+    let mut world = World::new(501, 4, 4);
+    world.submit(1, "quick", 1, job(vec![step(8)]));
+    world.run_ms(3_000);
+    for place in world.followers() {
+        assert_eq!(world.ordered_by(&name(place)), 0);
+    }
+}
+
+/// A follower is killed while it carries orders: what it has open will have no outcome.
+/// Its workers are called by others, and jobs come to their end as if nothing were.
+#[test]
+fn jobs_end_when_a_carrier_is_killed() {
+    for seed in 510..516 {
+        let mut world = World::carried(seed, 6, 6);
+        let follower = name(world.followers()[0]);
+        for id in 1..=20 {
+            world.submit(1, "quick", id, job(vec![step(3), step(3)]));
+        }
+        world.run_ms(20);
+        world.kill(&follower);
+        let done = world.until(4_500, |w| {
+            let Some(leader) = w.leader() else {
+                return false;
+            };
+            let state = |id| w.state(&leader).job(JobId::from(id)).map(|j| j.state());
+            (1..=20).all(|id| state(id) == Some(JobState::Completed))
+        });
+        assert!(done, "{seed}");
+    }
+}
+
+/// A follower is killed and at once started again, under the same name: what its process
+/// before had open is lost, and the orders of one are not taken for those of the other.
+#[test]
+fn jobs_end_when_a_carrier_restarts() {
+    for seed in 520..526 {
+        let mut world = World::carried(seed, 6, 6);
+        let follower = name(world.followers()[1]);
+        for id in 1..=20 {
+            world.submit(1, "quick", id, job(vec![step(3), step(3)]));
+        }
+        world.run_ms(20);
+        world.kill(&follower);
+        world.run_ms(100);
+        world.restart(&follower);
+        let done = world.until(4_500, |w| {
+            let leader = w.leader().unwrap();
+            let state = |id| w.state(&leader).job(JobId::from(id)).map(|j| j.state());
+            (1..=20).all(|id| state(id) == Some(JobState::Completed))
+        });
+        assert!(done, "{seed}");
+    }
+}
+
+/// A follower reaches the leader but none of the workers, which the leader and the other
+/// follower reach: no worker is given up, and jobs go on.
+#[test]
+fn a_carrier_that_reaches_no_worker_costs_no_worker() {
+    let mut world = World::carried(530, 6, 6);
+    let follower = name(world.followers()[0]);
+    for port in (1_000..1_006).chain(2_000..2_006) {
+        world.cut_pair(follower.as_str(), &address(port).to_string());
+    }
+    for id in 1..=20 {
+        world.submit(1, "quick", id, job(vec![step(3)]));
+        world.run_ms(200);
+    }
+    world.run_ms(6_000);
+    for id in 1..=20 {
+        assert_eq!(world.look(1, "quick", id), Some(JobState::Completed));
+    }
+    assert_eq!(world.counted("worker-lapsed"), 0);
+}
+
+/// What the leader sends to a follower is held up for three seconds and then arrives at
+/// once, after newer orders by another way: none of it is carried out (the world checks
+/// each), and the jobs were done meanwhile.
+#[test]
+fn orders_that_were_held_up_are_not_carried_out() {
+    let mut world = World::carried(540, 6, 6);
+    let leader = world.leader().unwrap();
+    let follower = name(world.followers()[0]);
+    world.hold(&leader, &follower, true);
+    for id in 1..=10 {
+        world.submit(1, "quick", id, job(vec![step(6)]));
+    }
+    world.run_ms(3_000);
+    let leads = world.leader();
+    assert_eq!(leads, Some(leader.clone()));
+    let before = world.ordered_by(&follower);
+    world.hold(&leader, &follower, false);
+    world.run_ms(60);
+    assert_eq!(world.ordered_by(&follower), before);
+    assert!(world.counted("order-stale") > 0, "{:?}", world.decisions);
+    world.run_ms(3_000);
+    for id in 1..=10 {
+        assert_eq!(world.look(1, "quick", id), Some(JobState::Completed));
+    }
+}
+
+/// The leader dies while its followers carry orders for it, some to workers that do not
+/// answer. They throw away what is open, the next leader finds what runs, and starts
+/// nothing twice (checked at every start).
+#[test]
+fn a_change_of_leader_ends_what_is_carried() {
+    for seed in 550..556 {
+        let mut world = World::carried(seed, 5, 5);
+        for worker in world.workers.values_mut() {
+            worker.run_ms = 4_000;
+        }
+        world.submit(1, "quick", 1, job(vec![step(15)]));
+        world.submit(1, "quick", 2, lasting(4));
+        world.run_ms(60);
+        let leader = world.leader().unwrap();
+        let others = world.followers();
+        for place in &others {
+            for port in (1_000..1_005).chain(2_000..2_005) {
+                world.cut_pair(name(*place).as_str(), &address(port).to_string());
+            }
+        }
+        world.run_ms(150);
+        world.kill(&leader);
+        world.run_ms(1_200);
+        world.cut.clear();
+        world.run_ms(300);
+        for place in &others {
+            assert!(world.aborted_by(&name(*place)) > 0, "{seed}");
+        }
+        world.run_ms(11_000);
+        assert_eq!(world.look(others[0], "quick", 1), Some(JobState::Completed));
+        assert_eq!(world.look(others[0], "quick", 2), Some(JobState::Running));
+    }
+}
+
+/// A follower that carries orders is stopped as planned: the leader gives it no more, and
+/// no start has to be sent again for it.
+#[test]
+fn a_planned_stop_of_a_carrier_loses_no_order() {
+    for seed in 560..566 {
+        let mut world = World::carried(seed, 6, 6);
+        let follower = name(world.followers()[0]);
+        for id in 1..=10 {
+            world.submit(1, "quick", id, job(vec![step(4), step(4)]));
+        }
+        world.run_ms(40);
+        world.feed(&follower, Event::Stop);
+        world.run_ms(20);
+        let ordered = world.ordered_by(&follower);
+        assert!(world.until(1_000, |w| !w.is_up(&follower)), "{seed}");
+        assert_eq!(world.ordered_by(&follower), ordered);
+        world.run_ms(4_000);
+        for id in 1..=10 {
+            assert_eq!(world.look(1, "quick", id), Some(JobState::Completed));
+        }
+        assert_eq!(world.counted("order-not-carried"), 0, "{seed}");
+    }
+}
+
+const STAMP: Stamp = Stamp {
+    start: 1,
+    at_ms: 1_000,
+};
+
+fn worker(number: usize) -> InstanceName {
+    InstanceName::from(format!("i-{number}"))
+}
+
+fn order(id: u64) -> Order {
+    Order {
+        id,
+        address: address(1_000),
+        worker: worker(1),
+        fence: 3,
+        timeout_ms: 400,
+        kind: OrderKind::Renew {
+            lease_end_ms: None,
+            acknowledged: 0,
+            wait_ms: 0,
+        },
+    }
+}
+
+/// The carrier of each of 400 workers, while these followers answer.
+fn spread(places: &[usize]) -> Vec<EntryName> {
+    let names: Vec<EntryName> = places.iter().map(|place| name(*place)).collect();
+    let heard: Vec<_> = names.iter().map(|name| (name, STAMP, 20)).collect();
+    let mut carriers = Carriers::default();
+    carriers.update(1_000, &heard, 9);
+    (0..400)
+        .map(|number| carriers.of(&worker(number)).unwrap().clone())
+        .collect()
+}
+
+/// One of five followers is lost: only its workers move, and none has much more than
+/// its part.
+#[test]
+fn the_loss_of_a_follower_moves_only_its_workers() {
+    let before = spread(&[1, 2, 3, 4, 5]);
+    let after = spread(&[1, 2, 4, 5]);
+    for (before, after) in before.iter().zip(&after) {
+        assert!(before == after || *before == name(3));
+    }
+    for place in 1..=5 {
+        let part = before.iter().filter(|n| **n == name(place)).count();
+        assert!((50..=110).contains(&part), "{part}");
+    }
+}
+
+/// As few followers carry orders as the fleet needs; another comes in for a lost one.
+#[test]
+fn no_more_followers_carry_than_are_needed() {
+    let policy = CarriersPolicy { workers_each: 120 };
+    assert_eq!([49, 120, 121, 350].map(|n| policy.wanted(n)), [0, 0, 2, 3]);
+    let names: Vec<EntryName> = (1..=5).map(name).collect();
+    let mut heard: Vec<_> = names.iter().map(|name| (name, STAMP, 20)).collect();
+    let mut carriers = Carriers::default();
+    let mut carrying = |heard: &[_]| -> BTreeSet<EntryName> {
+        carriers.update(1_000, heard, 2);
+        let of = |number| carriers.of(&worker(number)).unwrap().clone();
+        (0..400).map(of).collect()
+    };
+    assert_eq!(carrying(&heard), BTreeSet::from([name(1), name(2)]));
+    heard[0].2 = 700;
+    assert_eq!(carrying(&heard), BTreeSet::from([name(2), name(3)]));
+}
+
+/// A follower answers the log but gives no outcome, as one of another release would: its
+/// orders count as unanswered in time, and after some in a row it is out.
+#[test]
+fn a_follower_without_outcomes_is_taken_out() {
+    let one = name(1);
+    let heard = [(&one, STAMP, 20)];
+    let mut carriers = Carriers::default();
+    carriers.update(1_000, &heard, 9);
+    for id in 1..=6 {
+        assert_eq!(carriers.give(order(id)), None);
+        assert_eq!(carriers.messages(1_000 + id, 3).len(), 1);
+    }
+    assert!(carriers.update(1_400, &heard, 9).orders.is_empty());
+    let losses = carriers.update(2_060, &heard, 9);
+    assert_eq!((losses.orders, losses.out), (vec![1, 2, 3, 4, 5, 6], 1));
+    assert_eq!(carriers.of(&worker(1)), None);
+    carriers.update(2_060 + 3_000, &heard, 9);
+    assert_eq!(carriers.of(&worker(1)), Some(&one));
+}
+
+/// An outcome that comes after its order was counted as unanswered says nothing any more,
+/// nor does one of an instance that was not asked.
+#[test]
+fn only_outcomes_that_are_waited_for_count() {
+    let (one, two) = (name(1), name(2));
+    let heard = [(&one, STAMP, 20)];
+    let mut carriers = Carriers::default();
+    carriers.update(1_000, &heard, 9);
+    carriers.give(order(1));
+    carriers.give(order(2));
+    carriers.messages(1_000, 3);
+    assert!(!carriers.answered(&two, 1));
+    assert!(carriers.answered(&one, 1));
+    assert!(!carriers.answered(&one, 1));
+    assert_eq!(carriers.update(2_500, &heard, 9).orders, [2]);
+    assert!(!carriers.answered(&one, 2));
+}
+
+/// A worker that a follower did not reach is called by the leader itself for a while.
+#[test]
+fn the_leader_calls_a_worker_that_its_follower_did_not_reach() {
+    let one = name(1);
+    let heard = [(&one, STAMP, 20)];
+    let mut carriers = Carriers::default();
+    carriers.update(1_000, &heard, 9);
+    carriers.unreached(1_000, &worker(1));
+    assert_eq!(carriers.give(order(1)), Some(order(1)));
+    assert_eq!(carriers.of(&worker(2)), Some(&one));
+    carriers.update(4_000, &heard, 9);
+    assert_eq!(carriers.of(&worker(1)), Some(&one));
+}
--- a/tests/control/faults.rs
+++ b/tests/control/faults.rs
@@ -9,76 +9,81 @@
 /// and the task would not start elsewhere for as long as the cut lasts.
 #[test]
 fn the_lease_of_a_worker_that_is_cut_off_runs_out() {
-    let mut world = World::new(21, 6, 1);
-    world.submit(1, "quick", 1, lasting(5));
-    world.run_ms(2_000);
-    let port = world
-        .workers
-        .values()
-        .find(|w| !w.going.is_empty())
-        .map(|w| w.address.port())
-        .unwrap();
-    world.cut_worker(port);
-    world.run_ms(8_000);
-    assert_eq!(world.runs.len(), 6, "{:?}", world.runs);
+    for mut world in World::both(21, 6, 1) {
+        world.submit(1, "quick", 1, lasting(5));
+        world.run_ms(2_000);
+        let port = world
+            .workers
+            .values()
+            .find(|w| !w.going.is_empty())
+            .map(|w| w.address.port())
+            .unwrap();
+        world.cut_worker(port);
+        world.run_ms(8_000);
+        assert_eq!(world.runs.len(), 6, "{:?}", world.runs);
+    }
 }
 
 /// A worker crashes and another incarnation answers at its address: what ran there is
 /// over, and starts elsewhere without waiting for the lease.
 #[test]
 fn another_incarnation_frees_the_tasks_of_the_one_before() {
-    let mut world = World::new(22, 3, 1);
-    for worker in world.workers.values_mut() {
-        worker.run_ms = 2_500;
+    for mut world in World::both(22, 3, 1) {
+        for worker in world.workers.values_mut() {
+            worker.run_ms = 2_500;
+        }
+        world.submit(1, "quick", 1, job(vec![step(9)]));
+        world.run_ms(500);
+        let port = world
+            .workers
+            .values()
+            .find(|w| !w.going.is_empty())
+            .unwrap()
+            .address
+            .port();
+        let lost = world.worker(port).going.len();
+        world.crash_worker(port, 300);
+        world.run_ms(1_500);
+        assert_eq!(world.runs.len(), 9 + lost);
+        world.run_ms(3_500);
+        assert_eq!(world.look(1, "quick", 1), Some(JobState::Completed));
     }
-    world.submit(1, "quick", 1, job(vec![step(9)]));
-    world.run_ms(500);
-    let port = world
-        .workers
-        .values()
-        .find(|w| !w.going.is_empty())
-        .unwrap()
-        .address
-        .port();
-    let lost = world.worker(port).going.len();
-    world.crash_worker(port, 300);
-    world.run_ms(1_500);
-    assert_eq!(world.runs.len(), 9 + lost);
-    world.run_ms(3_500);
-    assert_eq!(world.look(1, "quick", 1), Some(JobState::Completed));
 }
 
 /// One worker fails all that it starts, at once, and so is always free. Jobs must not
 /// use up their attempts there.
 #[test]
 fn a_worker_that_fails_everything_does_not_fail_the_jobs() {
-    let mut world = World::new(23, 5, 1);
-    world.worker(1_000).fails_all = true;
-    for id in 0..40 {
-        world.submit(1, "quick", 1 + id, job(vec![step(4)]));
-        world.run_ms(100);
+    for mut world in World::both(23, 5, 1) {
+        world.worker(1_000).fails_all = true;
+        for id in 0..40 {
+            world.submit(1, "quick", 1 + id, job(vec![step(4)]));
+            world.run_ms(100);
+        }
+        world.run_ms(4_000);
+        let failed =
+            (0..40).filter(|id| world.look(1, "quick", 1 + id) != Some(JobState::Completed));
+        assert_eq!(failed.count(), 0);
     }
-    world.run_ms(4_000);
-    let failed = (0..40).filter(|id| world.look(1, "quick", 1 + id) != Some(JobState::Completed));
-    assert_eq!(failed.count(), 0);
 }
 
 /// Tasks on one worker stand still while it reports that all is well: they start anew
 /// elsewhere, and their jobs end.
 #[test]
 fn tasks_that_stand_still_start_anew() {
-    let mut world = World::new(24, 4, 1);
-    world.worker(1_001).stands_still = true;
-    for id in 0..8 {
-        world.submit(1, "quick", 1 + id, job(vec![step(6)]));
-    }
-    world.run_ms(12_000);
-    for id in 0..8 {
-        assert_eq!(
-            world.look(1, "quick", 1 + id),
-            Some(JobState::Completed),
-            "{id}"
-        );
+    for mut world in World::both(24, 4, 1) {
+        world.worker(1_001).stands_still = true;
+        for id in 0..8 {
+            world.submit(1, "quick", 1 + id, job(vec![step(6)]));
+        }
+        world.run_ms(12_000);
+        for id in 0..8 {
+            assert_eq!(
+                world.look(1, "quick", 1 + id),
+                Some(JobState::Completed),
+                "{id}"
+            );
+        }
     }
 }
 
@@ -87,21 +92,22 @@
 #[test]
 fn late_orders_start_nothing_twice() {
     for seed in 250..256 {
-        let mut world = World::new(seed, 4, 4);
-        world.late_per_mille = 60;
-        for id in 0..30 {
-            world.submit(1, "quick", 1 + id, job(vec![step(4), step(2)]));
-            world.run_ms(120);
-        }
-        world.run_ms(9_000);
-        world.late_per_mille = 0;
-        world.run_ms(9_000);
-        for id in 0..30 {
-            assert_eq!(
-                world.look(1, "quick", 1 + id),
-                Some(JobState::Completed),
-                "{seed}: {id}"
-            );
+        for mut world in World::both(seed, 4, 4) {
+            world.late_per_mille = 60;
+            for id in 0..30 {
+                world.submit(1, "quick", 1 + id, job(vec![step(4), step(2)]));
+                world.run_ms(120);
+            }
+            world.run_ms(9_000);
+            world.late_per_mille = 0;
+            world.run_ms(9_000);
+            for id in 0..30 {
+                assert_eq!(
+                    world.look(1, "quick", 1 + id),
+                    Some(JobState::Completed),
+                    "{seed}: {id}"
+                );
+            }
         }
     }
 }
@@ -109,33 +115,35 @@
 /// A cancelled job: what runs is stopped, and nothing of it starts any more.
 #[test]
 fn nothing_of_a_cancelled_job_goes_on() {
-    let mut world = World::new(26, 3, 1);
-    for worker in world.workers.values_mut() {
-        worker.run_ms = 60_000;
+    for mut world in World::both(26, 3, 1) {
+        for worker in world.workers.values_mut() {
+            worker.run_ms = 60_000;
+        }
+        world.submit(1, "quick", 1, job(vec![step(60)]));
+        world.submit(1, "quick", 2, lasting(3));
+        world.run_ms(1_000);
+        world.cancel(2, "quick", 1);
+        world.cancel(2, "quick", 2);
+        world.run_ms(1_500);
+        assert!(world.workers.values().all(|w| w.going.is_empty()));
+        let started = world.runs.len();
+        world.run_ms(3_000);
+        assert_eq!(world.runs.len(), started);
+        assert_eq!(world.look(1, "quick", 1), Some(JobState::Cancelled));
     }
-    world.submit(1, "quick", 1, job(vec![step(60)]));
-    world.submit(1, "quick", 2, lasting(3));
-    world.run_ms(1_000);
-    world.cancel(2, "quick", 1);
-    world.cancel(2, "quick", 2);
-    world.run_ms(1_500);
-    assert!(world.workers.values().all(|w| w.going.is_empty()));
-    let started = world.runs.len();
-    world.run_ms(3_000);
-    assert_eq!(world.runs.len(), started);
-    assert_eq!(world.look(1, "quick", 1), Some(JobState::Cancelled));
 }
 
 /// A task that fails every time: its job is failed after as many attempts as its queue
 /// allows, and no more start.
 #[test]
 fn a_job_fails_after_its_attempts() {
-    let mut world = World::new(27, 2, 1);
-    for worker in world.workers.values_mut() {
-        worker.fails_all = true;
+    for mut world in World::both(27, 2, 1) {
+        for worker in world.workers.values_mut() {
+            worker.fails_all = true;
+        }
+        world.submit(1, "quick", 1, job(vec![step(1)]));
+        world.run_ms(15_000);
+        assert_eq!(world.look(1, "quick", 1), Some(JobState::Failed));
+        assert_eq!(world.runs.len(), 3);
     }
-    world.submit(1, "quick", 1, job(vec![step(1)]));
-    world.run_ms(15_000);
-    assert_eq!(world.look(1, "quick", 1), Some(JobState::Failed));
-    assert_eq!(world.runs.len(), 3);
 }
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -8,6 +8,7 @@
 mod backlog;
 mod calls;
 mod capacity;
+mod carriers;
 mod driver;
 mod estimates;
 mod failures;
--- a/tests/control/world.rs
+++ b/tests/control/world.rs
@@ -46,6 +46,7 @@
     Peer {
         from: EntryName,
         to: EntryName,
+        sent_ms: u64,
         message: Box<PeerMessage>,
     },
     Persisted {
@@ -91,6 +92,12 @@
     sent: u64,
     /// Pairs of names that cannot reach each other, one way.
     pub cut: BTreeSet<(String, String)>,
+    /// Pairs of instances whose messages wait until the pair is taken out, one way.
+    pub held: BTreeSet<(String, String)>,
+    /// How many orders to workers each instance sent.
+    pub ordered: BTreeMap<EntryName, u64>,
+    /// What was counted, by its name.
+    pub decisions: BTreeMap<String, u64>,
     /// Orders in a thousand that get no answer and arrive late.
     pub late_per_mille: u32,
     pub answers: BTreeMap<u64, Answer>,
@@ -141,9 +148,19 @@
 impl World {
     /// Three control instances with empty folders and so many workers in each pool.
     pub fn new(seed: u64, east: u16, west: u16) -> Self {
+        Self::bare(seed).set_up(east, west)
+    }
+
+    /// The same, with followers that carry out all orders to workers.
+    pub fn carried(seed: u64, east: u16, west: u16) -> Self {
         let mut world = Self::bare(seed);
-        world.begin(east, west);
-        world
+        world.policy.carriers.workers_each = 1;
+        world.set_up(east, west)
+    }
+
+    /// One where the leader calls its workers itself, and one where followers do.
+    pub fn both(seed: u64, east: u16, west: u16) -> [Self; 2] {
+        [Self::new(seed, east, west), Self::carried(seed, east, west)]
     }
 
     /// The same, but that no machine moves to another pool or goes off.
@@ -151,20 +168,19 @@
         let mut world = Self::bare(seed);
         world.policy.moves.enabled = false;
         world.policy.standby.enabled = false;
-        world.begin(east, west);
-        world
+        world.set_up(east, west)
     }
 
     /// The same, but that the instances have little processor time: a thing that their
-    /// recurring looks walk over costs them so much.
+    /// recurring looks walk over costs them so much. The leader calls its workers itself.
     pub fn limited(seed: u64, east: u16, west: u16, look_us: u64) -> Self {
         let mut world = Self::bare(seed);
         world.look_us = Some(look_us);
-        world.begin(east, west);
-        world
+        world.policy.carriers.workers_each = usize::MAX;
+        world.set_up(east, west)
     }
 
-    fn begin(&mut self, east: u16, west: u16) {
+    fn set_up(mut self, east: u16, west: u16) -> Self {
         for place in 1..=3 {
             self.found(place);
         }
@@ -178,6 +194,7 @@
         let id = self.call(1, Call::Configure(Arc::new(configuration(1))));
         self.run_ms(3_000);
         assert_eq!(self.answers.get(&id), Some(&Answer::Done));
+        self
     }
 
     fn bare(seed: u64) -> Self {
@@ -191,6 +208,9 @@
             flying: BTreeMap::new(),
             sent: 0,
             cut: BTreeSet::new(),
+            held: BTreeSet::new(),
+            ordered: BTreeMap::new(),
+            decisions: BTreeMap::new(),
             late_per_mille: 0,
             answers: BTreeMap::new(),
             next_call: 0,
@@ -313,6 +333,48 @@
         }
     }
 
+    /// Cuts two ends off from each other, both ways.
+    pub fn cut_pair(&mut self, one: &str, other: &str) {
+        self.cut.insert((one.to_owned(), other.to_owned()));
+        self.cut.insert((other.to_owned(), one.to_owned()));
+    }
+
+    /// Messages from one instance to another wait, or go on.
+    pub fn hold(&mut self, from: &EntryName, to: &EntryName, held: bool) {
+        let pair = (from.to_string(), to.to_string());
+        if held {
+            self.held.insert(pair);
+        } else {
+            self.held.remove(&pair);
+        }
+    }
+
+    /// The instances that do not lead, by their places.
+    pub fn followers(&self) -> Vec<usize> {
+        let leader = self.leader();
+        (1..=3).filter(|p| Some(name(*p)) != leader).collect()
+    }
+
+    /// How often something was counted.
+    pub fn counted(&self, decision: &str) -> u64 {
+        self.decisions.get(decision).copied().unwrap_or(0)
+    }
+
+    /// How many orders to workers an instance sent.
+    pub fn ordered_by(&self, at: &EntryName) -> u64 {
+        self.ordered.get(at).copied().unwrap_or(0)
+    }
+
+    /// How often an instance aborted its open orders.
+    pub fn aborted_by(&self, at: &EntryName) -> u64 {
+        self.aborted.get(at).copied().unwrap_or(0)
+    }
+
+    /// Whether an instance's process is there.
+    pub fn is_up(&self, at: &EntryName) -> bool {
+        self.controls[at].node.is_some()
+    }
+
     /// Cuts an instance off from the keeper of machines.
     pub fn cut_keeper(&mut self, at: &EntryName) {
         self.cut.insert((at.to_string(), KEEPER.to_owned()));
--- a/tests/control/world/deliveries.rs
+++ b/tests/control/world/deliveries.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 use rosemarygauge::control::{
     Decision, Effect, Event, Machine, MachineOrder, MachineOrderKind, MachineOutcome, MachinePhase,
-    Order, OrderKind, OrderOutcome, Rejection,
+    Order, OrderKind, OrderOutcome, PeerMessage, Rejection,
 };
 use rosemarygauge::jobs::Ending;
 use rosemarygauge::model::EntryName;
@@ -12,6 +12,9 @@
 use super::{Flying, KEEPER, Seen, TIMING, World};
 use crate::naive_disk::replay;
 
+/// Orders that were on their way between instances for so long are not carried out.
+const HELD_LONG_MS: u64 = 700;
+
 impl World {
     pub(super) fn fly(&mut self, after_ms: u64, flying: Flying) {
         self.sent += 1;
@@ -21,11 +24,12 @@
 
     pub(super) fn arrive(&mut self, flying: Flying) {
         match flying {
-            Flying::Peer { from, to, message } => {
-                if !self.is_cut(from.as_str(), to.as_str()) {
-                    self.feed(&to, Event::Peer { from, message });
-                }
-            }
+            Flying::Peer {
+                from,
+                to,
+                sent_ms,
+                message,
+            } => self.message_arrives(from, to, sent_ms, message),
             Flying::Persisted {
                 at,
                 start,
@@ -64,6 +68,39 @@
         }
     }
 
+    /// What is held up goes on, in its order, when the hold ends.
+    fn message_arrives(
+        &mut self,
+        from: EntryName,
+        to: EntryName,
+        sent_ms: u64,
+        message: Box<PeerMessage>,
+    ) {
+        let pair = (from.to_string(), to.to_string());
+        if self.held.contains(&pair) {
+            let flying = Flying::Peer {
+                from,
+                to,
+                sent_ms,
+                message,
+            };
+            return self.fly(5, flying);
+        }
+        if self.cut.contains(&pair) {
+            return;
+        }
+        let old =
+            matches!(*message, PeerMessage::Orders { .. }) && self.now_ms > sent_ms + HELD_LONG_MS;
+        let before = self.ordered_by(&to);
+        self.feed(&to, Event::Peer { from, message });
+        let carried = self.ordered_by(&to) - before;
+        assert!(
+            !old || carried == 0,
+            "{to} carries {carried} orders out that left at {sent_ms}, at {}",
+            self.now_ms
+        );
+    }
+
     fn order_arrives(&mut self, from: &EntryName, start: u64, order: Order) {
         let there = order.address.to_string();
         let (to, id) = (from.clone(), order.id);
@@ -291,7 +328,14 @@
             }
             Effect::Send { to, message } => {
                 let after_ms = self.rng.random_range(1..4);
-                self.fly(after_ms, Flying::Peer { from, to, message });
+                let sent_ms = self.now_ms;
+                let flying = Flying::Peer {
+                    from,
+                    to,
+                    sent_ms,
+                    message,
+                };
+                self.fly(after_ms, flying);
             }
             Effect::Persist { token, records } => {
                 self.fly(
@@ -305,6 +349,7 @@
                 );
             }
             Effect::Order(order) => {
+                *self.ordered.entry(from.clone()).or_default() += 1;
                 if let Some(order) = self.leaves(&from, start, order) {
                     self.send_order(from, start, order);
                 }
@@ -349,8 +394,10 @@
                     },
                 );
             }
-            Effect::Count(Decision::RunEnded(Ending::Done)) => self.done += 1,
-            Effect::Count(_) => {}
+            Effect::Count(decision) => {
+                self.done += u64::from(decision == Decision::RunEnded(Ending::Done));
+                *self.decisions.entry(decision.to_string()).or_default() += 1;
+            }
             Effect::Stopped => self.kill(&from),
         }
     }
