Bound the time that a lost carrier costs its leader's jobs

The bound is 3 s now, and a test holds that what a follower had open counts as unanswered at once when it no longer answers the log, or when its stamps are of another start.

--- a/tests/control/carriers.rs
+++ b/tests/control/carriers.rs
@@ -48,7 +48,7 @@
         }
         world.run_ms(20);
         world.kill(&follower);
-        let done = world.until(4_500, |w| {
+        let done = world.until(3_000, |w| {
             let Some(leader) = w.leader() else {
                 return false;
             };
@@ -73,7 +73,7 @@
         world.kill(&follower);
         world.run_ms(100);
         world.restart(&follower);
-        let done = world.until(4_500, |w| {
+        let done = world.until(3_000, |w| {
             let leader = w.leader().unwrap();
             let state = |id| w.state(&leader).job(JobId::from(id)).map(|j| j.state());
             (1..=20).all(|id| state(id) == Some(JobState::Completed))
@@ -274,6 +274,25 @@
     assert_eq!(carriers.of(&worker(1)), Some(&one));
 }
 
+/// A follower dies, or its process is another one by now: all that it had open counts as
+/// unanswered at once, as it will have no outcome, and is not waited for.
+#[test]
+fn what_a_lost_follower_had_open_counts_as_unanswered_at_once() {
+    let one = name(1);
+    let restarted = Stamp { start: 2, ..STAMP };
+    for (stamp, age_ms) in [(STAMP, 700), (restarted, 20)] {
+        let mut carriers = Carriers::default();
+        carriers.update(1_000, &[(&one, STAMP, 20)], 9);
+        carriers.give(order(1));
+        carriers.give(order(2));
+        carriers.messages(1_000, 3);
+        let losses = carriers.update(1_300, &[(&one, stamp, age_ms)], 9);
+        assert_eq!((losses.orders, losses.out), (vec![1, 2], 1));
+        assert_eq!(carriers.of(&worker(1)), None);
+        assert!(!carriers.answered(&one, 1));
+    }
+}
+
 /// An outcome that comes after its order was counted as unanswered says nothing any more,
 /// nor does one of an instance that was not asked.
 #[test]
