--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -44,6 +44,7 @@
 mod placement;
 mod policy;
 mod policy_fault;
+mod pool_pass;
 mod queue;
 mod ranking;
 mod relay;
@@ -102,7 +103,7 @@
 };
 pub use policy_fault::PolicyFault;
 pub use queue::{Advice, Queue};
-pub use ranking::{Rank, Remaining, rank};
+pub use ranking::{Rank, Remaining, standing};
 pub use relay::{Relay, RelayStep};
 pub use report::{Phase, Report};
 pub use reports::Reports;
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -12,18 +12,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::backlog::{Backlog, BacklogWorld, Entry, Order, Row};
+use super::backlog::{Backlog, BacklogWorld};
 use super::candidate::{Candidate, best_rack};
+use super::pool_pass::{PoolPass, Stage};
 use super::step_place::StepPlace;
 use super::{Estimates, Fleet, PlacementPolicy, Policy, Queue, RunLoad, Shares, Sizes, State};
-use crate::jobs::{JobId, Room, TaskId};
+use crate::jobs::{JobId, TaskId};
 use crate::model::{InstanceName, PoolName};
 
-/// Steps in a row that find no room before a pool counts as full in a pass: first from
-/// the beginning of its order, then from where the last pass ended, so that a step that
-/// finds room is come to behind any number that find none.
-const MISSES_MAX: usize = 96;
-
 /// A start that should be ordered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Placement {
@@ -80,84 +76,6 @@
     pub(super) until_ms: u64,
 }
 
-/// One pool in a pass.
-struct PoolPass<'a> {
-    pool: &'a PoolName,
-    row: &'a Row,
-    running: Shares,
-    order: Order<'a>,
-    candidates: Vec<Candidate<'a>>,
-    /// No candidate has more of any kind.
-    largest: Room,
-    /// Steps in a row that found no room.
-    misses: usize,
-    stage: Stage,
-}
-
-/// How far a pool's part of a pass is.
-enum Stage {
-    /// Along its order.
-    First,
-    /// Along what the last passes did not come to.
-    Rest,
-    /// Nothing more fits; the rest goes on behind this entry in the next pass.
-    Full(Option<Entry>),
-    /// All was looked at.
-    Over,
-}
-
-impl<'a> PoolPass<'a> {
-    fn new(
-        pool: &'a PoolName,
-        row: &'a Row,
-        (candidates, running): (Vec<Candidate<'a>>, Shares),
-        policy: &Policy,
-    ) -> Self {
-        let mut pass = Self {
-            pool,
-            row,
-            running,
-            order: Order::new(row, running, &policy.order),
-            candidates,
-            largest: Room::default(),
-            misses: 0,
-            stage: Stage::First,
-        };
-        pass.measure();
-        pass
-    }
-
-    /// Works out anew what no candidate exceeds.
-    fn measure(&mut self) {
-        let rooms = self.candidates.iter().map(|c| c.free);
-        self.largest = rooms.fold(Room::default(), |most, free| Room {
-            cpu_milli: most.cpu_milli.max(free.cpu_milli),
-            memory_mb: most.memory_mb.max(free.memory_mb),
-            accelerators: most.accelerators.max(free.accelerators),
-        });
-    }
-
-    /// A step found no room; where the next look goes on.
-    fn missed(&mut self, entry: Entry, policy: &Policy) {
-        self.misses += 1;
-        if self.misses < MISSES_MAX {
-            return;
-        }
-        self.misses = 0;
-        self.stage = match self.stage {
-            Stage::First => {
-                self.order = Order::resumed(self.row, self.running, &policy.order);
-                Stage::Rest
-            }
-            Stage::Rest | Stage::Full(_) | Stage::Over => Stage::Full(Some(entry)),
-        };
-    }
-
-    fn is_on(&self) -> bool {
-        matches!(self.stage, Stage::First | Stage::Rest)
-    }
-}
-
 impl Scheduler {
     /// Something of a job changed: it is ranked anew.
     pub fn touch(&mut self, job: JobId) {
--- a/src/control/ranking.rs
+++ b/src/control/ranking.rs
@@ -52,21 +52,9 @@
     pub work: f64,
 }
 
-/// Where a job with this much left to do stands.
-pub fn rank(
-    now_unix_ms: u64,
-    job: &Job,
-    queue: Option<&Queue>,
-    due_unix_ms: u64,
-    remaining: &Remaining,
-    policy: &OrderPolicy,
-) -> Rank {
-    standing(now_unix_ms, job, queue, due_unix_ms, remaining, policy).0
-}
-
 /// Where a job with this much left to do stands, and when time alone changes that, if it
 /// ever does.
-pub(super) fn standing(
+pub fn standing(
     now_unix_ms: u64,
     job: &Job,
     queue: Option<&Queue>,
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -20,6 +20,7 @@
 mod members;
 mod overload;
 mod policy;
+mod pool;
 mod random;
 mod relay;
 mod scheduler;
--- /dev/null
+++ b/tests/control/pool.rs
@@ -0,0 +1,96 @@
+//! One pool of workers and what waits for it, without instances.
+
+use std::sync::Arc;
+
+use rosemarygauge::control::{
+    Change, Command, Estimates, Fleet, Placement, Policy, Scheduler, SchedulerWorld, Sizes, State,
+    WorkerLink,
+};
+use rosemarygauge::jobs::{JobId, JobSpec};
+
+use crate::worker::Worker;
+use crate::world::{address, configuration};
+
+pub const NOW_MS: u64 = 50_000;
+pub const UNIX_MS: u64 = 1_700_000_000_000;
+
+/// A state with a pool of workers, and a scheduler that follows it.
+pub struct Pool {
+    pub state: State,
+    pub fleet: Fleet,
+    pub scheduler: Scheduler,
+}
+
+impl Pool {
+    /// So many workers of 16 cores in the pool `east`, all heard just now.
+    pub fn new(workers: u16) -> Self {
+        let mut state = State::default();
+        apply(&mut state, Change::Configure(Arc::new(configuration(1))));
+        let mut fleet = Fleet::new(NOW_MS, 5_000, &state, &Sizes::default());
+        for port in 0..workers {
+            let mut worker = Worker::new(&format!("i-{port}"), address(port), "east", 0);
+            let mut report = worker.report();
+            report.rack = Some(format!("r{}", port / 2).as_str().into());
+            apply(&mut state, Change::Report(Arc::new(report.clone())));
+            fleet.meet(NOW_MS, &report.worker);
+            hear(&mut fleet, &format!("i-{port}"));
+        }
+        Self {
+            state,
+            fleet,
+            scheduler: Scheduler::default(),
+        }
+    }
+
+    /// Carries out a change, and tells the scheduler as a leader does.
+    pub fn change(&mut self, change: Change) {
+        if let Some(job) = change.job() {
+            self.scheduler.touch(job);
+        }
+        apply(&mut self.state, change);
+    }
+
+    pub fn accept(&mut self, id: u64, spec: JobSpec) {
+        self.change(Change::Accept {
+            job: JobId::from(id),
+            queue: "quick".into(),
+            spec: Arc::new(spec),
+        });
+    }
+
+    pub fn refresh(&mut self) {
+        let world = SchedulerWorld {
+            state: &self.state,
+            fleet: &self.fleet,
+            estimates: &Estimates::default(),
+            policy: &Policy::default(),
+        };
+        self.scheduler.refresh(UNIX_MS + 10, &world);
+    }
+
+    pub fn pass(&mut self) -> Vec<Placement> {
+        self.refresh();
+        let world = SchedulerWorld {
+            state: &self.state,
+            fleet: &self.fleet,
+            estimates: &Estimates::default(),
+            policy: &Policy::default(),
+        };
+        self.scheduler.pass(NOW_MS, &world, 400)
+    }
+}
+
+fn hear(fleet: &mut Fleet, name: &str) {
+    let link: &mut WorkerLink = fleet.link_mut(&name.into()).unwrap();
+    link.listed(NOW_MS, NOW_MS, 77, &[], &[]);
+}
+
+pub fn apply(state: &mut State, change: Change) {
+    state.apply(&Command {
+        by: "10.0.0.1".into(),
+        start: 1,
+        sequence: 1,
+        at_unix_ms: UNIX_MS,
+        changes: vec![change],
+    });
+}
--- a/tests/control/scheduler.rs
+++ b/tests/control/scheduler.rs
@@ -4,79 +4,13 @@
 use std::sync::Arc;
 
 use rosemarygauge::control::{
-    Advice, Change, Command, Estimates, Fleet, OrderPolicy, Placement, Policy, Remaining,
-    Scheduler, SchedulerWorld, Sizes, State, WorkerLink, rank,
+    Advice, Change, Estimates, OrderPolicy, Placement, Policy, Remaining, Scheduler,
+    SchedulerWorld, State, standing,
 };
-use rosemarygauge::jobs::{JobId, JobSpec, Step};
+use rosemarygauge::jobs::{JobId, Step};
 
-use crate::worker::Worker;
-use crate::world::{address, configuration, job, lasting, queue, step};
-
-const NOW_MS: u64 = 50_000;
-const UNIX_MS: u64 = 1_700_000_000_000;
-
-struct Pool {
-    state: State,
-    fleet: Fleet,
-    scheduler: Scheduler,
-}
-
-impl Pool {
-    /// So many workers of 16 cores in the pool `east`, all heard just now.
-    fn new(workers: u16) -> Self {
-        let mut state = State::default();
-        apply(&mut state, Change::Configure(Arc::new(configuration(1))));
-        let mut fleet = Fleet::new(NOW_MS, 5_000, &state, &Sizes::default());
-        for port in 0..workers {
-            let mut worker = Worker::new(&format!("i-{port}"), address(port), "east", 0);
-            let mut report = worker.report();
-            report.rack = Some(format!("r{}", port / 2).as_str().into());
-            apply(&mut state, Change::Report(Arc::new(report.clone())));
-            fleet.meet(NOW_MS, &report.worker);
-            hear(&mut fleet, &format!("i-{port}"));
-        }
-        Self {
-            state,
-            fleet,
-            scheduler: Scheduler::default(),
-        }
-    }
-
-    fn accept(&mut self, id: u64, spec: JobSpec) {
-        let change = Change::Accept {
-            job: JobId::from(id),
-            queue: "quick".into(),
-            spec: Arc::new(spec),
-        };
-        apply(&mut self.state, change);
-    }
-
-    fn pass(&mut self) -> Vec<Placement> {
-        let world = SchedulerWorld {
-            state: &self.state,
-            fleet: &self.fleet,
-            estimates: &Estimates::default(),
-            policy: &Policy::default(),
-        };
-        self.scheduler.refresh(UNIX_MS + 10, &world);
-        self.scheduler.pass(NOW_MS, &world, 400)
-    }
-}
-
-fn hear(fleet: &mut Fleet, name: &str) {
-    let link: &mut WorkerLink = fleet.link_mut(&name.into()).unwrap();
-    link.listed(NOW_MS, NOW_MS, 77, &[], &[]);
-}
-
-fn apply(state: &mut State, change: Change) {
-    state.apply(&Command {
-        by: "10.0.0.1".into(),
-        start: 1,
-        sequence: 1,
-        at_unix_ms: UNIX_MS,
-        changes: vec![change],
-    });
-}
+use crate::pool::{NOW_MS, Pool, UNIX_MS, apply};
+use crate::world::{configuration, job, lasting, queue, step};
 
 fn workers_of(starts: &[Placement]) -> Vec<&str> {
     let mut names: Vec<&str> = starts.iter().map(|s| s.worker.as_str()).collect();
@@ -148,7 +82,7 @@
         work: 500.0,
     };
     let policy = OrderPolicy::default();
-    let at = |now| rank(now, &one, Some(&q), 0, &left, &policy);
+    let at = |now| standing(now, &one, Some(&q), 0, &left, &policy).0;
     let (on_time, late, hopeless) = (at(100), at(1_500), at(9_000));
     assert!(on_time.cmp(&late).is_lt());
     assert!(late.cmp(&hopeless).is_lt());
@@ -157,8 +91,8 @@
         ..q.clone()
     };
     let patient = rosemarygauge::control::Queue { priority: 1, ..q };
-    let a = rank(9_000, &one, Some(&urgent), 0, &left, &policy);
-    let b = rank(0, &one, Some(&patient), 0, &left, &policy);
+    let a = standing(9_000, &one, Some(&urgent), 0, &left, &policy).0;
+    let b = standing(0, &one, Some(&patient), 0, &left, &policy).0;
     assert!(a.cmp(&b).is_lt());
 }
 
