Go on behind where a pass was in each row of a pool's order

Callers could see an accepted job that fits an idle worker never start, beside more than 96 steps that find no room (labels whose machines are away, gangs too wide, tickets missing).

Shares bring a pass to different ranks in the two rows; what lay between was left out, in each round the same jobs.

Now the next look goes on behind the last entry of each row. Steps all of whose starts are on their way no longer count as steps without room.

Ruled out as enough: the turn in which jobs are ranked anew, which does not move the walk.

--- a/src/control/backlog.rs
+++ b/src/control/backlog.rs
@@ -96,10 +96,11 @@
         self.pools.get(pool).is_some_and(|row| !row.is_empty())
     }
 
-    /// Notes where the next look at a pool's rest begins.
-    pub(super) fn resume_at(&mut self, pool: &PoolName, at: Option<Entry>) {
+    /// Notes behind which entries, of small and of large jobs, the next look at a pool's
+    /// rest begins.
+    pub(super) fn resume_behind(&mut self, pool: &PoolName, reached: [Option<Entry>; 2]) {
         if let Some(row) = self.pools.get_mut(pool) {
-            row.resume = at;
+            row.resume = reached;
         }
     }
 
--- a/src/control/backlog/order.rs
+++ b/src/control/backlog/order.rs
@@ -11,6 +11,9 @@
 pub(in super::super) struct Order<'a> {
     row: &'a Row,
     groups: [Peekable<Range<'a, Entry, Waits>>; 2],
+    /// How far the walk is in each group. One place for both would not do: shares bring
+    /// the walk to different ranks in them, and what lies between would be left out.
+    reached: [Option<Entry>; 2],
     /// What runs in the pool.
     running: Shares,
     large_part: f64,
@@ -23,20 +26,29 @@
 impl<'a> Order<'a> {
     /// A walk from the beginning, beside what runs in the pool.
     pub(in super::super) fn new(row: &'a Row, running: Shares, policy: &OrderPolicy) -> Self {
-        Self::from(row, Bound::Unbounded, running, policy)
+        Self::behind(row, [None, None], running, policy)
     }
 
     /// A walk from where the last look at the rest ended.
     pub(in super::super) fn resumed(row: &'a Row, running: Shares, policy: &OrderPolicy) -> Self {
-        let from = row.resume.map_or(Bound::Unbounded, Bound::Excluded);
-        Self::from(row, from, running, policy)
+        Self::behind(row, row.resume, running, policy)
     }
 
-    fn from(row: &'a Row, from: Bound<Entry>, running: Shares, policy: &OrderPolicy) -> Self {
-        let group = |large| row.group(large).range((from, Bound::Unbounded)).peekable();
+    fn behind(
+        row: &'a Row,
+        reached: [Option<Entry>; 2],
+        running: Shares,
+        policy: &OrderPolicy,
+    ) -> Self {
+        let group = |group: usize| {
+            let from = reached[group].map_or(Bound::Unbounded, Bound::Excluded);
+            let entries = row.group(group == 1);
+            entries.range((from, Bound::Unbounded)).peekable()
+        };
         Self {
             row,
-            groups: [group(false), group(true)],
+            groups: [group(0), group(1)],
+            reached,
             running,
             large_part: policy.large_part,
             class: None,
@@ -45,6 +57,11 @@
         }
     }
 
+    /// The last entries of small and of large jobs that the walk came to.
+    pub(in super::super) fn reached(&self) -> [Option<Entry>; 2] {
+        self.reached
+    }
+
     /// The group whose turn it is.
     fn group(&mut self) -> Option<usize> {
         let [small, large] = &mut self.groups;
@@ -76,6 +93,7 @@
     fn next(&mut self) -> Option<Self::Item> {
         let group = self.group()?;
         let (entry, waits) = self.groups[group].next()?;
+        self.reached[group] = Some(*entry);
         self.shares.has(group == 1, waits.cores());
         Some((*entry, *waits))
     }
--- a/src/control/backlog/row.rs
+++ b/src/control/backlog/row.rs
@@ -10,8 +10,8 @@
     groups: [BTreeMap<Entry, Waits>; 2],
     /// What the steps of each class ask for, small and large, in thousandths of a core.
     asks: BTreeMap<Class, [u64; 2]>,
-    /// Where the next look at the rest begins.
-    pub(super) resume: Option<Entry>,
+    /// Behind which entries of each group the next look at the rest begins.
+    pub(super) resume: [Option<Entry>; 2],
 }
 
 impl Row {
--- a/src/control/node/applied.rs
+++ b/src/control/node/applied.rs
@@ -129,7 +129,7 @@
                 if let Some(job) = self.state.job(*job)
                     && counts_as_size(job)
                 {
-                    lead.scheduler.sizes.arrived(job, estimates);
+                    lead.scheduler.arrived(job, estimates);
                 }
             }
             Change::ConfigurePart(_)
--- a/src/control/node/lead.rs
+++ b/src/control/node/lead.rs
@@ -124,7 +124,7 @@
             scheduler.touch(job.id);
             if counts_as_size(job) {
                 let estimates = self.state.history().estimates();
-                scheduler.sizes.arrived(job, estimates);
+                scheduler.arrived(job, estimates);
             }
         }
         self.lead = Some(Box::new(Lead {
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -17,7 +17,7 @@
 use super::pool_pass::{PoolPass, Stage};
 use super::step_place::StepPlace;
 use super::{Estimates, Fleet, PlacementPolicy, Policy, Queue, RunLoad, Shares, Sizes, State};
-use crate::jobs::{JobId, TaskId};
+use crate::jobs::{Job, JobId, TaskId};
 use crate::model::{InstanceName, PoolName};
 
 /// A start that should be ordered.
@@ -77,6 +77,11 @@
 }
 
 impl Scheduler {
+    /// A job came whose size counts among those of its queue.
+    pub fn arrived(&mut self, job: &Job, estimates: &Estimates) {
+        self.sizes.arrived(job, estimates);
+    }
+
     /// Something of a job changed: it is ranked anew.
     pub fn touch(&mut self, job: JobId) {
         self.backlog.touch(job);
@@ -118,14 +123,14 @@
         let resume: Vec<_> = pools
             .iter()
             .filter_map(|pass| match pass.stage {
-                Stage::Full(entry) => Some((pass.pool.clone(), entry)),
-                Stage::Over => Some((pass.pool.clone(), None)),
+                Stage::Full(reached) => Some((pass.pool.clone(), reached)),
+                Stage::Over => Some((pass.pool.clone(), [None, None])),
                 Stage::First | Stage::Rest => None,
             })
             .collect();
         drop(pools);
-        for (pool, entry) in resume {
-            backlog.resume_at(&pool, entry);
+        for (pool, reached) in resume {
+            backlog.resume_behind(&pool, reached);
         }
         self.backlog = backlog;
         for start in &starts {
@@ -177,20 +182,25 @@
                 break;
             };
             self.looked += 1;
-            let mut starts = Vec::new();
-            if pass.largest.holds(&waits.room)
-                && let Some(place) = StepPlace::find(world.state, entry)
-            {
-                let queue = queues.get(place.job.queue.as_str()).copied();
-                let (pool, policy) = (&mut pass.candidates, &world.policy.placement);
-                starts = self.place_step(now_ms, &place, queue, pool, most, policy);
+            if !pass.largest.holds(&waits.room) {
+                pass.missed(world.policy);
+                continue;
             }
-            if !starts.is_empty() {
-                pass.misses = 0;
-                pass.measure();
-                return starts;
+            let place = StepPlace::find(world.state, entry, &self.proposed);
+            let Some(place) = place.filter(|place| !place.waiting.is_empty()) else {
+                // All its starts are on their way: it lacks no room.
+                continue;
+            };
+            let queue = queues.get(place.job.queue.as_str()).copied();
+            let (pool, policy) = (&mut pass.candidates, &world.policy.placement);
+            let starts = self.place_step(now_ms, &place, queue, pool, most, policy);
+            if starts.is_empty() {
+                pass.missed(world.policy);
+                continue;
             }
-            pass.missed(entry, world.policy);
+            pass.misses = 0;
+            pass.measure();
+            return starts;
         }
         Vec::new()
     }
@@ -254,7 +264,7 @@
         })
     }
 
-    /// The starts of tasks of a step that find room, `most` at most; a gang starts whole,
+    /// The starts of the waiting tasks of a step that find room, `most` at most; a gang starts whole,
     /// whatever its size, or not at all.
     fn place_step(
         &mut self,
@@ -268,8 +278,7 @@
         self.looked += 1;
         let step = &place.job.spec.steps[place.step];
         let demand = step.reserved();
-        let waiting: Vec<u16> = place.waiting(&self.proposed);
-        if waiting.is_empty() || !pool.iter().any(|c| c.free.holds(&demand)) {
+        if !pool.iter().any(|c| c.free.holds(&demand)) {
             return Vec::new();
         }
         let advised = queue.is_some_and(|q| q.advice.is_some());
@@ -290,6 +299,7 @@
                 && (!advised || is_allowed(now_ms, tickets, c.name))
                 && (!step.gang || rack.is_none() || c.rack == rack.as_deref())
         };
+        let waiting = &place.waiting;
         let most = if step.gang { waiting.len() } else { most };
         let together = place.gang_attempt();
         let mut starts = Vec::new();
--- a/src/control/pool_pass.rs
+++ b/src/control/pool_pass.rs
@@ -29,8 +29,8 @@
     First,
     /// Along what the last passes did not come to.
     Rest,
-    /// Nothing more fits; the rest goes on behind this entry in the next pass.
-    Full(Option<Entry>),
+    /// Nothing more fits; the rest goes on behind these entries in the next pass.
+    Full([Option<Entry>; 2]),
     /// All was looked at.
     Over,
 }
@@ -66,8 +66,8 @@
         });
     }
 
-    /// A step found no room; where the next look goes on.
-    pub(super) fn missed(&mut self, entry: Entry, policy: &Policy) {
+    /// A step found no room.
+    pub(super) fn missed(&mut self, policy: &Policy) {
         self.misses += 1;
         if self.misses < MISSES_MAX {
             return;
@@ -78,7 +78,7 @@
                 self.order = Order::resumed(self.row, self.running, &policy.order);
                 Stage::Rest
             }
-            Stage::Rest | Stage::Full(_) | Stage::Over => Stage::Full(Some(entry)),
+            Stage::Rest | Stage::Full(_) | Stage::Over => Stage::Full(self.order.reached()),
         };
     }
 
--- a/src/control/step_place.rs
+++ b/src/control/step_place.rs
@@ -11,18 +11,27 @@
     pub(super) k: u32,
     pub(super) step: usize,
     pub(super) occurrence: &'a Occurrence,
+    /// The tasks that wait and of which no start is on its way.
+    pub(super) waiting: Vec<u16>,
 }
 
 impl<'a> StepPlace<'a> {
-    /// The step of an entry, if it is there.
-    pub(super) fn find(state: &'a State, entry: Entry) -> Option<Self> {
+    /// The step of an entry, if it is there, beside the starts that are on their way.
+    pub(super) fn find(
+        state: &'a State,
+        entry: Entry,
+        proposed: &BTreeMap<TaskId, Placement>,
+    ) -> Option<Self> {
         let job = state.job(entry.job)?;
-        Some(Self {
+        let mut place = Self {
             job,
             k: entry.occurrence,
             step: usize::from(entry.step),
             occurrence: job.occurrence(entry.occurrence)?,
-        })
+            waiting: Vec::new(),
+        };
+        place.waiting = place.waiting_beside(proposed);
+        Some(place)
     }
 
     pub(super) fn task(&self, index: u16) -> TaskId {
@@ -34,7 +43,7 @@
         }
     }
 
-    pub(super) fn waiting(&self, proposed: &BTreeMap<TaskId, Placement>) -> Vec<u16> {
+    fn waiting_beside(&self, proposed: &BTreeMap<TaskId, Placement>) -> Vec<u16> {
         let tasks = self.occurrence.step(self.step).iter().enumerate();
         let waiting: Vec<u16> = tasks
             .filter(|(_, task)| task.is_waiting())
--- a/tests/control/backlog.rs
+++ b/tests/control/backlog.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeSet;
 
 use quickcheck_macros::quickcheck;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rosemarygauge::control::{Change, Scheduler};
 use rosemarygauge::jobs::{Ending, JobId, Step, TaskId};
 
@@ -100,3 +102,27 @@
     let started = (0..20).any(|_| !pool.pass().is_empty());
     assert!(started);
 }
+
+/// Small and large jobs stand in two rows of one order, and a pass that gives up has come
+/// to different places in them. Where the next one went on from one place for both, it
+/// left out what the other row still had before it, in each round the same jobs: accepted,
+/// with a free worker, and never run.
+#[test]
+fn a_job_that_fits_is_come_to_in_either_row_of_small_and_large_ones() {
+    for seed in 0..40 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut pool = Pool::new(1);
+        let own = rng.random_range(0..300);
+        for id in 0..300 {
+            let mut some = step(rng.random_range(1..12));
+            some.estimate_ms = rng.random_range(50..2_000);
+            some.demand.cpu_milli = match id == own {
+                true => 15_000,
+                false => rng.random_range(17_000..60_000),
+            };
+            pool.accept(id, job(vec![some]));
+        }
+        let started = (0..20).any(|_| !pool.pass().is_empty());
+        assert!(started, "seed {seed}");
+    }
+}
--- a/tests/control/pool.rs
+++ b/tests/control/pool.rs
@@ -56,6 +56,9 @@
             queue: "quick".into(),
             spec: Arc::new(spec),
         });
+        if let Some(job) = self.state.job(JobId::from(id)) {
+            self.scheduler.arrived(job, &Estimates::default());
+        }
     }
 
     pub fn refresh(&mut self) {
