Ask for machines in the place of those that a wave empties of lasting tasks

Cause: the wave emptied two of a pool's three machines at once. What was stopped on them found no memory on the third, the rest of their steps could not be stopped within its disruption budget while they were away, so neither the tasks nor the wave went on. The pool counted the machines that were being emptied as its own, so it asked for no other until its next turn.

Ruled out: the order of what waits (lasting steps are the first in it and were looked at in each pass), the link to the workers (all were heard).

Now machines that are being emptied of lasting tasks for their upkeep do not count as a pool's own. Why it holds: room for what is stopped comes from outside the pool; where no pool has any, the task waits as before.

--- a/src/control/capacity.rs
+++ b/src/control/capacity.rs
@@ -144,7 +144,7 @@
         let here = world.demand.get(pool).unwrap_or(&none);
         let size = here.size().unwrap_or_else(|| average_size(world.demand));
         let offer = world.offers.get(pool).copied().unwrap_or_default();
-        let leaving = self.travel.leaving(&here.workers);
+        let leaving = self.travel.leaving(&here.workers) + emptied(&here.workers, world.taken);
         let needs = here.needed_machines(&size, &offer, &world.policy.needs);
         let (moves, standby) = (&world.policy.moves, &world.policy.standby);
         let peaks = self.peaks.entry(pool.clone()).or_default();
@@ -318,6 +318,17 @@
     }
 }
 
+/// How many of some workers are being emptied of lasting tasks for their upkeep.
+///
+/// What is stopped there needs a place elsewhere. Counted as the pool's own, such machines
+/// hid that it had none: the tasks stayed away, the rest of their steps could not be stopped
+/// beside them, and neither the tasks nor the wave went on.
+fn emptied(workers: &[WorkerUse], taken: &BTreeSet<String>) -> usize {
+    let is_taken = |w: &&WorkerUse| w.machine.as_ref().is_some_and(|m| taken.contains(m));
+    let lasting = workers.iter().filter(|w| w.lasting > 0);
+    lasting.filter(is_taken).count()
+}
+
 /// The pool that lacks the largest part of its need.
 fn neediest(pools: &[Balance]) -> Option<usize> {
     (0..pools.len())
--- a/tests/control/upkeep.rs
+++ b/tests/control/upkeep.rs
@@ -115,3 +115,35 @@
         assert_eq!(world.upkeeps.len(), 6, "seed {seed}");
     }
 }
+
+/// Users of a lasting job miss one of its tasks for as long as the wave lasts, beside a free
+/// pool. Two of its pool's three machines are emptied at once: what is stopped on them finds
+/// no memory on the third, the rest of the step may not be stopped while that is away, and
+/// the pool counts the machines that are emptied as its own and asks for no other.
+#[test]
+fn what_a_wave_stops_gets_a_place_when_its_pool_has_none_left() {
+    let mut world = World::new(57, 3, 6);
+    let mut spec = lasting(6);
+    spec.steps[0].per_worker_max = None;
+    spec.steps[0].demand.memory_mb = 30_000;
+    world.submit(1, "quick", 1, spec);
+    world.run_ms(2_000);
+    let going = |world: &World| world.workers.values().map(|w| w.going.len()).sum::<usize>();
+    assert_eq!(going(&world), 6, "two on each machine");
+    world.start_wave(1, &EAST[..2], 2);
+    let mut away_ms = 0;
+    let mut longest_ms = 0;
+    for _ in 0..400 {
+        world.run_ms(50);
+        away_ms = if going(&world) < 6 { away_ms + 50 } else { 0 };
+        longest_ms = longest_ms.max(away_ms);
+    }
+    assert!(
+        longest_ms < AWAY_MAX_MS,
+        "a task was away for {longest_ms} ms"
+    );
+    assert!(completed(&mut world), "{:?}", world.upkeeps);
+}
+
+/// A lasting task that can have a place runs again within this time.
+const AWAY_MAX_MS: u64 = 6_000;
