Look at a wave's machines only where there is room to take one up

Ten times a second and wave all active jobs were walked for the use of the pools, also while the wave had no room to take up a machine: work that grows with the backlog for nothing.

--- a/src/control/upkeep.rs
+++ b/src/control/upkeep.rs
@@ -263,6 +263,9 @@
         budget: &Budget,
         world: &UpkeepWorld,
     ) {
+        if room == 0 {
+            return;
+        }
         let (state, fleet, off) = (world.state, world.fleet, world.off);
         let free = wave.due().filter(|m| !self.emptying.contains_key(*m));
         let mut free: Vec<(&String, Option<&InstanceName>)> = free
