Let the simulated disk tell an instance that stood still of its writes

Cause, in the test's world and not in the product: an instance stood still while a write was on its way, and the world threw the disk's "synced" away. When another instance then lost its disk, one voter of three was left.

Ruled out: two disks lost within what must be borne. The product: the disk's thread hands each end of a write to the loop by a channel without a bound, which waits for a suspended process, or ends the process if the disk failed.

Now the world hands the end of a write over when the instance goes on. The tests get stricter by it: an instance that stood still during a write takes part again, where before it was mute until its next start. Other events that reach an instance that stands still are lost as before.

Test: an_instance_that_stood_still_during_a_write_votes_again, of a leader and of a follower, where leaders call workers and where followers do.

--- a/tests/control/failures.rs
+++ b/tests/control/failures.rs
@@ -167,3 +167,33 @@
         assert_eq!(world.runs.len(), 5, "{:?}", world.runs);
     }
 }
+
+/// An instance stands still while its disk syncs a write, and goes on; after that another
+/// one loses its disk. The write ended meanwhile, and what tells of its end waits for the
+/// instance as everything does: without it the instance would hold back every vote and
+/// every answer to its leader for good, and nobody could lead any more.
+#[test]
+fn an_instance_that_stood_still_during_a_write_votes_again() {
+    for leads in [true, false] {
+        for mut world in World::both(19, 2, 2) {
+            let leader = world.leader().unwrap();
+            let still = (1..=3).map(name).find(|n| (*n == leader) == leads).unwrap();
+            let id = world.submit(1, "long", 5, job(vec![step(2)]));
+            assert!(world.until(1_000, |w| w.writes(&still)));
+            world.freeze(&still, true);
+            world.run_ms(2_500);
+            world.freeze(&still, false);
+            world.run_ms(4_000);
+            assert!(world.answers.contains_key(&id));
+            let lost = world.leader().filter(|l| *l != still).unwrap_or_else(|| {
+                let others = (1..=3).map(name);
+                others.rev().find(|n| *n != still).unwrap()
+            });
+            world.kill(&lost);
+            world.run_ms(600);
+            world.wipe(&lost);
+            world.run_ms(5_000);
+            assert!(world.leader().is_some(), "leads: {leads}");
+        }
+    }
+}
--- a/tests/control/world.rs
+++ b/tests/control/world.rs
@@ -335,6 +335,12 @@
         voters.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Whether a write of the instance is on its way to the disk.
+    pub fn writes(&self, at: &EntryName) -> bool {
+        let mut flying = self.flying.values();
+        flying.any(|f| matches!(f, Flying::Persisted { at: by, .. } if by == at))
+    }
+
     /// Cuts an instance off from the other instances, both ways.
     pub fn isolate(&mut self, at: &EntryName) {
         for other in self.controls.keys().filter(|n| *n != at) {
--- a/tests/control/world/deliveries.rs
+++ b/tests/control/world/deliveries.rs
@@ -9,7 +9,7 @@
 use rosemarygauge::model::EntryName;
 
 use super::processor::HELD_MS;
-use super::{Flying, KEEPER, Seen, TIMING, World};
+use super::{Flying, KEEPER, STEP_MS, Seen, TIMING, World};
 use crate::naive_disk::replay;
 
 /// Orders that were on their way between instances for so long are not carried out.
@@ -39,6 +39,17 @@
                 if self.starts[&at] != start || self.controls[&at].node.is_none() {
                     return;
                 }
+                // The disk's thread tells of a write once, and the instance finds that
+                // when it goes on: lost, it would hold back votes and answers for good.
+                if self.controls[&at].frozen {
+                    let write = Flying::Persisted {
+                        at,
+                        start,
+                        token,
+                        records,
+                    };
+                    return self.fly(STEP_MS, write);
+                }
                 let disk = &mut self.controls.get_mut(&at).unwrap().disk;
                 records.iter().for_each(|record| replay(disk, record));
                 self.feed(&at, Event::Persisted { token });
