Abort also the orders that were given but have not run yet

What callers saw: nothing yet; found by reading. A leader that orders something and steps down in the same go of its loop had its order leave after everything was thrown away, also one to the keeper of the machines. Where nobody checks fencing tokens it can reach a machine after the orders of the next leader.

Cause: a call registered with `Client::abort` when its future first ran. The loop gives orders to tasks of their own, which run only after the loop's go, thus after the abort.

Now `Client::call` registers when it is made, and `Outside::order` and `order_machine` make it before they return. Tokio counts the broadcasts of a `Notify` when the waiting future is made, and the call looks at it before anything leaves. Questions to the advisor and lists of machines change nothing and still register at their first run.

Ruled out: a counter of our own beside the `Notify`, which would say the same twice.

Test: a call that was made before the abort ended with "no answer in time" (it had left) and ends with "aborted". The second test takes the way of the loop, an order to a worker and one to the keeper: it passes now; it was not run against the old code, as its first version had a mistake of its own. Test calls hold the client in an `Rc`, as `call` wants it.

--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -45,9 +45,10 @@
 
 /// What lies outside of the system: workers, the keeper of machines, the advisor.
 pub trait Outside {
-    /// Carries out an order to a worker.
+    /// Carries out an order to a worker. It counts as given at once, not when the future
+    /// first runs: [`Self::abort_orders`] reaches it from here on.
     fn order(&self, order: Order) -> Local<OrderOutcome>;
-    /// Carries out an order to the keeper of the machines.
+    /// Carries out an order to the keeper of the machines, given at once as well.
     fn order_machine(&self, order: MachineOrder) -> Local<MachineOutcome>;
     /// Throws away every order that has no answer, also what has left and is held up on
     /// its way.
--- a/src/platform/advisor.rs
+++ b/src/platform/advisor.rs
@@ -1,6 +1,7 @@
 //! Questions to the advisor.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,7 +22,7 @@
 
 /// Asks which workers may run a step; none if there is no answer.
 pub(super) async fn ask(
-    client: &Client,
+    client: &Rc<Client>,
     advisor: SocketAddr,
     step: TaskId,
     workers: &[InstanceName],
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -2,6 +2,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -126,7 +127,7 @@
     connections_max: usize,
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
     room: RefCell<HashMap<SocketAddr, Rc<Semaphore>>>,
-    aborted: Notify,
+    aborted: Arc<Notify>,
 }
 
 impl Client {
@@ -136,31 +137,40 @@
             connections_max,
             idle: RefCell::default(),
             room: RefCell::default(),
-            aborted: Notify::new(),
+            aborted: Arc::default(),
         }
     }
 
-    /// Ends all open calls without an answer and resets their connections; those that
-    /// wait for a connection never leave.
+    /// Ends all calls that were made so far without an answer and resets their
+    /// connections; those that wait for a connection, or did not run yet, never leave.
     pub fn abort(&self) {
         self.aborted.notify_waiters();
     }
 
     /// Sends a request and reads its whole answer within `limit`.
     ///
+    /// The call is made here, not when it first runs. A leader that orders something and
+    /// steps down in the same go of its loop aborts calls that have not run yet. Counted
+    /// from their first run they would leave after the abort, and reach a machine after
+    /// the orders of the next leader. What waits for [`Self::abort`] counts from here, and
+    /// is looked at before anything leaves.
+    ///
     /// # Errors
     /// There is no whole answer; the request may have been carried out.
-    pub async fn call(
-        &self,
+    pub fn call(
+        self: &Rc<Self>,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         limit: Duration,
-    ) -> Result<(StatusCode, Bytes), ClientError> {
-        let aborted = self.aborted.notified();
-        tokio::select! {
-            biased;
-            () = aborted => Err(ClientError::Aborted),
-            answer = self.answered(address, request, limit) => answer,
+    ) -> impl Future<Output = Result<(StatusCode, Bytes), ClientError>> + use<> {
+        let aborted = Arc::clone(&self.aborted).notified_owned();
+        let client = Rc::clone(self);
+        async move {
+            tokio::select! {
+                biased;
+                () = aborted => Err(ClientError::Aborted),
+                answer = client.answered(address, request, limit) => answer,
+            }
         }
     }
 
--- a/src/platform/machines.rs
+++ b/src/platform/machines.rs
@@ -1,6 +1,7 @@
 //! Orders to the keeper of the machines, and its list.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,13 +16,13 @@
 /// How long an answer is waited for; the keeper may be slow.
 const TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Carries out an order.
-pub(super) async fn order(
-    client: &Client,
+/// Carries out an order, which is given to the client at once.
+pub(super) fn order(
+    client: &Rc<Client>,
     keeper: SocketAddr,
     holder: &str,
     order: MachineOrder,
-) -> MachineOutcome {
+) -> impl Future<Output = MachineOutcome> + use<> {
     let (path, body) = match &order.kind {
         MachineOrderKind::Upkeep { wave } => (
             "/machine-upkeep",
@@ -38,24 +39,23 @@
         .header("lease-holder", holder)
         .header("fencing-token", order.fence)
         .body(Full::new(Bytes::from(body.to_string())));
-    let Ok(request) = request else {
-        tracing::error!(
-            machine = order.machine,
-            "machine: an order cannot be written"
-        );
-        return MachineOutcome::Unanswered;
-    };
-    match client.call(keeper, request, TIMEOUT).await {
-        Ok((status, body)) => {
-            let answer: Value = serde_json::from_slice(&body).unwrap_or_default();
-            read(
-                status.as_u16(),
-                answer.get("reason").and_then(Value::as_str),
-            )
-        }
-        Err(err) => {
-            tracing::info!(machine = order.machine, %err, "machine: an order is not answered");
-            MachineOutcome::Unanswered
+    let call = request.map(|request| client.call(keeper, request, TIMEOUT));
+    async move {
+        let machine = order.machine;
+        let Ok(call) = call else {
+            tracing::error!(machine, "machine: an order cannot be written");
+            return MachineOutcome::Unanswered;
+        };
+        match call.await {
+            Ok((status, body)) => {
+                let answer: Value = serde_json::from_slice(&body).unwrap_or_default();
+                let reason = answer.get("reason").and_then(Value::as_str);
+                read(status.as_u16(), reason)
+            }
+            Err(err) => {
+                tracing::info!(machine, %err, "machine: an order is not answered");
+                MachineOutcome::Unanswered
+            }
         }
     }
 }
@@ -90,7 +90,7 @@
 }
 
 /// Reads the whole list; none if a page is missing.
-pub(super) async fn list(client: &Client, keeper: SocketAddr) -> Option<Vec<Machine>> {
+pub(super) async fn list(client: &Rc<Client>, keeper: SocketAddr) -> Option<Vec<Machine>> {
     let mut machines = Vec::new();
     let mut token: Option<String> = None;
     for _ in 0..PAGES_MAX {
--- a/src/platform/outside.rs
+++ b/src/platform/outside.rs
@@ -39,19 +39,17 @@
 
 impl Outside for Platform {
     fn order(&self, order: Order) -> Local<OrderOutcome> {
-        let client = Rc::clone(&self.workers);
-        Box::pin(async move { workers::order(&client, order).await })
+        Box::pin(workers::order(&self.workers, order))
     }
 
     fn order_machine(&self, order: MachineOrder) -> Local<MachineOutcome> {
-        let client = Rc::clone(&self.services);
-        let (keeper, holder) = (self.keeper, self.holder.clone());
-        Box::pin(async move {
-            match keeper {
-                Some(keeper) => machines::order(&client, keeper, &holder, order).await,
-                None => MachineOutcome::Overloaded,
+        match self.keeper {
+            Some(keeper) => {
+                let holder = &self.holder;
+                Box::pin(machines::order(&self.services, keeper, holder, order))
             }
-        })
+            None => Box::pin(async { MachineOutcome::Overloaded }),
+        }
     }
 
     fn abort_orders(&self) {
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -1,5 +1,6 @@
 //! Orders to workers: how each is written, and how the answer is read.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -68,24 +69,30 @@
     finished: Vec<Cell<'a>>,
 }
 
-/// Carries out an order.
-pub(super) async fn order(client: &Client, order: Order) -> OrderOutcome {
+/// Carries out an order, which is given to the client at once.
+pub(super) fn order(
+    client: &Rc<Client>,
+    order: Order,
+) -> impl Future<Output = OrderOutcome> + use<> {
     let (path, body) = written(&order);
     let request = Request::post(path)
         .header("host", order.address.to_string())
         .header("content-type", "application/json")
         .header(INCARNATION_HEADER, order.worker.as_str())
         .body(Full::new(Bytes::from(body)));
-    let Ok(request) = request else {
-        tracing::error!(worker = %order.worker, "worker: an order cannot be written");
-        return OrderOutcome::Unanswered;
-    };
     let limit = Duration::from_millis(order.timeout_ms);
-    match client.call(order.address, request, limit).await {
-        Ok((status, body)) => read(&order.kind, status, &body),
-        Err(err) => {
-            tracing::debug!(worker = %order.worker, %err, "worker: an order is not answered");
-            OrderOutcome::Unanswered
+    let call = request.map(|request| client.call(order.address, request, limit));
+    async move {
+        let Ok(call) = call else {
+            tracing::error!(worker = %order.worker, "worker: an order cannot be written");
+            return OrderOutcome::Unanswered;
+        };
+        match call.await {
+            Ok((status, body)) => read(&order.kind, status, &body),
+            Err(err) => {
+                tracing::debug!(worker = %order.worker, %err, "worker: an order is not answered");
+                OrderOutcome::Unanswered
+            }
         }
     }
 }
--- a/tests/platform/connections.rs
+++ b/tests/platform/connections.rs
@@ -9,9 +9,15 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
-use rosemarygauge::platform::Client;
+use rosemarygauge::control::{
+    MachineOrder, MachineOrderKind, MachineOutcome, Order, OrderKind, OrderOutcome, Outside,
+};
+use rosemarygauge::jobs::{JobId, TaskId};
+use rosemarygauge::platform::{Client, Platform, Settings};
+use serde_json::json;
 use tokio::runtime::LocalOptions;
 
+use super::settings::settings;
 use super::stand_in::read_request;
 
 /// How a connection to the stand-in ended, with the bytes that came before.
@@ -78,7 +84,7 @@
 fn a_call_that_is_given_up_resets_its_connection() {
     let (address, ended) = silent_service();
     on_a_loop(async move {
-        let client = Client::new(2);
+        let client = Rc::new(Client::new(2));
         let answer = client
             .call(address, request(), Duration::from_millis(100))
             .await;
@@ -125,6 +131,70 @@
     });
 }
 
+/// A leader orders something and steps down in the same go of its loop. The call is made
+/// before all are thrown away, but runs for the first time after that. Did it leave, a
+/// machine could get it after the orders of the next leader.
+#[test]
+fn a_call_that_was_made_before_an_abort_never_leaves() {
+    let (address, ended) = silent_service();
+    on_a_loop(async move {
+        let client = Rc::new(Client::new(2));
+        let made = client.call(address, request(), SHORT);
+        client.abort();
+        assert_eq!(made.await.unwrap_err().to_string(), "aborted");
+        let later = client.call(address, request(), SHORT);
+        assert_eq!(later.await.unwrap_err().to_string(), "no answer in time");
+        let ends = tokio::task::spawn_blocking(move || {
+            let first = ended.recv_timeout(SOON).unwrap();
+            (first, ended.recv_timeout(SHORT))
+        });
+        let (first, more) = ends.await.unwrap();
+        assert!(first.0 > 0 && more.is_err(), "{first:?}, {more:?}");
+    });
+}
+
+/// As above, by the way that the loop takes: an order to a worker and one to the keeper
+/// of the machines. Nobody comes to either.
+#[test]
+fn orders_that_were_given_before_an_abort_never_leave() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut settings = settings("127.0.0.1", 7_000);
+    settings["cloud"] = json!({"address": address.to_string()});
+    let platform = Platform::new(&Settings::parse(&settings.to_string()).unwrap());
+    on_a_loop(async move {
+        let order = platform.order(Order {
+            id: 1,
+            address,
+            worker: "i-1".into(),
+            fence: 7,
+            timeout_ms: SHORT.as_millis() as u64,
+            kind: OrderKind::Stop {
+                task: TaskId {
+                    job: JobId::from(1),
+                    occurrence: 0,
+                    step: 0,
+                    index: 0,
+                },
+                attempt: 1,
+            },
+        });
+        let machine_order = platform.order_machine(MachineOrder {
+            id: 2,
+            machine: "m-1".to_owned(),
+            fence: 7,
+            kind: MachineOrderKind::Upkeep { wave: 1 },
+        });
+        platform.abort_orders();
+        assert_eq!(order.await, OrderOutcome::Unanswered);
+        assert_eq!(machine_order.await, MachineOutcome::Unanswered);
+        tokio::time::sleep(SHORT).await;
+        let came = listener.accept().map(|(_, from)| from);
+        assert_eq!(came.unwrap_err().kind(), ErrorKind::WouldBlock);
+    });
+}
+
 /// A service that answers on a word; tells what happens, in order.
 struct WordedService {
     address: SocketAddr,
