Let the soak replace settings files whole

Cause: the soak truncates and writes the file for a step of the clock while the process that was started again may read it. It now writes beside and renames: a reader finds the old text or the new one. The race needs two processes within microseconds of each other, so there is no test that fails first.

--- a/tests/soak/process.rs
+++ b/tests/soak/process.rs
@@ -142,8 +142,13 @@
         self.folder.join(format!("{}.json", self.name))
     }
 
+    /// A process that starts again reads the file while it is written anew for a step of
+    /// the clock: it found it empty and ended with "settings: not JSON (EOF ...)", which
+    /// counts as a crash. A rename leaves either the old text or the new one.
     fn write_settings(&self) {
-        std::fs::write(self.settings_file(), self.settings.to_string()).unwrap();
+        let beside = self.folder.join(format!("{}.json.new", self.name));
+        std::fs::write(&beside, self.settings.to_string()).unwrap();
+        std::fs::rename(beside, self.settings_file()).unwrap();
     }
 
     fn signal(&self, name: &str) {
