Find who was at a worker's address without a walk of all workers

What callers saw: nothing of its own; with thousands of reports at the end of a wave or of a cut, the leader's loop walks all workers for each that changes something.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -63,6 +63,7 @@
 mod wave;
 mod worker;
 mod worker_link;
+mod workers_by_address;
 
 pub use answer::{Answer, Refusal};
 pub use arrivals::{Arrivals, JobSize};
@@ -119,3 +120,4 @@
 pub use wave::Wave;
 pub use worker::Worker;
 pub use worker_link::{Progress, RunPhase, RunView, WorkerLink};
+pub use workers_by_address::WorkersByAddress;
--- a/src/control/node/applied.rs
+++ b/src/control/node/applied.rs
@@ -88,10 +88,8 @@
                 lead.fleet.meet(now_ms, &report.worker);
                 // Whoever was at this address before is asked at once: its successor
                 // says that it is over, sooner than its lease runs out.
-                let before = self.state.workers().iter().filter(|(name, worker)| {
-                    worker.report.address == report.address && **name != report.worker
-                });
-                for (name, _) in before {
+                let there = self.state.workers_at(report.address);
+                for name in there.filter(|name| **name != report.worker) {
                     if let Some(link) = lead.fleet.link_mut(name) {
                         link.renewal_sent_ms = None;
                         link.renew_ms = now_ms;
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -1,4 +1,5 @@
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::ops::Bound;
 use std::sync::Arc;
 
@@ -6,7 +7,7 @@
 
 use super::{
     Change, Command, Configuration, ConfigurationParts, History, Queue, Report, RunsByWorker, Wave,
-    Worker,
+    Worker, WorkersByAddress,
 };
 use crate::codec::CodecError;
 use crate::jobs::{Ending, Job, JobId, JobSpec, JobState, TaskId};
@@ -23,6 +24,8 @@
     #[serde(skip)]
     runs: RunsByWorker,
     workers: BTreeMap<InstanceName, Worker>,
+    #[serde(skip)]
+    addresses: WorkersByAddress,
     waves: BTreeMap<u64, Wave>,
     parts: ConfigurationParts,
     history: History,
@@ -98,6 +101,11 @@
         self.workers.get(name)
     }
 
+    /// The workers that take orders at an address.
+    pub fn workers_at(&self, address: SocketAddr) -> impl Iterator<Item = &InstanceName> {
+        self.addresses.at(address)
+    }
+
     /// Whether a report says nothing that is not in here already.
     pub fn knows(&self, report: &Report) -> bool {
         let known = self.worker(&report.worker).map(|w| &w.report);
@@ -132,6 +140,7 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, CodecError> {
         let mut state: Self = crate::codec::decode(bytes)?;
         state.runs = RunsByWorker::of(state.active());
+        state.addresses = WorkersByAddress::of(state.workers.iter());
         Ok(state)
     }
 
@@ -199,7 +208,9 @@
             }
             Change::Lapse { worker } => self.lapse(at_unix_ms, worker),
             Change::Gone { worker } => {
-                self.workers.remove(worker);
+                if let Some(gone) = self.workers.remove(worker) {
+                    self.addresses.remove(gone.report.address, worker);
+                }
                 self.lapse(at_unix_ms, worker);
             }
             Change::Wave(wave) => {
@@ -300,6 +311,11 @@
             report: Report::clone(report),
             leaving: false,
         };
+        let before = self.worker(&report.worker).map(|w| w.report.address);
+        if let Some(before) = before.filter(|before| *before != report.address) {
+            self.addresses.remove(before, &report.worker);
+        }
+        self.addresses.add(report.address, &report.worker);
         let known = self
             .workers
             .entry(report.worker.clone())
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -5,6 +5,7 @@
 #[path = "../naive_disk/mod.rs"]
 mod naive_disk;
 
+mod addresses;
 mod backlog;
 mod calls;
 mod capacity;
