Tell orders that never left from those that were not answered

What callers saw: with more orders for a worker than it has connections, what did not get its turn in time counted as unanswered, like what had left. A start was sent again twice and then stopped, and its task waited for as long as the worker was crowded; a renewal counted against a worker that may be well, which then got no work.

Cause: one outcome for both. Followers had a form of their own for orders that they did not take, an outcome that is none, which their leader took as unanswered too.

`OrderOutcome::NotSent` stands for both now: the time was over while waiting for a connection, or before the request was handed to one, or the follower refused it. A start is unplaced at once, if no earlier sending of it may still arrive; its worker rests for 150 ms. A stop is ordered again at once, paced by its wait; a share at the next look. A renewal that never left neither counts as silence nor lets the next one extend the lease: a worker that is lost while its renewals do not get their turn would never lapse. A connection that cannot be opened still counts as unanswered, as it says something of the worker. It is counted as `order-not-sent`.

The test's model of a processor (`world/processor.rs`) still counts what waits there as unanswered.

--- a/src/control/carrier.rs
+++ b/src/control/carrier.rs
@@ -26,8 +26,8 @@
 /// never those of a lead of its own.
 const CARRIED: u64 = 1 << 63;
 
-/// What came of an order, none if it has not left, by the leader's number.
-type Carried = (u64, Option<OrderOutcome>);
+/// What came of an order, by the leader's number.
+type Carried = (u64, OrderOutcome);
 
 /// The orders that a follower carries out.
 #[derive(Debug, Default)]
@@ -61,7 +61,7 @@
     /// What came of the orders so far; if the follower is about to end, a message also
     /// without any.
     fn messages(&mut self, closing: bool) -> Vec<(EntryName, PeerMessage)> {
-        let size_bytes = |(_, outcome): &Carried| outcome.as_ref().map_or(0, |o| o.size_bytes());
+        let size_bytes = |(_, outcome): &Carried| outcome.size_bytes();
         let mut parts = batches(std::mem::take(&mut self.outcomes), size_bytes);
         if closing && parts.is_empty() {
             parts.push(Vec::new());
@@ -115,7 +115,7 @@
 
     /// Tells this leader that its orders have not left.
     pub fn refuse(&mut self, now_ms: u64, leader: &EntryName, term: u64, orders: &[Order]) {
-        let refused = orders.iter().map(|order| (order.id, None));
+        let refused = orders.iter().map(|order| (order.id, OrderOutcome::NotSent));
         self.of(leader, term).add(now_ms, refused);
     }
 
@@ -141,7 +141,7 @@
         let Some(order) = carrying.open.remove(&id) else {
             return false;
         };
-        carrying.add(now_ms, [(order, Some(outcome))]);
+        carrying.add(now_ms, [(order, outcome)]);
         true
     }
 
@@ -182,7 +182,7 @@
             return Vec::new();
         }
         let open = open.into_values();
-        carrying.add(now_ms, open.map(|id| (id, Some(OrderOutcome::Unanswered))));
+        carrying.add(now_ms, open.map(|id| (id, OrderOutcome::Unanswered)));
         carrying.messages(true)
     }
 
--- a/src/control/decision.rs
+++ b/src/control/decision.rs
@@ -38,6 +38,9 @@
     /// An order that a follower was to carry out has no outcome.
     #[display("order-not-carried")]
     OrderNotCarried,
+    /// An order to a worker never left.
+    #[display("order-not-sent")]
+    OrderNotSent,
     /// A follower was taken out of those that carry orders.
     #[display("carrier-out")]
     CarrierOut,
--- a/src/control/loop_meter.rs
+++ b/src/control/loop_meter.rs
@@ -74,7 +74,7 @@
             Event::Ordered { outcome, .. } => match outcome {
                 OrderOutcome::Listed { .. } => Self::Listing,
                 OrderOutcome::Done { .. } | OrderOutcome::Rejected { .. } => Self::Order,
-                OrderOutcome::Unanswered => Self::Unanswered,
+                OrderOutcome::Unanswered | OrderOutcome::NotSent => Self::Unanswered,
             },
             Event::MachineOrdered { .. }
             | Event::MachinesListed { .. }
--- a/src/control/node/carrying.rs
+++ b/src/control/node/carrying.rs
@@ -49,7 +49,7 @@
         now_ms: u64,
         from: &EntryName,
         term: u64,
-        outcomes: Vec<(u64, Option<OrderOutcome>)>,
+        outcomes: Vec<(u64, OrderOutcome)>,
         closing: bool,
     ) {
         let of_lead = |lead: &&mut Box<super::lead::Lead>| lead.term == term;
@@ -67,13 +67,13 @@
             if !lead.carriers.answered(from, id) {
                 continue;
             }
-            if outcome == Some(OrderOutcome::Unanswered)
+            if outcome == OrderOutcome::Unanswered
                 && let Some(sent) = lead.orders.get(&id)
             {
                 let worker = sent.worker().clone();
                 lead.carriers.unreached(now_ms, &worker);
             }
-            self.ordered(now_ms, id, outcome.unwrap_or(OrderOutcome::Unanswered));
+            self.ordered(now_ms, id, outcome);
         }
     }
 
--- a/src/control/node/orders.rs
+++ b/src/control/node/orders.rs
@@ -4,7 +4,8 @@
 //! knows what may run. A start that is not answered may still be carried out, late
 //! and after newer orders. It is sent again as it is, which a worker takes as the
 //! same start; if that stays unanswered too, the run is stopped, after which the
-//! worker refuses it for good. Only then may the task start elsewhere.
+//! worker refuses it for good. Only then may the task start elsewhere. A start that has
+//! certainly not left, nor an earlier sending of it, needs none of that.
 
 use super::super::{
     Change, Decision, Effect, Order, OrderKind, OrderOutcome, Placement, Rejection, RunPhase,
@@ -25,6 +26,8 @@
 const ROOM_REST_MS: u64 = 150;
 /// Rest of a worker that says that it is not healthy.
 const UNHEALTHY_REST_MS: u64 = 1_000;
+/// Rest of a worker to which a start did not leave: others wait for their turn there.
+const CROWDED_REST_MS: u64 = 150;
 /// Questions to the advisor at once. It answers one at a time for each caller and
 /// refuses the 32nd that waits.
 const QUESTIONS_MAX: usize = 6;
@@ -176,8 +179,11 @@
         }
         let clock_ms = match &outcome {
             OrderOutcome::Done { clock_ms } | OrderOutcome::Rejected { clock_ms, .. } => *clock_ms,
-            OrderOutcome::Listed { .. } | OrderOutcome::Unanswered => None,
+            OrderOutcome::Listed { .. } | OrderOutcome::Unanswered | OrderOutcome::NotSent => None,
         };
+        if outcome == OrderOutcome::NotSent {
+            self.out.push(Effect::Count(Decision::OrderNotSent));
+        }
         if let Some(clock_ms) = clock_ms
             && let Some(link) = lead.fleet.link_mut(sent.worker())
         {
@@ -212,7 +218,16 @@
                     "task: started"
                 );
             }
-            OrderOutcome::Unanswered => {
+            OrderOutcome::NotSent if unanswered == 0 => {
+                tracing::info!(
+                    task = %start.task, attempt = start.attempt, worker = %start.worker,
+                    "task: a start did not leave"
+                );
+                link.cool(now_ms, CROWDED_REST_MS);
+                self.not_started(start);
+            }
+            // An earlier sending of the same start may still arrive.
+            OrderOutcome::Unanswered | OrderOutcome::NotSent => {
                 tracing::info!(
                     task = %start.task, attempt = start.attempt, worker = %start.worker,
                     unanswered = unanswered + 1, "task: a start is not answered"
@@ -297,6 +312,11 @@
             OrderOutcome::Done { .. } | OrderOutcome::Listed { .. } => {
                 RunPhase::Stopped { at_ms: now_ms }
             }
+            // It waited for its turn, and waits again.
+            OrderOutcome::NotSent => RunPhase::Stopping {
+                ordered: false,
+                again_ms: now_ms,
+            },
             OrderOutcome::Rejected { .. } | OrderOutcome::Unanswered => RunPhase::Stopping {
                 ordered: false,
                 again_ms: now_ms + STOP_AGAIN_MS,
--- a/src/control/node/renewals.rs
+++ b/src/control/node/renewals.rs
@@ -128,6 +128,10 @@
         let Some(link) = lead.fleet.link_mut(worker) else {
             return;
         };
+        if *outcome == OrderOutcome::NotSent {
+            tracing::debug!(%worker, "worker: a renewal did not leave");
+            return link.renewal_not_sent(now_ms);
+        }
         if link.is_heard(now_ms) {
             tracing::info!(%worker, ?outcome, "worker: a renewal failed");
         }
--- a/src/control/order.rs
+++ b/src/control/order.rs
@@ -112,6 +112,9 @@
     },
     /// Whether it was or will be carried out is not known.
     Unanswered,
+    /// It has not left and will not: its time was over before it got its turn with the
+    /// worker, or who was to carry it out did not take it. It says nothing of the worker.
+    NotSent,
 }
 
 impl OrderOutcome {
--- a/src/control/peer_message.rs
+++ b/src/control/peer_message.rs
@@ -71,8 +71,8 @@
     Outcomes {
         /// The term of the leader who gave the orders.
         term: u64,
-        /// By the leader's numbers; none for an order that has not left.
-        outcomes: Vec<(u64, Option<OrderOutcome>)>,
+        /// By the leader's numbers.
+        outcomes: Vec<(u64, OrderOutcome)>,
         /// Whether the sender is about to end and carries nothing more.
         closing: bool,
     },
--- a/src/control/worker_link.rs
+++ b/src/control/worker_link.rs
@@ -29,6 +29,8 @@
     pub(super) renew_ms: u64,
     /// Renewals in a row that were not answered.
     silent: u32,
+    /// The latest renewal never left.
+    unsent: bool,
     /// No work before this: it refused some, or failed a lot.
     cooling_until_ms: u64,
     /// Failures of distinct runs lately.
@@ -171,6 +173,7 @@
             renewal_wait_ms: 0,
             renew_ms: now_ms,
             silent: 0,
+            unsent: false,
             cooling_until_ms: 0,
             failures: 0.0,
             failures_at_ms: now_ms,
@@ -213,9 +216,10 @@
     ///
     /// A renewal that is not answered may still arrive and extend the lease. If every
     /// retry carried a later end, the lease of a lost worker would never certainly run
-    /// out, and its tasks would not start elsewhere.
+    /// out, and its tasks would not start elsewhere. The same holds after a renewal that
+    /// never left: the worker may be lost while its renewals do not get their turn.
     pub fn renewal_end(&mut self, now_ms: u64) -> Option<u64> {
-        if self.silent > 0 {
+        if self.silent > 0 || self.unsent {
             return None;
         }
         self.grant(now_ms)
@@ -264,6 +268,13 @@
         self.silent = self.silent.saturating_add(1);
     }
 
+    /// A renewal never left: that says nothing of the worker, which is asked again.
+    pub fn renewal_not_sent(&mut self, now_ms: u64) {
+        self.renewal_sent_ms = None;
+        self.renew_ms = now_ms + RETRY_MS[0];
+        self.unsent = true;
+    }
+
     /// The renewal that left at `sent_ms` was answered: takes the listing. Returns the
     /// runs that provably are not there and will not start.
     pub fn listed(
@@ -279,6 +290,7 @@
         }
         self.heard(now_ms, clock_ms);
         self.silent = 0;
+        self.unsent = false;
         self.confirmed = true;
         for run in running {
             if let Some(view) = self.runs.get_mut(&(run.task, run.attempt)) {
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -46,6 +46,10 @@
     #[display("no answer in time")]
     #[from(skip)]
     Silent,
+    /// It did not leave in time: all connections were taken, or the loop was held.
+    #[display("not sent in time")]
+    #[from(skip)]
+    NotSent,
     /// The call was thrown away.
     #[display("aborted")]
     #[from(skip)]
@@ -185,7 +189,7 @@
         let room = self.room(address);
         let place = timeout_at(due, room.acquire()).await;
         let Ok(Ok(_place)) = place else {
-            return Err(ClientError::Silent);
+            return Err(ClientError::NotSent);
         };
         loop {
             let (mut connection, kept) = match self.take(address) {
@@ -199,7 +203,7 @@
             // of the limit. What left now would arrive after its sender gave it up.
             if steady_ms() >= due_ms {
                 self.keep(address, connection);
-                return Err(ClientError::Silent);
+                return Err(ClientError::NotSent);
             }
             match connection.exchange(request, due).await {
                 Ok(answer) => {
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -8,8 +8,8 @@
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 
-use super::Client;
 use super::cell::Cell;
+use super::{Client, ClientError};
 use crate::control::{Ended, Order, OrderKind, OrderOutcome, Rejection, Running};
 use crate::jobs::Ending;
 
@@ -89,6 +89,10 @@
         };
         match call.await {
             Ok((status, body)) => read(&order.kind, status, &body),
+            Err(ClientError::NotSent) => {
+                tracing::debug!(worker = %order.worker, "worker: an order did not leave");
+                OrderOutcome::NotSent
+            }
             Err(err) => {
                 tracing::debug!(worker = %order.worker, %err, "worker: an order is not answered");
                 OrderOutcome::Unanswered
--- a/tests/control/faults.rs
+++ b/tests/control/faults.rs
@@ -1,8 +1,8 @@
 //! Workers that are cut off, crash, fail, stand still or carry orders out late.
 
-use rosemarygauge::jobs::JobState;
+use rosemarygauge::jobs::{JobId, JobState};
 
-use crate::world::{World, job, lasting, step};
+use crate::world::{World, address, job, lasting, step};
 
 /// A worker is cut off with a lasting task. Every renewal that is not answered might
 /// still arrive; if each carried a later end, the lease would never certainly run out
@@ -147,3 +147,43 @@
         assert_eq!(world.runs.len(), 3);
     }
 }
+
+/// All turns with a worker are taken until the time of a start is over: it has not left.
+/// Sent again twice and then stopped, as if it might arrive, it would hold its task for as
+/// long as the worker is crowded. The task starts elsewhere at once.
+#[test]
+fn a_start_that_never_left_is_placed_elsewhere_at_once() {
+    for mut world in World::both(580, 3, 3) {
+        world.crowded.insert(address(1_000));
+        world.submit(1, "quick", 1, job(vec![step(6)]));
+        let done = world.until(2_500, |w| {
+            let leader = w.leader().unwrap();
+            let job = w.state(&leader).job(JobId::from(1));
+            job.is_some_and(|job| job.state() == JobState::Completed)
+        });
+        assert!(done, "{:?}", world.decisions);
+        assert!(world.counted("order-not-sent") > 0);
+        assert_eq!(world.counted("start-sent-again"), 0);
+    }
+}
+
+/// A start left and is held up, and what is sent after it does not leave. The first one
+/// may still arrive: the task does not start elsewhere before its worker has taken a stop
+/// (the world checks that nothing runs twice).
+#[test]
+fn a_start_that_may_arrive_is_not_placed_anew_as_the_next_never_left() {
+    for seed in 585..591 {
+        let mut world = World::new(seed, 3, 3);
+        world.late_per_mille = 1_000;
+        world.submit(1, "quick", 1, job(vec![step(6)]));
+        world.run_ms(300);
+        world.late_per_mille = 0;
+        world.crowded.extend([1_000, 1_001, 1_002].map(address));
+        world.run_ms(2_000);
+        assert!(world.counted("order-not-sent") > 0);
+        assert!(world.counted("start-sent-again") > 0);
+        world.crowded.clear();
+        world.run_ms(14_000);
+        assert_eq!(world.look(1, "quick", 1), Some(JobState::Completed));
+    }
+}
--- a/tests/control/leases.rs
+++ b/tests/control/leases.rs
@@ -37,6 +37,22 @@
     assert!(link.renewal_end(2_000).is_some());
 }
 
+/// A renewal did not get its turn before its time was over. The worker may be well: it
+/// still gets work. It may be lost as well: what is asked next extends no lease.
+#[test]
+fn a_renewal_that_never_left_says_nothing_of_its_worker() {
+    let mut link = WorkerLink::new(0, LEASE_MS);
+    link.listed(100, 100, 5, &[], &[]);
+    for at_ms in [200, 700, 1_200] {
+        link.renewal_not_sent(at_ms);
+        assert!(link.is_heard(at_ms) && link.takes_work(at_ms));
+        assert_eq!(link.renewal_end(at_ms), None);
+    }
+    assert!(!link.is_heard(5_000));
+    link.listed(1_300, 1_300, 1_205, &[], &[]);
+    assert!(link.renewal_end(1_400).is_some());
+}
+
 #[test]
 fn answers_that_overtake_each_other_do_not_set_the_clock_back() {
     let mut link = WorkerLink::new(0, LEASE_MS);
--- a/tests/control/world.rs
+++ b/tests/control/world.rs
@@ -98,6 +98,8 @@
     pub ordered: BTreeMap<EntryName, u64>,
     /// What was counted, by its name.
     pub decisions: BTreeMap<String, u64>,
+    /// Workers to which no short order gets its turn.
+    pub crowded: BTreeSet<SocketAddr>,
     /// Orders in a thousand that get no answer and arrive late.
     pub late_per_mille: u32,
     pub answers: BTreeMap<u64, Answer>,
@@ -211,6 +213,7 @@
             held: BTreeSet::new(),
             ordered: BTreeMap::new(),
             decisions: BTreeMap::new(),
+            crowded: BTreeSet::new(),
             late_per_mille: 0,
             answers: BTreeMap::new(),
             next_call: 0,
--- a/tests/control/world/deliveries.rs
+++ b/tests/control/world/deliveries.rs
@@ -115,6 +115,18 @@
     fn order_arrives(&mut self, from: &EntryName, start: u64, order: Order) {
         let there = order.address.to_string();
         let (to, id) = (from.clone(), order.id);
+        let short = !matches!(order.kind, OrderKind::Renew { .. });
+        // Only what has just been sent waits for its turn.
+        if start > 0 && short && self.crowded.contains(&order.address) {
+            let outcome = OrderOutcome::NotSent;
+            let ordered = Flying::Ordered {
+                to,
+                start,
+                id,
+                outcome,
+            };
+            return self.fly(order.timeout_ms, ordered);
+        }
         if self.is_cut(from.as_str(), &there) {
             let outcome = OrderOutcome::Unanswered;
             let after_ms = order.timeout_ms;
