Split the tests' control world by what happens to it

Only moves, narrower visibility and module heads: the lines of the old file and of the new ones were compared, and differ by imports and heads alone. No test, bound or literal changed.

--- a/tests/control/world.rs
+++ b/tests/control/world.rs
@@ -1,27 +1,34 @@
 //! Three control instances, fake workers and a fake keeper of machines in one thread.
+//!
+//! Time moves on in steps, and what is on its way arrives in the order of its times. The
+//! modules hold what may happen to a world and what is read off it.
 
+mod calls;
+mod cuts;
 mod deliveries;
+mod flying;
+mod instances;
+mod machines;
 mod processor;
+mod readings;
 mod samples;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use rosemarygauge::consensus::{Record, Recovered};
-use rosemarygauge::control::{
-    Answer, Call, Event, MachineOrder, Node, NodeSettings, Order, OrderOutcome, PeerMessage, Place,
-    Policy, Timing, Wave,
-};
-use rosemarygauge::jobs::{JobId, JobSpec, JobState, TaskId};
+use rosemarygauge::control::{Answer, Call, Event, Policy, Timing};
+use rosemarygauge::jobs::{JobId, TaskId};
 use rosemarygauge::model::EntryName;
 
 pub use processor::LOOK_US;
 pub use samples::{configuration, job, lasting, queue, step};
 
 use crate::worker::Worker;
+use flying::Flying;
+use instances::Control;
 use processor::Processor;
 
 pub const STEP_MS: u64 = 5;
@@ -36,50 +43,6 @@
     notice_ms: 4_500,
 };
 
-struct Control {
-    node: Option<Node>,
-    disk: Recovered,
-    frozen: bool,
-}
-
-enum Flying {
-    Peer {
-        from: EntryName,
-        to: EntryName,
-        sent_ms: u64,
-        message: Box<PeerMessage>,
-    },
-    Persisted {
-        at: EntryName,
-        start: u64,
-        token: u64,
-        records: Vec<Record>,
-    },
-    Order {
-        from: EntryName,
-        start: u64,
-        order: Order,
-    },
-    Ordered {
-        to: EntryName,
-        start: u64,
-        id: u64,
-        outcome: OrderOutcome,
-    },
-    Machine {
-        from: EntryName,
-        start: u64,
-        /// How often its sender had aborted its open orders by then.
-        aborted: u64,
-        order: MachineOrder,
-    },
-    Event {
-        to: EntryName,
-        start: u64,
-        event: Event,
-    },
-}
-
 pub struct World {
     pub now_ms: u64,
     pub rng: ChaCha8Rng,
@@ -235,257 +198,6 @@
         }
     }
 
-    fn found(&mut self, place: usize) {
-        let incarnation = self.rng.random();
-        let disk = Recovered {
-            incarnation: Some(incarnation),
-            ..Recovered::default()
-        };
-        self.start(&name(place), disk, true);
-    }
-
-    /// Starts an instance that is not there at the first start, with an empty folder.
-    pub fn join(&mut self, place: usize) {
-        let incarnation = self.rng.random();
-        let disk = Recovered {
-            incarnation: Some(incarnation),
-            ..Recovered::default()
-        };
-        self.start(&name(place), disk, false);
-    }
-
-    fn start(&mut self, me: &EntryName, disk: Recovered, first_start: bool) {
-        let settings = NodeSettings {
-            me: me.clone(),
-            seeds: (1..=3).map(name).collect(),
-            first_start,
-            losses_borne: 1,
-            timing: TIMING,
-            policy: self.policy.clone(),
-            seed: self.rng.random(),
-        };
-        let unix_ms = 1_700_000_000_000 + self.now_ms;
-        let node = Node::new(settings, disk.clone(), unix_ms, self.now_ms);
-        *self.starts.entry(me.clone()).or_default() += 1;
-        self.renew_processor(me);
-        let control = Control {
-            node: Some(node),
-            disk,
-            frozen: false,
-        };
-        self.controls.insert(me.clone(), control);
-    }
-
-    pub fn add_worker(&mut self, port: u16, pool: &str) {
-        self.next_worker += 1;
-        let worker = Worker::new(
-            &format!("i-{}", self.next_worker),
-            address(port),
-            pool,
-            self.now_ms,
-        );
-        self.workers.insert(address(port), worker);
-        self.report_ms = self.now_ms;
-    }
-
-    pub fn worker(&mut self, port: u16) -> &mut Worker {
-        self.workers.get_mut(&address(port)).unwrap()
-    }
-
-    /// The worker ends without a word; another incarnation comes after a while.
-    pub fn crash_worker(&mut self, port: u16, for_ms: u64) {
-        let worker = self.workers.remove(&address(port)).unwrap();
-        let back = self.now_ms + for_ms;
-        self.returning.push((back, worker.address, worker.pool));
-    }
-
-    /// A new machine comes after a while.
-    pub fn come_later(&mut self, port: u16, pool: &str, after_ms: u64) {
-        let at_ms = self.now_ms + after_ms;
-        self.returning.push((at_ms, address(port), pool.to_owned()));
-    }
-
-    pub fn kill(&mut self, at: &EntryName) {
-        self.controls.get_mut(at).unwrap().node = None;
-    }
-
-    pub fn restart(&mut self, at: &EntryName) {
-        let disk = self.controls[at].disk.clone();
-        self.start(at, disk, false);
-    }
-
-    /// It comes back with an empty folder.
-    pub fn wipe(&mut self, at: &EntryName) {
-        let incarnation = self.rng.random();
-        let disk = Recovered {
-            incarnation: Some(incarnation),
-            ..Recovered::default()
-        };
-        self.start(at, disk, false);
-    }
-
-    pub fn freeze(&mut self, at: &EntryName, frozen: bool) {
-        self.controls.get_mut(at).unwrap().frozen = frozen;
-    }
-
-    /// The voters as the instance's disk knows them.
-    pub fn voters(&self, at: &EntryName) -> Vec<EntryName> {
-        let disk = &self.controls[at].disk;
-        let entries = disk.entries.iter().rev();
-        let latest = entries.filter_map(|e| e.membership.as_ref()).next();
-        let snapshot = || disk.snapshot.as_ref().map(|s| &s.membership);
-        let voters = latest.or_else(snapshot).unwrap().iter();
-        voters.map(|(name, _)| name.clone()).collect()
-    }
-
-    /// Whether a write of the instance is on its way to the disk.
-    pub fn writes(&self, at: &EntryName) -> bool {
-        let mut flying = self.flying.values();
-        flying.any(|f| matches!(f, Flying::Persisted { at: by, .. } if by == at))
-    }
-
-    /// Cuts an instance off from the other instances, both ways.
-    pub fn isolate(&mut self, at: &EntryName) {
-        for other in self.controls.keys().filter(|n| *n != at) {
-            self.cut.insert((at.to_string(), other.to_string()));
-            self.cut.insert((other.to_string(), at.to_string()));
-        }
-    }
-
-    /// Cuts two ends off from each other, both ways.
-    pub fn cut_pair(&mut self, one: &str, other: &str) {
-        self.cut.insert((one.to_owned(), other.to_owned()));
-        self.cut.insert((other.to_owned(), one.to_owned()));
-    }
-
-    /// Messages from one instance to another wait, or go on.
-    pub fn hold(&mut self, from: &EntryName, to: &EntryName, held: bool) {
-        let pair = (from.to_string(), to.to_string());
-        if held {
-            self.held.insert(pair);
-        } else {
-            self.held.remove(&pair);
-        }
-    }
-
-    /// The instances that do not lead, by their places.
-    pub fn followers(&self) -> Vec<usize> {
-        let leader = self.leader();
-        (1..=3).filter(|p| Some(name(*p)) != leader).collect()
-    }
-
-    /// How often something was counted.
-    pub fn counted(&self, decision: &str) -> u64 {
-        self.decisions.get(decision).copied().unwrap_or(0)
-    }
-
-    /// How many orders to workers an instance sent.
-    pub fn ordered_by(&self, at: &EntryName) -> u64 {
-        self.ordered.get(at).copied().unwrap_or(0)
-    }
-
-    /// How often an instance aborted its open orders.
-    pub fn aborted_by(&self, at: &EntryName) -> u64 {
-        self.aborted.get(at).copied().unwrap_or(0)
-    }
-
-    /// Whether an instance's process is there.
-    pub fn is_up(&self, at: &EntryName) -> bool {
-        self.controls[at].node.is_some()
-    }
-
-    /// Cuts an instance off from the keeper of machines.
-    pub fn cut_keeper(&mut self, at: &EntryName) {
-        self.cut.insert((at.to_string(), KEEPER.to_owned()));
-    }
-
-    /// Orders on their way to the keeper of machines.
-    pub fn machine_orders(&self) -> usize {
-        let flying = self.flying.values();
-        flying
-            .filter(|f| matches!(f, Flying::Machine { .. }))
-            .count()
-    }
-
-    /// Cuts a worker off from all instances, both ways.
-    pub fn cut_worker(&mut self, port: u16) {
-        for other in self.controls.keys() {
-            self.cut
-                .insert((other.to_string(), address(port).to_string()));
-            self.cut
-                .insert((address(port).to_string(), other.to_string()));
-        }
-    }
-
-    pub fn leader(&self) -> Option<EntryName> {
-        let mut leaders = self.controls.iter().filter(|(_, c)| {
-            let node = c.node.as_ref().filter(|_| !c.frozen);
-            node.is_some_and(|node| node.leads(self.now_ms))
-        });
-        leaders.next().map(|(name, _)| name.clone())
-    }
-
-    pub fn state(&self, at: &EntryName) -> &rosemarygauge::control::State {
-        self.controls[at].node.as_ref().unwrap().state()
-    }
-
-    /// Hands in a call at an instance; its answer comes under the id.
-    pub fn call(&mut self, place: usize, call: Call) -> u64 {
-        self.next_call += 1;
-        let id = self.next_call;
-        self.feed(&name(place), Event::Call { id, call });
-        id
-    }
-
-    pub fn place(queue: &str, job: u64) -> Place {
-        Place {
-            host: "h.example".into(),
-            path: format!("/{queue}/{}", JobId::from(job)),
-        }
-    }
-
-    pub fn submit(&mut self, at: usize, queue: &str, id: u64, spec: JobSpec) -> u64 {
-        if spec.lasts() {
-            for worker in self.workers.values_mut() {
-                worker.lasting_jobs.insert(JobId::from(id));
-            }
-        }
-        let call = Call::Submit {
-            place: Self::place(queue, id),
-            spec: Some(Arc::new(spec)),
-        };
-        self.call(at, call)
-    }
-
-    pub fn cancel(&mut self, at: usize, queue: &str, id: u64) -> u64 {
-        let place = Self::place(queue, id);
-        self.call(at, Call::Cancel { place })
-    }
-
-    /// How far a job is, asked at an instance; none without a clear answer.
-    pub fn look(&mut self, at: usize, queue: &str, id: u64) -> Option<JobState> {
-        let place = Self::place(queue, id);
-        let call = self.call(at, Call::Look { place });
-        self.run_ms(1_200);
-        match self.answers.get(&call) {
-            Some(Answer::Job(state)) => Some(*state),
-            _ => None,
-        }
-    }
-
-    pub fn start_wave(&mut self, at: usize, machines: &[&str], down_max: usize) -> u64 {
-        let wave = Wave {
-            number: 1,
-            machines: machines.iter().map(|m| (*m).to_owned()).collect(),
-            duration_ms: 20_000,
-            down_max,
-            accepted_unix_ms: 0,
-            begun: BTreeSet::new(),
-            asked: BTreeMap::new(),
-        };
-        self.call(at, Call::StartWave(wave))
-    }
-
     pub fn run_ms(&mut self, for_ms: u64) {
         let until = self.now_ms + for_ms;
         while self.now_ms < until {
@@ -527,46 +239,4 @@
         }
         self.work();
     }
-
-    fn bring_back(&mut self) {
-        let now_ms = self.now_ms;
-        let (back, still): (Vec<_>, Vec<_>) =
-            self.returning.drain(..).partition(|(at, ..)| now_ms >= *at);
-        self.returning = still;
-        for (_, address, pool) in back {
-            self.add_worker(address.port(), &pool);
-            let jobs = self
-                .workers
-                .values()
-                .flat_map(|w| w.lasting_jobs.clone())
-                .collect();
-            self.workers.get_mut(&address).unwrap().lasting_jobs = jobs;
-        }
-    }
-
-    fn report_all(&mut self) {
-        let mut reports = Vec::new();
-        for worker in self.workers.values_mut() {
-            reports.push((worker.address, worker.report()));
-        }
-        for (address, report) in reports {
-            let to = (1..=3).map(name).find(|to| {
-                let up = self
-                    .controls
-                    .get(to)
-                    .is_some_and(|c| c.node.is_some() && !c.frozen);
-                up && !self.is_cut(&address.to_string(), to.as_str())
-            });
-            if let Some(to) = to {
-                self.next_call += 1;
-                let id = self.next_call;
-                let call = Call::Report(Arc::new(report));
-                self.feed(&to, Event::Call { id, call });
-            }
-        }
-    }
-
-    fn is_cut(&self, from: &str, to: &str) -> bool {
-        self.cut.contains(&(from.to_owned(), to.to_owned()))
-    }
 }
