Split the dispatcher by what it decides on

The file held four jobs in 543 lines: taking inputs, taking rows and services from the replicated state, the ends of attempts, and answers. The last three are modules beside arrive and pump now: view_change, attempt_end and answer. The dispatcher keeps its fields, its inputs, its timers and its queue, in 211 lines.

Only moves, visibility within the load decisions and module heads: the lines of the old file and of the new ones were compared. No decision, literal or test changed. The 27 tests of load, load_rows and load_properties pass.

--- a/src/load/dispatcher.rs
+++ b/src/load/dispatcher.rs
@@ -1,3 +1,9 @@
+//! What a dispatcher knows and takes in.
+//!
+//! Each input is handed to the module that decides on it: `arrive` at the door,
+//! `attempt_end` when an attempt is over, `answer` when a request is done,
+//! `view_change` when the replicated state changes. `pump` then starts what can.
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use rand::SeedableRng;
@@ -5,15 +11,14 @@
 
 use crate::model::{RefusalReason, ServiceName};
 
-use super::admission::retry_after_ms;
-use super::retry::{ATTEMPTS_MAX, RetryBudget};
+use super::retry::RetryBudget;
 use super::service_load::ServiceLoad;
 use super::teams::Teams;
 use super::timers::Timers;
 use super::tracked::{Phase, Tracked};
-use super::trail::{Decision, Trail};
-use super::upstreams::{End, Target, Upstreams};
-use super::{Action, AttemptId, AttemptRefusal, Input, LoadSettings, RequestId, RetryReason, View};
+use super::trail::Trail;
+use super::upstreams::Upstreams;
+use super::{Action, Input, LoadSettings, RequestId, RetryReason};
 
 /// Index of the entry instance's own zone.
 pub(super) const HOME: usize = 0;
@@ -153,325 +158,11 @@
         self.all_dirty();
     }
 
-    fn all_dirty(&mut self) {
+    pub(super) fn all_dirty(&mut self) {
         self.dirty
             .extend(self.services.iter().filter_map(|s| s.pool));
     }
 
-    fn set_view(&mut self, now_ms: u64, view: &View, out: &mut Vec<Action>) {
-        let mut carried = Vec::with_capacity(view.carriers.len());
-        for (name, pool) in &view.carriers {
-            let declared = view.pools.get(pool);
-            let declared = declared.and_then(|p| p.services.iter().find(|s| s.name == *name));
-            let Some(declared) = declared else {
-                continue;
-            };
-            let at = self.service(now_ms, declared);
-            carried.push((pool, at, declared.demand));
-        }
-        self.upstreams.set_view(now_ms, view, &carried);
-        self.teams.set_rows(&view.rows);
-        for (at, service) in self.services.iter_mut().enumerate() {
-            service.pool = self.upstreams.fits.get(at).and_then(|fit| fit.pool);
-            service.set_rows(&self.upstreams.zones, &view.rows);
-        }
-        self.refuse_closed(now_ms, out);
-        self.all_dirty();
-    }
-
-    /// The index of a service, made when it is first seen.
-    fn service(&mut self, now_ms: u64, declared: &crate::model::Service) -> usize {
-        if let Some(&at) = self.service_names.get(&declared.name) {
-            let service = &mut self.services[at];
-            service.class = declared.class;
-            service.demand = declared.demand;
-            return at;
-        }
-        let name = declared.name.clone();
-        let service = ServiceLoad::new(name.clone(), declared.class, declared.demand, now_ms);
-        self.services.push(service);
-        self.service_names.insert(name, self.services.len() - 1);
-        self.services.len() - 1
-    }
-
-    /// What waits for a service or zone that a change has closed is refused now
-    /// and not when its time runs out.
-    fn refuse_closed(&mut self, now_ms: u64, out: &mut Vec<Action>) {
-        for service in 0..self.services.len() {
-            let reason = if self.services[service].pool.is_none() {
-                RefusalReason::UnknownService
-            } else if self.is_closed_everywhere(service) {
-                RefusalReason::RowClosed
-            } else {
-                self.refuse_closed_teams(now_ms, service, out);
-                continue;
-            };
-            self.refuse_waiting(now_ms, service, reason, out);
-        }
-    }
-
-    fn refuse_closed_teams(&mut self, now_ms: u64, service: usize, out: &mut Vec<Action>) {
-        for id in self.waiting_of(service) {
-            let team = self.requests.get(&id).map(|t| &t.request.team);
-            if team.is_some_and(|team| self.teams.is_closed(team)) {
-                self.give_up(now_ms, id, RefusalReason::RowClosed, out);
-            }
-        }
-    }
-
-    fn waiting_of(&self, service: usize) -> Vec<RequestId> {
-        let queues = &self.services[service].queues;
-        queues
-            .iter()
-            .flat_map(super::queue::ClassQueue::ids)
-            .collect()
-    }
-
-    pub(super) fn refuse_waiting(
-        &mut self,
-        now_ms: u64,
-        service: usize,
-        reason: RefusalReason,
-        out: &mut Vec<Action>,
-    ) {
-        for id in self.waiting_of(service) {
-            self.give_up(now_ms, id, reason, out);
-        }
-    }
-
-    fn cancel(&mut self, now_ms: u64, id: RequestId, out: &mut Vec<Action>) {
-        let Some(tracked) = self.requests.get_mut(&id) else {
-            return;
-        };
-        if tracked.phase == Phase::Waiting {
-            self.give_up(now_ms, id, RefusalReason::Cancelled, out);
-        } else {
-            tracked.is_cancelled = true;
-            self.trail.add(now_ms, id, Decision::CancelledInFlight);
-        }
-    }
-
-    /// Ends the present attempt: frees its slot and learns from it.
-    fn end_attempt(
-        &mut self,
-        now_ms: u64,
-        id: RequestId,
-        attempt: AttemptId,
-        end: impl FnOnce(&mut ServiceLoad, bool) -> End,
-    ) -> Option<Target> {
-        let tracked = self.requests.get_mut(&id)?;
-        let (to, calm) = tracked.runs(attempt)?;
-        tracked.phase = Phase::Waiting;
-        let class = tracked.class();
-        let service = &mut self.services[tracked.service];
-        service.ended(to.zone, class);
-        self.teams.ended(&tracked.request.team);
-        let end = end(service, calm);
-        self.upstreams.ended(now_ms, to, class, end);
-        // A team's quota or a row's limit may hold up other pools too.
-        self.dirty.insert(to.pool);
-        if self.teams.has_quota(&tracked.request.team) {
-            self.all_dirty();
-        }
-        Some(to)
-    }
-
-    fn finished(
-        &mut self,
-        now_ms: u64,
-        id: RequestId,
-        attempt: AttemptId,
-        status: u16,
-        run_us: u64,
-        out: &mut Vec<Action>,
-    ) {
-        let has_failed = status >= 500;
-        let end = |service: &mut ServiceLoad, calm: bool| {
-            if has_failed {
-                return End::Failed;
-            }
-            let ratio = service.run.ratio(run_us);
-            service.run.saw(run_us, calm);
-            End::Answered { ratio }
-        };
-        let Some(to) = self.end_attempt(now_ms, id, attempt, end) else {
-            return;
-        };
-        if has_failed {
-            self.try_again(now_ms, id, to, RetryReason::Failed, out);
-            return;
-        }
-        if let Some(tracked) = self.requests.get(&id) {
-            self.retries.earn(now_ms, to.pool, &tracked.request.caller);
-        }
-        self.deliver(now_ms, id, out);
-    }
-
-    fn lost(&mut self, now_ms: u64, id: RequestId, attempt: AttemptId, out: &mut Vec<Action>) {
-        if let Some(to) = self.end_attempt(now_ms, id, attempt, |_, _| End::Failed) {
-            self.try_again(now_ms, id, to, RetryReason::Lost, out);
-        }
-    }
-
-    fn refused(
-        &mut self,
-        now_ms: u64,
-        id: RequestId,
-        attempt: AttemptId,
-        refusal: AttemptRefusal,
-        out: &mut Vec<Action>,
-    ) {
-        let (end, reason) = match refusal {
-            AttemptRefusal::ConnectFailed => (End::Failed, RetryReason::ConnectFailed),
-            AttemptRefusal::Busy => (End::Busy, RetryReason::Busy),
-            AttemptRefusal::Leaving => (End::Moved, RetryReason::Leaving),
-            AttemptRefusal::StaleEpoch => (End::Moved, RetryReason::StaleEpoch),
-        };
-        if let Some(to) = self.end_attempt(now_ms, id, attempt, |_, _| end) {
-            self.try_again(now_ms, id, to, reason, out);
-        }
-    }
-
-    /// Puts a request whose attempt failed back into its queue, or answers it.
-    fn try_again(
-        &mut self,
-        now_ms: u64,
-        id: RequestId,
-        to: Target,
-        reason: RetryReason,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(tracked) = self.requests.get_mut(&id) else {
-            return;
-        };
-        if tracked.is_cancelled {
-            self.requests.remove(&id);
-            return;
-        }
-        let ran = matches!(reason, RetryReason::Lost | RetryReason::Failed);
-        tracked.may_have_run |= ran;
-        if !reason.is_free() {
-            tracked.failures += 1;
-            tracked.tried.push(to);
-        }
-        match self.why_not_again(now_ms, id, to, reason, ran) {
-            None => {
-                *self.retried.entry(reason).or_default() += 1;
-                self.trail.add(now_ms, id, Decision::Retried(reason));
-                self.enqueue(now_ms, id);
-            }
-            // The failure that the upstream answered is the whole answer.
-            Some(_) if reason == RetryReason::Failed => self.deliver(now_ms, id, out),
-            Some(why) => self.give_up(now_ms, id, why, out),
-        }
-    }
-
-    fn why_not_again(
-        &mut self,
-        now_ms: u64,
-        id: RequestId,
-        to: Target,
-        reason: RetryReason,
-        ran: bool,
-    ) -> Option<RefusalReason> {
-        let tracked = self.requests.get(&id)?;
-        let request = &tracked.request;
-        let run_ms = self.services[tracked.service].run.trusted_ms();
-        if ran && !request.idempotent {
-            return Some(RefusalReason::RetryBudget);
-        }
-        if now_ms as f64 + run_ms > request.deadline_ms as f64 {
-            return Some(RefusalReason::Deadline);
-        }
-        if self.services[tracked.service].pool.is_none() {
-            return Some(RefusalReason::UnknownService);
-        }
-        if reason.is_free() {
-            return None;
-        }
-        let is_spent = tracked.failures >= ATTEMPTS_MAX
-            || !self.retries.spend(now_ms, to.pool, &request.caller);
-        is_spent.then_some(RefusalReason::RetryBudget)
-    }
-
-    fn deliver(&mut self, now_ms: u64, id: RequestId, out: &mut Vec<Action>) {
-        let Some(tracked) = self.requests.remove(&id) else {
-            return;
-        };
-        if tracked.is_cancelled {
-            return;
-        }
-        let attempt = tracked.attempt();
-        self.trail.add(now_ms, id, Decision::Delivered(attempt));
-        out.push(Action::Deliver {
-            request: id,
-            attempt,
-        });
-    }
-
-    /// Answers a request that will not be tried (again), at once.
-    pub(super) fn give_up(
-        &mut self,
-        now_ms: u64,
-        id: RequestId,
-        reason: RefusalReason,
-        out: &mut Vec<Action>,
-    ) {
-        self.give_ups.clear(id);
-        let Some(tracked) = self.requests.remove(&id) else {
-            return;
-        };
-        let class = tracked.class();
-        self.services[tracked.service].queues[class].remove(&tracked.ticket);
-        if tracked.may_have_run {
-            self.trail.add(now_ms, id, Decision::Unknown);
-            out.push(Action::GiveUpUnknown { request: id });
-            return;
-        }
-        let wait_ms = self.come_back_in_ms(now_ms, &tracked, reason);
-        self.refuse(now_ms, id, reason, wait_ms, out);
-    }
-
-    /// Time after which the reason may be gone; none where it will not be.
-    fn come_back_in_ms(
-        &mut self,
-        now_ms: u64,
-        tracked: &Tracked,
-        reason: RefusalReason,
-    ) -> Option<f64> {
-        let service = &self.services[tracked.service];
-        let class = tracked.class();
-        match reason {
-            RefusalReason::RetryBudget => Some(
-                service
-                    .pool
-                    .map_or(0.0, |p| self.retries.wait_ms(now_ms, p)),
-            ),
-            _ => {
-                let ahead = (service.queues[class].len() + 1) as f64;
-                base_wait_ms(reason, service.drain_ms(class, ahead))
-            }
-        }
-    }
-
-    pub(super) fn refuse(
-        &mut self,
-        now_ms: u64,
-        id: RequestId,
-        reason: RefusalReason,
-        wait_ms: Option<f64>,
-        out: &mut Vec<Action>,
-    ) {
-        *self.refusals.entry(reason).or_default() += 1;
-        self.trail.add(now_ms, id, Decision::Refused(reason));
-        let retry_after_ms = wait_ms.map(|wait| retry_after_ms(wait, &mut self.rng));
-        out.push(Action::Refuse {
-            request: id,
-            reason,
-            retry_after_ms,
-        });
-    }
-
     /// Puts a request into its queue, at its own place if it was there before.
     pub(super) fn enqueue(&mut self, now_ms: u64, id: RequestId) {
         let Some(tracked) = self.requests.get_mut(&id) else {
@@ -518,26 +209,3 @@
         })
     }
 }
-
-fn base_wait_ms(reason: RefusalReason, drain_ms: f64) -> Option<f64> {
-    /// Upstreams announce themselves again within a second or two.
-    const NO_INSTANCE_MS: f64 = 1_000.0;
-    /// Operators open a row by hand.
-    const ROW_CLOSED_MS: f64 = 10_000.0;
-    match reason {
-        RefusalReason::NoInstance => Some(NO_INSTANCE_MS),
-        RefusalReason::RowClosed => Some(ROW_CLOSED_MS),
-        RefusalReason::UnknownService
-        | RefusalReason::NeverFits
-        | RefusalReason::Cancelled
-        | RefusalReason::BadRequest
-        | RefusalReason::KeyConflict => None,
-        RefusalReason::Deadline
-        | RefusalReason::Starting
-        | RefusalReason::QueueFull
-        | RefusalReason::TeamQuota
-        | RefusalReason::RetryBudget
-        | RefusalReason::NoQuorum
-        | RefusalReason::Stopping => Some(drain_ms),
-    }
-}
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -18,12 +18,16 @@
 //! | `shares` | which part of an upstream's slots this entry instance uses |
 //! | `limit`, `run_time`, `wait_error` | what is learnt: capacity, run times, waits |
 //! | `health` | which upstreams get nothing |
+//! | `attempt_end` | how an attempt ended, and what becomes of its request |
 //! | `retry` | what is tried again |
+//! | `answer` | the one answer of each request |
 //! | `teams` | quotas |
 
 mod action;
 mod admission;
+mod answer;
 mod arrive;
+mod attempt_end;
 mod dispatcher;
 mod fair;
 pub mod fleets;
@@ -56,6 +60,7 @@
 mod upstream;
 mod upstreams;
 mod view;
+mod view_change;
 mod wait_error;
 mod zone_weights;
 
