Split the load bench by what stands on it

Paths for callers are as before.

Only moves, visibility within the bench and module heads: the lines of the old file and of the new ones were compared. No behaviour, literal or test changed.

--- a/src/load/harness.rs
+++ b/src/load/harness.rs
@@ -2,171 +2,32 @@
 //! every caller got. It feeds a [`Dispatcher`] and a [`Naive`] alike, for the
 //! tests and for `measure load`. It is no model of a cluster: a worker runs what
 //! it is given for the time the request needs, and that is all.
+//!
+//! [`Dispatcher`]: super::Dispatcher
+//! [`Naive`]: super::Naive
+
+mod account;
+mod event;
+mod host;
+mod side;
+mod worker;
 
 use std::collections::BTreeMap;
 
-use crate::model::{
-    Capacity, Duty, EntryName, InstanceName, PoolName, RackName, RefusalReason, Standing,
-    UpstreamReport, ZoneName,
-};
+use crate::model::{EntryName, InstanceName};
 
-use super::{
-    Action, AttemptId, AttemptRefusal, Dispatcher, Input, Naive, Request, RequestId, View,
-};
+use super::{Action, Input, Request, RequestId, View};
 
-/// Time between two reports of a worker, in milliseconds.
-const REPORT_MS: u64 = 1_000;
+pub use account::{Account, Ending};
+pub use side::Side;
+pub use worker::{Behaviour, Worker};
 
-/// Lease that a report carries, in milliseconds.
-const LEASE_MS: u64 = 3_000;
+use event::Event;
+use host::Host;
 
 /// Time between two exchanges of load among entry instances, in milliseconds.
 const EXCHANGE_MS: u64 = 200;
 
-/// What decides.
-#[derive(Debug)]
-pub enum Side {
-    /// The product.
-    Dispatcher(Box<Dispatcher>),
-    /// The baseline.
-    Naive(Box<Naive>),
-}
-
-impl Side {
-    /// Feeds one input.
-    pub fn handle(&mut self, now_ms: u64, input: Input<'_>) -> Vec<Action> {
-        match self {
-            Self::Dispatcher(side) => side.handle(now_ms, input),
-            Self::Naive(side) => side.handle(now_ms, input),
-        }
-    }
-
-    fn next_wake_ms(&self) -> Option<u64> {
-        match self {
-            Self::Dispatcher(side) => side.next_wake_ms(),
-            Self::Naive(_) => None,
-        }
-    }
-}
-
-/// How a worker behaves.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Behaviour {
-    /// Answers after the request's run time times this.
-    Works {
-        /// 1 for a worker as fast as its pool.
-        slowdown: f64,
-    },
-    /// Answers every request with a failure.
-    Fails {
-        /// After this many milliseconds.
-        after_ms: u64,
-    },
-    /// Cannot be connected to; what runs is lost.
-    Gone,
-}
-
-/// A stand-in worker.
-#[derive(Clone, Debug)]
-pub struct Worker {
-    /// Its name.
-    pub name: InstanceName,
-    /// Its availability zone.
-    pub zone: ZoneName,
-    /// Its rack.
-    pub rack: RackName,
-    /// The pool it was set up for.
-    pub pool: PoolName,
-    /// What it declares, and has.
-    pub capacity: Capacity,
-    /// How it behaves.
-    pub behaviour: Behaviour,
-}
-
-/// How a request ended, for its caller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ending {
-    /// A whole answer.
-    Answered,
-    /// An answer that tells of a failure.
-    FailureAnswered,
-    /// Not run.
-    Refused(RefusalReason),
-    /// May have run.
-    Unknown,
-}
-
-/// What became of one request.
-#[derive(Clone, Debug)]
-pub struct Account {
-    /// The request.
-    pub request: Request,
-    /// When it arrived.
-    pub arrived_ms: u64,
-    /// Time it runs on a worker as fast as its pool.
-    pub run_ms: u64,
-    /// When and how it ended.
-    pub ended: Option<(u64, Ending)>,
-    /// Final answers; more than one is a fault of the dispatcher.
-    pub answers: u32,
-    /// Times a worker started it.
-    pub runs: u32,
-    /// Times it was sent out.
-    pub dispatches: u32,
-    entry: usize,
-}
-
-impl Account {
-    /// Whether the caller got a whole answer before its deadline.
-    pub fn is_good(&self) -> bool {
-        self.ended
-            .is_some_and(|(at, end)| end == Ending::Answered && at <= self.request.deadline_ms)
-    }
-
-    /// Time to the final answer, in milliseconds.
-    pub fn latency_ms(&self) -> Option<u64> {
-        self.ended.map(|(at, _)| at - self.arrived_ms)
-    }
-}
-
-#[derive(Clone, Debug)]
-enum Event {
-    Arrive(RequestId),
-    Cancel(RequestId),
-    End(Attempt),
-    Report(InstanceName),
-    Exchange,
-    Wake(usize),
-    Behave(InstanceName, Behaviour),
-    View(Box<View>),
-    Fresh(bool),
-}
-
-#[derive(Clone, Debug)]
-struct Attempt {
-    request: RequestId,
-    attempt: AttemptId,
-    worker: InstanceName,
-    start_ms: u64,
-    result: AttemptResult,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum AttemptResult {
-    Status(u16),
-    Refused(AttemptRefusal),
-    Lost,
-}
-
-#[derive(Debug)]
-struct Host {
-    worker: Worker,
-    running: u32,
-    sequence: u64,
-    /// Requests it was sent.
-    sent: u64,
-}
-
 /// The bench.
 #[derive(Debug)]
 pub struct Harness {
@@ -390,147 +251,6 @@
         account.ended = Some((now_ms, ending));
     }
 
-    /// A worker gets a request: runs, refuses or fails it.
-    fn start(&mut self, id: RequestId, attempt: AttemptId, name: &InstanceName) {
-        self.check(id, name);
-        let now_ms = self.now_ms;
-        let (Some(host), Some(account)) = (self.hosts.get_mut(name), self.accounts.get_mut(&id))
-        else {
-            return;
-        };
-        account.dispatches += 1;
-        host.sent += 1;
-        let full = host.running >= host.worker.capacity.slots;
-        let (result, after_ms) = match host.worker.behaviour {
-            Behaviour::Gone => (AttemptResult::Refused(AttemptRefusal::ConnectFailed), 1),
-            _ if full => (AttemptResult::Refused(AttemptRefusal::Busy), 1),
-            Behaviour::Works { slowdown } => {
-                let run_ms = (account.run_ms as f64 * slowdown) as u64;
-                (AttemptResult::Status(200), run_ms.max(1))
-            }
-            Behaviour::Fails { after_ms } => (AttemptResult::Status(500), after_ms),
-        };
-        if matches!(result, AttemptResult::Status(_)) {
-            host.running += 1;
-            account.runs += 1;
-            if account.runs > 1 && !account.request.idempotent {
-                self.faults.push(format!("{id}: ran twice"));
-            }
-        }
-        let end = Attempt {
-            request: id,
-            attempt,
-            worker: name.clone(),
-            start_ms: now_ms,
-            result,
-        };
-        self.at(now_ms + after_ms, Event::End(end));
-    }
-
-    /// What must hold of every dispatch.
-    fn check(&mut self, id: RequestId, name: &InstanceName) {
-        let service = self.accounts.get(&id).map(|a| &a.request.service);
-        let carrier = service.and_then(|s| self.view.carriers.get(s));
-        let instance = self.view.instances.get(name);
-        if carrier != instance.map(|i| &i.pool) {
-            self.faults
-                .push(format!("{id}: sent to {name} of another pool"));
-        }
-        if instance.is_none_or(|i| i.duty != Duty::Serving) {
-            self.faults
-                .push(format!("{id}: sent to {name}, not serving"));
-        }
-    }
-
-    fn end(&mut self, end: &Attempt) {
-        let Some(host) = self.hosts.get_mut(&end.worker) else {
-            return;
-        };
-        let mut result = end.result;
-        if let AttemptResult::Status(_) = result {
-            host.running = host.running.saturating_sub(1);
-            if host.worker.behaviour == Behaviour::Gone {
-                result = AttemptResult::Lost;
-            }
-        }
-        let Some(entry) = self.accounts.get(&end.request).map(|a| a.entry) else {
-            return;
-        };
-        let (request, attempt) = (end.request, end.attempt);
-        let run_us = (self.now_ms - end.start_ms) * 1_000;
-        let answers = self.answers(request);
-        let input = match result {
-            AttemptResult::Status(status) => Input::Finished {
-                request,
-                attempt,
-                status,
-                run_us,
-            },
-            AttemptResult::Refused(refusal) => Input::Refused {
-                request,
-                attempt,
-                refusal,
-            },
-            AttemptResult::Lost => Input::Lost {
-                request,
-                attempt,
-                run_us,
-            },
-        };
-        self.feed(entry, input);
-        let delivered = self.answers(request) > answers;
-        if delivered && result == AttemptResult::Status(500) {
-            self.relabel(request);
-        }
-    }
-
-    fn answers(&self, id: RequestId) -> u32 {
-        self.accounts.get(&id).map_or(0, |a| a.answers)
-    }
-
-    fn relabel(&mut self, id: RequestId) {
-        if let Some(account) = self.accounts.get_mut(&id)
-            && let Some((_, ending @ Ending::Answered)) = &mut account.ended
-        {
-            *ending = Ending::FailureAnswered;
-        }
-    }
-
-    fn report(&mut self, name: &InstanceName) {
-        let Some(host) = self.hosts.get_mut(name) else {
-            return;
-        };
-        let next = self.now_ms + REPORT_MS;
-        if host.worker.behaviour == Behaviour::Gone {
-            self.at(next, Event::Report(name.clone()));
-            return;
-        }
-        host.sequence += 1;
-        let worker = &host.worker;
-        let report = UpstreamReport {
-            instance: worker.name.clone(),
-            incarnation: 1,
-            sequence: host.sequence,
-            address: String::new(),
-            zone: worker.zone.clone(),
-            rack: worker.rack.clone(),
-            pool: worker.pool.clone(),
-            capacity: worker.capacity,
-            pool_epoch: 1,
-            standing: Standing::Serving,
-            running: host.running,
-            usage_age_ms: 0,
-        };
-        for entry in 0..self.sides.len() {
-            let input = Input::Report {
-                report: &report,
-                lease_until_ms: self.now_ms + LEASE_MS,
-            };
-            self.feed(entry, input);
-        }
-        self.at(next, Event::Report(name.clone()));
-    }
-
     fn exchange(&mut self) {
         let now_ms = self.now_ms;
         let load = |side: &Side| match side {
