Split the upstreams' index by job

The file did four jobs in 500 lines. What attempts hold and teach, which services fit where, and the bringing in line of sums, ready sets and timers are modules below it now; the index keeps its fields, reports, peers and look-ups, in 235 lines. As children they see its private fields, so that none was opened.

Only moves, visibility as wide as before and module heads: the lines of the old file and of the new ones were compared. No decision, literal or test changed. The 27 tests of load, load_rows and load_properties pass.

--- a/src/load/upstreams.rs
+++ b/src/load/upstreams.rs
@@ -5,70 +5,26 @@
 //! pool's services, and what it counts for in the sums of its group. Nothing
 //! walks all upstreams but a change of the replicated state.
 
+mod attempts;
+mod fit;
+mod refresh;
+
 use std::collections::BTreeMap;
 
-use crate::model::{Demand, EntryName, InstanceName, PoolName, UpstreamReport, ZoneName};
+use crate::model::{EntryName, InstanceName, PoolName, UpstreamReport, ZoneName};
 
 use super::group::{Group, PoolLoad};
-use super::health::may_eject;
 use super::ready::ReadySet;
 use super::timers::Timers;
-use super::upstream::{Counted, Upstream};
+use super::upstream::Upstream;
+
+pub(super) use attempts::{End, Target};
+pub(super) use fit::Fit;
 
 /// Time after the start in which upstreams that announce themselves are taken
 /// to have been there before: this entry instance is new, and they are not.
 const START_MS: u64 = 5_000;
 
-/// Pause after an upstream refused in good order: about the time a request runs
-/// there, so that the next try has a chance.
-const REFUSED_PAUSE_MS: u64 = 25;
-
-/// Pause after an upstream leaves or has another epoch: the report or view that
-/// says so is on its way.
-const STALE_PAUSE_MS: u64 = 250;
-
-/// How long a pool counts as sick after it wanted one more ejection.
-const SICK_MS: u64 = 10_000;
-
-/// How often an upstream that is in no pool is looked at.
-const FORGET_MS: u64 = 10_000;
-
-/// How an attempt ended, as far as its upstream is concerned.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) enum End {
-    /// A whole answer came, after this many times the usual run time.
-    Answered { ratio: f64 },
-    /// It failed, was lost, or could not be reached.
-    Failed,
-    /// It had no slot.
-    Busy,
-    /// It leaves, or is in another pool.
-    Moved,
-}
-
-/// Where an attempt went.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Target {
-    /// What it takes there, as declared when it started.
-    pub demand: Demand,
-    pub upstream: usize,
-    /// Of the upstream's record, so that the end of an attempt cannot be counted
-    /// for another incarnation, nor for another upstream in the same place.
-    pub generation: u64,
-    pub pool: usize,
-    pub zone: usize,
-}
-
-/// Fit of one service: its demand and the upstreams that can take one more.
-#[derive(Debug)]
-pub(super) struct Fit {
-    pub pool: Option<usize>,
-    pub demand: Demand,
-    pub ready: Vec<ReadySet>,
-    /// Whether any member could ever carry it; none if it must be counted anew.
-    pub capable: Option<bool>,
-}
-
 /// Every upstream, pool and availability zone that is known.
 #[derive(Debug)]
 pub(super) struct Upstreams {
@@ -137,32 +93,6 @@
         self.list[at].pool
     }
 
-    pub(super) fn forget_capable(&mut self, pool: Option<usize>) {
-        let Some(pool) = pool else {
-            return;
-        };
-        for &service in &self.pools[pool].services {
-            self.fits[service].capable = None;
-        }
-    }
-
-    /// Whether some member of its pool could carry the service if it were idle.
-    /// True while members are yet to announce themselves: they might.
-    pub(super) fn could_ever_fit(&mut self, service: usize) -> bool {
-        if let Some(known) = self.fits[service].capable {
-            return known;
-        }
-        let Some(pool) = self.fits[service].pool else {
-            return false;
-        };
-        let demand = self.fits[service].demand;
-        let members = &self.pools[pool].members;
-        let can = |&at: &usize| !self.list[at].is_known() || self.list[at].could_ever_fit(&demand);
-        let capable = members.is_empty() || members.iter().any(can);
-        self.fits[service].capable = Some(capable);
-        capable
-    }
-
     pub(super) fn peer_load(&mut self, now_ms: u64, peer: EntryName, load: &[(InstanceName, u32)]) {
         let mut now = Vec::with_capacity(load.len());
         for (name, requests) in load {
@@ -228,192 +158,6 @@
         }
     }
 
-    pub(super) fn started(&mut self, now_ms: u64, at: usize, service: usize, class: usize) {
-        let demand = self.fits[service].demand;
-        let up = &mut self.list[at];
-        up.started(now_ms, &demand);
-        if up.reserved_for == Some(service) {
-            up.reserved_for = None;
-        }
-        if let Some((pool, zone)) = up.counted.group {
-            self.pools[pool].groups[zone].in_flight[class] += 1;
-        }
-        self.refresh(now_ms, at);
-    }
-
-    /// Frees what an attempt held and learns from how it ended.
-    pub(super) fn ended(&mut self, now_ms: u64, to: Target, class: usize, end: End) {
-        let held = &mut self.pools[to.pool].groups[to.zone].in_flight[class];
-        *held = held.saturating_sub(1);
-        let up = &mut self.list[to.upstream];
-        if up.generation != to.generation {
-            return;
-        }
-        up.ended(&to.demand);
-        self.learn(now_ms, to, end);
-        self.refresh(now_ms, to.upstream);
-    }
-
-    fn learn(&mut self, now_ms: u64, to: Target, end: End) {
-        let up = &mut self.list[to.upstream];
-        match end {
-            End::Answered { ratio } => {
-                let beside = up.in_flight() + up.foreign(now_ms).requests;
-                up.limit.ran(ratio, beside);
-                self.pools[to.pool].answered(ratio);
-                if up.record.succeeded() {
-                    up.warm_up = Some(1);
-                }
-                warm(up);
-            }
-            End::Failed => self.failed(now_ms, to),
-            End::Busy => {
-                up.was_full(now_ms);
-                up.held_until_ms = now_ms + REFUSED_PAUSE_MS;
-            }
-            End::Moved => up.held_until_ms = now_ms + STALE_PAUSE_MS,
-        }
-    }
-
-    fn failed(&mut self, now_ms: u64, to: Target) {
-        let pool = &mut self.pools[to.pool];
-        let reason = self.list[to.upstream].record.failed(&pool.rate);
-        pool.rate.saw(true);
-        let Some(reason) = reason else {
-            return;
-        };
-        if may_eject(pool.live(), pool.ejected) {
-            self.list[to.upstream].record.eject(now_ms, reason);
-        } else {
-            pool.sick_until_ms = now_ms + SICK_MS;
-        }
-    }
-
-    /// Brings sums and ready sets in line with one upstream.
-    pub(super) fn refresh(&mut self, now_ms: u64, at: usize) {
-        let up = &self.list[at];
-        let allowed = up.allowed(now_ms);
-        let is_live = up.is_live(now_ms);
-        let group = up.pool.zip(up.zone).filter(|_| is_live);
-        let counted = Counted {
-            group,
-            allowed,
-            foreign: up.foreign(now_ms).requests,
-            ejected: is_live && up.record.is_ejected(),
-        };
-        let old = std::mem::replace(&mut self.list[at].counted, counted);
-        if old != counted {
-            self.count(now_ms, &old, false);
-            self.count(now_ms, &counted, true);
-        }
-        self.place(now_ms, at, &old, &counted);
-        self.arm(now_ms, at);
-    }
-
-    fn count(&mut self, now_ms: u64, counted: &Counted, is_in: bool) {
-        let Some((pool, zone)) = counted.group else {
-            return;
-        };
-        let pool = &mut self.pools[pool];
-        let group = &mut pool.groups[zone];
-        if is_in {
-            group.live += 1;
-            group.allowed += counted.allowed;
-            group.foreign += counted.foreign;
-            group.down_since_ms = None;
-            pool.ejected += usize::from(counted.ejected);
-        } else {
-            group.live -= 1;
-            group.allowed -= counted.allowed;
-            group.foreign -= counted.foreign;
-            pool.ejected -= usize::from(counted.ejected);
-            if group.live == 0 {
-                group.down_since_ms = Some(now_ms);
-            }
-        }
-    }
-
-    fn place(&mut self, now_ms: u64, at: usize, old: &Counted, new: &Counted) {
-        if let Some((pool, zone)) = old.group.filter(|_| old.group != new.group) {
-            for &service in &self.pools[pool].services {
-                self.fits[service].ready[zone].put(at, false);
-            }
-        }
-        let Some((pool, zone)) = new.group else {
-            return;
-        };
-        let up = &self.list[at];
-        let has_slot = up.in_flight() < new.allowed;
-        for &service in &self.pools[pool].services {
-            let fit = &mut self.fits[service];
-            let is_free = up.reserved_for.is_none_or(|s| s == service);
-            let is_ready = has_slot && is_free && up.fits(&fit.demand, now_ms);
-            fit.ready[zone].put(at, is_ready);
-        }
-    }
-
-    /// Wakes up for the upstream when time alone changes what it may get.
-    fn arm(&mut self, now_ms: u64, at: usize) {
-        let up = &self.list[at];
-        let eject = match up.record.health() {
-            super::Health::Ejected { until_ms, .. } => Some(until_ms),
-            super::Health::Healthy | super::Health::Probation { .. } => None,
-        };
-        let times = [
-            Some(up.lease_until_ms),
-            Some(up.held_until_ms),
-            eject,
-            up.foreign_until_ms(now_ms),
-        ];
-        let next = times.into_iter().flatten().filter(|&t| t > now_ms).min();
-        match next {
-            Some(next) => self.timers.set(at, next),
-            // Not in the replicated state: look again whether it may be forgotten.
-            None if self.list[at].pool.is_none() => self.timers.set(at, now_ms + FORGET_MS),
-            None => self.timers.clear(at),
-        }
-    }
-
-    /// Keeps an upstream free for a service whose requests fit nowhere now, the
-    /// one with the least in flight.
-    pub(super) fn reserve(&mut self, now_ms: u64, service: usize) -> Option<usize> {
-        let pool = self.fits[service].pool?;
-        let demand = self.fits[service].demand;
-        let members = self.pools[pool].members.iter().copied();
-        let able = members.filter(|&at| {
-            let up = &self.list[at];
-            up.counted.allowed > 0 && up.reserved_for.is_none() && up.could_ever_fit(&demand)
-        });
-        let at = able.min_by_key(|&at| self.list[at].in_flight())?;
-        self.list[at].reserved_for = Some(service);
-        self.refresh(now_ms, at);
-        Some(at)
-    }
-
-    /// Gives back what was kept free; returns whether it still was.
-    pub(super) fn unreserve(&mut self, now_ms: u64, service: usize, at: usize) -> bool {
-        if self.list[at].reserved_for != Some(service) {
-            return false;
-        }
-        self.list[at].reserved_for = None;
-        self.refresh(now_ms, at);
-        true
-    }
-
-    /// Whether the service needs more of anything than another one of its pool.
-    pub(super) fn is_large(&self, service: usize) -> bool {
-        let fit = &self.fits[service];
-        let Some(pool) = fit.pool else {
-            return false;
-        };
-        self.pools[pool].services.iter().any(|&other| {
-            let other = &self.fits[other].demand;
-            other.cores < fit.demand.cores
-                || other.memory_mib < fit.demand.memory_mib
-                || other.accelerators < fit.demand.accelerators
-        })
-    }
-
     /// Whether the replicated state has an instance of the service's pool in the
     /// zone.
     pub(super) fn has_members(&self, service: usize, zone: usize) -> bool {
@@ -489,12 +233,3 @@
         ..Group::default()
     }
 }
-
-/// One more request at once with each answer, until all slots are in use.
-fn warm(up: &mut Upstream) {
-    let Some(n) = up.warm_up else {
-        return;
-    };
-    let is_warm = n + 1 >= up.limit.get();
-    up.warm_up = if is_warm { None } else { Some(n + 1) };
-}
--- /dev/null
+++ b/src/load/upstreams/fit.rs
@@ -0,0 +1,87 @@
+//! Which upstreams can carry the requests of a service.
+//!
+//! Pattern of load: large requests among small ones. Whether a service fits any
+//! member at all is kept until a member changes; one whose requests fit nowhere
+//! now gets an upstream kept free.
+
+use super::super::ready::ReadySet;
+use super::Upstreams;
+use crate::model::Demand;
+
+/// Fit of one service: its demand and the upstreams that can take one more.
+#[derive(Debug)]
+pub(in super::super) struct Fit {
+    pub pool: Option<usize>,
+    pub demand: Demand,
+    pub ready: Vec<ReadySet>,
+    /// Whether any member could ever carry it; none if it must be counted anew.
+    pub capable: Option<bool>,
+}
+
+impl Upstreams {
+    pub(in super::super) fn forget_capable(&mut self, pool: Option<usize>) {
+        let Some(pool) = pool else {
+            return;
+        };
+        for &service in &self.pools[pool].services {
+            self.fits[service].capable = None;
+        }
+    }
+
+    /// Whether some member of its pool could carry the service if it were idle.
+    /// True while members are yet to announce themselves: they might.
+    pub(in super::super) fn could_ever_fit(&mut self, service: usize) -> bool {
+        if let Some(known) = self.fits[service].capable {
+            return known;
+        }
+        let Some(pool) = self.fits[service].pool else {
+            return false;
+        };
+        let demand = self.fits[service].demand;
+        let members = &self.pools[pool].members;
+        let can = |&at: &usize| !self.list[at].is_known() || self.list[at].could_ever_fit(&demand);
+        let capable = members.is_empty() || members.iter().any(can);
+        self.fits[service].capable = Some(capable);
+        capable
+    }
+
+    /// Keeps an upstream free for a service whose requests fit nowhere now, the
+    /// one with the least in flight.
+    pub(in super::super) fn reserve(&mut self, now_ms: u64, service: usize) -> Option<usize> {
+        let pool = self.fits[service].pool?;
+        let demand = self.fits[service].demand;
+        let members = self.pools[pool].members.iter().copied();
+        let able = members.filter(|&at| {
+            let up = &self.list[at];
+            up.counted.allowed > 0 && up.reserved_for.is_none() && up.could_ever_fit(&demand)
+        });
+        let at = able.min_by_key(|&at| self.list[at].in_flight())?;
+        self.list[at].reserved_for = Some(service);
+        self.refresh(now_ms, at);
+        Some(at)
+    }
+
+    /// Gives back what was kept free; returns whether it still was.
+    pub(in super::super) fn unreserve(&mut self, now_ms: u64, service: usize, at: usize) -> bool {
+        if self.list[at].reserved_for != Some(service) {
+            return false;
+        }
+        self.list[at].reserved_for = None;
+        self.refresh(now_ms, at);
+        true
+    }
+
+    /// Whether the service needs more of anything than another one of its pool.
+    pub(in super::super) fn is_large(&self, service: usize) -> bool {
+        let fit = &self.fits[service];
+        let Some(pool) = fit.pool else {
+            return false;
+        };
+        self.pools[pool].services.iter().any(|&other| {
+            let other = &self.fits[other].demand;
+            other.cores < fit.demand.cores
+                || other.memory_mib < fit.demand.memory_mib
+                || other.accelerators < fit.demand.accelerators
+        })
+    }
+}
