Split calls by what becomes of them

Only moves, visibility within the node, imports and module heads: the lines of the old file and of the new ones were compared; the comments that parted the file are gone with the parts. No behaviour, literal or test changed. The 7 tests of node pass.

--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -16,8 +16,11 @@
 use super::proposals::Proposals;
 use super::{CallId, Counts, Directory, Effect, Event, Health, OperatorId, PeerMessage};
 
+mod acceptance;
+mod answers;
 mod attempts;
 mod callers;
+mod claims;
 mod jobs;
 mod leader;
 mod log;
--- a/src/entry/node/jobs.rs
+++ b/src/entry/node/jobs.rs
@@ -6,7 +6,8 @@
 
 use super::super::open::{Open, Origin};
 use super::super::{CallAnswer, CallId, Effect, JobView};
-use super::callers::{attempt_ms, kept, not_run, shared};
+use super::answers::{kept, not_run};
+use super::callers::{attempt_ms, shared};
 use super::{LONG_PATIENCE_MS, Node, Purpose, SYSTEM_PATIENCE_MS};
 
 /// How long a job may wait at one entry instance before it is handed back to the
