Give no start to a worker whose runs are about to be freed

Callers see a task run on two workers at once. A leader that is behind, or whose changes queue up, has a placement on its way into the log for seconds. Meanwhile its worker falls silent, and the leader proposes that all runs there be freed, as every lease has run out for certain. The placement becomes durable first: its start leaves, with a new lease, and the worker takes it. Then the change frees all runs of that worker, the new one with them, and the task starts elsewhere beside it.

The certainty was about the leases of the moment in which the change was proposed; what left between that and its turn in the log was not covered. Now no start leaves, and none is sent again, for a worker about which such a change is on its way. What is placed after the change comes after it in the log as well, so nothing else has to wait. In one command the two did no harm: a placement that is freed in the same command was not ordered before either.

Ruled out on the way, by reading: a lease that is thought to be over too soon (clocks read late make it end later in the leader's eyes, never sooner), a listing that is older than a start, a successor's view of starts of the leader before.

--- a/src/control/node/orders.rs
+++ b/src/control/node/orders.rs
@@ -124,6 +124,13 @@
         let Some(job) = self.state.job(start.task.job) else {
             return;
         };
+        // A placement may become durable after the leader found that the worker's leases have
+        // run out, and before the change that frees all runs there. Its start would leave with
+        // a new lease, and the task start elsewhere beside it. None leaves while such a change
+        // is on its way; what is placed after the change is durable after it.
+        if lead.ending.contains(&start.worker) {
+            return self.not_started(start);
+        }
         let checkpoint = job.task(start.task).map(|t| t.checkpoint.clone());
         let link = lead.fleet.link_mut(&start.worker);
         let Some(lease_end_ms) = link.and_then(|link| link.grant(now_ms)) else {
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -16,6 +16,7 @@
 mod faults;
 mod forecast;
 mod lapsing;
+mod late_starts;
 mod leases;
 mod loop_meter;
 mod members;
--- a/tests/control/worker.rs
+++ b/tests/control/worker.rs
@@ -44,6 +44,13 @@
     pub clock_base_ms: u64,
     pub born_ms: u64,
     pub lasting_jobs: std::collections::BTreeSet<rosemarygauge::jobs::JobId>,
+    /// How often its lease ran out.
+    lapses: u64,
+    lapsed: bool,
+    /// Ends as done that are not acknowledged: their number, when, and the lapses by then.
+    done: BTreeMap<u64, (TaskId, u64, u64)>,
+    /// Ends as done, and when, that were acknowledged under the same lease.
+    pub noted: Vec<(TaskId, u64)>,
 }
 
 impl Worker {
@@ -70,6 +77,10 @@
             clock_base_ms: 77_000,
             born_ms: now_ms,
             lasting_jobs: std::collections::BTreeSet::new(),
+            lapses: 0,
+            lapsed: false,
+            done: BTreeMap::new(),
+            noted: Vec::new(),
         }
     }
 
@@ -100,6 +111,8 @@
     /// Lets time pass: ends runs and lets the lease run out.
     pub fn tick(&mut self, now_ms: u64) {
         let lapsed = self.clock_ms(now_ms) >= self.lease_end_ms;
+        self.lapses += u64::from(lapsed && !self.lapsed);
+        self.lapsed = lapsed;
         let over: Vec<(TaskId, Ending)> = self
             .going
             .iter()
@@ -119,12 +132,15 @@
             })
             .collect();
         for (task, ending) in over {
-            self.end(task, ending);
+            self.end(now_ms, task, ending);
         }
     }
 
-    fn end(&mut self, task: TaskId, ending: Ending) {
+    fn end(&mut self, now_ms: u64, task: TaskId, ending: Ending) {
         let going = self.going.remove(&task).unwrap();
+        if ending == Ending::Done {
+            self.done.insert(self.next_end, (task, now_ms, self.lapses));
+        }
         self.ended.push(Ended {
             number: self.next_end,
             task,
@@ -211,6 +227,11 @@
                 self.lease_end_ms = self.lease_end_ms.max(lease_end_ms.unwrap_or(0));
                 self.acknowledged = self.acknowledged.max(*acknowledged);
                 self.ended.retain(|end| end.number > *acknowledged);
+                let open = self.done.split_off(&(*acknowledged + 1));
+                let noted = std::mem::replace(&mut self.done, open).into_values();
+                let noted = noted.filter(|(_, _, lapses)| *lapses == self.lapses);
+                self.noted
+                    .extend(noted.map(|(task, at_ms, _)| (task, at_ms)));
                 OrderOutcome::Listed {
                     clock_ms,
                     running: self.running(now_ms),
--- a/tests/control/world.rs
+++ b/tests/control/world.rs
@@ -65,6 +65,8 @@
     pub crowded: BTreeSet<SocketAddr>,
     /// Orders in a thousand that get no answer and arrive late.
     pub late_per_mille: u32,
+    /// How long a write takes to be synced; it may only grow, so that writes keep their order.
+    pub sync_ms: u64,
     pub answers: BTreeMap<u64, Answer>,
     next_call: u64,
     next_worker: u64,
@@ -73,6 +75,8 @@
     pub runs: Vec<Seen>,
     /// Runs whose end as done a leader took note of.
     pub done: u64,
+    /// When a run of a task was done whose end is acknowledged.
+    done_ms: BTreeMap<TaskId, u64>,
     pub upkeeps: Vec<(u64, String)>,
     pub moves: Vec<(u64, String, String)>,
     pub down_most: usize,
@@ -178,12 +182,14 @@
             decisions: BTreeMap::new(),
             crowded: BTreeSet::new(),
             late_per_mille: 0,
+            sync_ms: 5,
             answers: BTreeMap::new(),
             next_call: 0,
             next_worker: 0,
             report_ms: 0,
             runs: Vec::new(),
             done: 0,
+            done_ms: BTreeMap::new(),
             upkeeps: Vec::new(),
             moves: Vec::new(),
             down_most: 0,
--- a/tests/control/world/deliveries.rs
+++ b/tests/control/world/deliveries.rs
@@ -5,7 +5,7 @@
     Decision, Effect, Event, Machine, MachineOrder, MachineOrderKind, MachineOutcome, MachinePhase,
     Order, OrderKind, OrderOutcome, PeerMessage, Rejection,
 };
-use rosemarygauge::jobs::Ending;
+use rosemarygauge::jobs::{Ending, TaskId};
 use rosemarygauge::model::EntryName;
 
 use super::processor::HELD_MS;
@@ -205,10 +205,15 @@
         let before = worker.going.len();
         let outcome = worker.order(now_ms, order.fence, &order.kind);
         let began = worker.going.len() > before;
+        let name = worker.name.clone();
+        let noted = std::mem::take(&mut worker.noted);
+        noted
+            .into_iter()
+            .for_each(|(task, at_ms)| self.note_done(task, at_ms));
         if let (true, OrderKind::Start { task, .. }) = (began, &order.kind) {
             let seen = Seen {
                 task: *task,
-                worker: worker.name.clone(),
+                worker: name,
                 began_ms: now_ms,
             };
             self.check_start(&seen);
@@ -217,6 +222,19 @@
         Some(outcome)
     }
 
+    /// A run's end as done was acknowledged to its worker: no run of the task began after it.
+    fn note_done(&mut self, task: TaskId, at_ms: u64) {
+        let again = self
+            .runs
+            .iter()
+            .find(|run| run.task == task && run.began_ms > at_ms);
+        assert!(
+            again.is_none() || self.copies,
+            "{again:?} began after a run that was done at {at_ms}"
+        );
+        self.done_ms.entry(task).or_insert(at_ms);
+    }
+
     /// The promises that hold at every start.
     fn check_start(&self, seen: &Seen) {
         let elsewhere = self.workers.values().filter(|w| w.name != seen.worker);
@@ -228,6 +246,11 @@
             "{seen:?} runs twice at {}",
             self.now_ms
         );
+        let done_ms = self.done_ms.get(&seen.task);
+        assert!(
+            done_ms.is_none() || self.copies,
+            "{seen:?} starts after a run that was done at {done_ms:?}"
+        );
         if let Some(at) = self.cancelled_ms.get(&seen.task.job) {
             assert!(
                 self.now_ms < at + 3_000,
@@ -362,7 +385,7 @@
             }
             Effect::Persist { token, records } => {
                 self.fly(
-                    5,
+                    self.sync_ms,
                     Flying::Persisted {
                         at: from,
                         start,
