Let failures too few for an ejection fade, so that an upstream gets work again

Callers saw an upstream that had failed once or twice get almost nothing from then on, for as long as the others had room: after silent connections to it were replaced, new ones carried hardly any requests.

Cause: of the upstreams that are drawn the cheapest takes a request, and failures raise the cost: one loss by half, two to twice. That outweighs any load of the others below about one half or all of their slots. The failure rate was lowered only by runs of the upstream itself, which then had none. With two upstreams both are always drawn, and the one that failed twice stayed behind for good, worse off than after the third failure, which ejects it for 5 s and ends with a clean record.

Ruled out: connections that stay silent in the pool (each loss replaces the pool of the upstream), ejection and failed probes (in the slowest run traced there was neither: two losses at each of the three entry instances, no ejection), the stand-in's connections (64, some 24 in use), the end of the load (12 s from its start).

Now failures count in the choice in full at first and fade to nothing within the first pause, the time that an ejection takes. What ejects is judged as before.

Why it holds: a failure's weight no longer depends on runs that it prevents; it ends after 5 s whatever is chosen meanwhile, and each further failure begins it anew.

--- a/src/load/health.rs
+++ b/src/load/health.rs
@@ -16,6 +16,11 @@
 //! and the rest must not drown in the load of the ejected. The pool is marked
 //! sick in the status instead.
 //!
+//! Failures that eject nothing still speak against an upstream when one of several is
+//! chosen, for the first pause and less from moment to moment. An upstream that is not
+//! chosen has no runs that could lower its failure rate: without the fading it would
+//! get nothing for as long as others have room, worse off than one that was ejected.
+//!
 //! Thresholds: with 1 % of random failures three in a row come once in a
 //! million requests; half of the pool stays above the loss of one rack of four
 //! in pools of 8 to 12; the first pause of 5 s is longer than a restart of a
@@ -90,6 +95,7 @@
     health: Health,
     streak: u32,
     rate: FailureRate,
+    last_failed_ms: u64,
     ejections: u32,
 }
 
@@ -118,6 +124,7 @@
             health: Health::Healthy,
             streak: 0,
             rate: FailureRate::default(),
+            last_failed_ms: 0,
             ejections: 0,
         }
     }
@@ -126,8 +133,10 @@
         self.health
     }
 
-    pub(super) fn failure_rate(&self) -> f64 {
-        self.rate.get()
+    /// Failure rate as far as it still speaks against choosing the upstream.
+    pub(super) fn failure_weight(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.last_failed_ms).min(PAUSE_MS);
+        self.rate.get() * (1.0 - age_ms as f64 / PAUSE_MS as f64)
     }
 
     pub(super) fn is_ejected(&self) -> bool {
@@ -155,8 +164,9 @@
     }
 
     /// A run failed. Returns why the upstream should be ejected, if it should.
-    pub(super) fn failed(&mut self, pool: &FailureRate) -> Option<EjectReason> {
+    pub(super) fn failed(&mut self, now_ms: u64, pool: &FailureRate) -> Option<EjectReason> {
         self.streak += 1;
+        self.last_failed_ms = now_ms;
         self.rate.saw(true);
         match self.health {
             Health::Ejected { .. } => None,
--- a/src/load/route.rs
+++ b/src/load/route.rs
@@ -56,31 +56,32 @@
     } else {
         DRAW_MORE
     };
-    let mut best = cheapest(all, want, ready.draw(n, rng))?;
+    let mut best = cheapest(all, now_ms, want, ready.draw(n, rng))?;
     if best.0 >= AVOID || is_too_slow(all, now_ms, best.1) {
         let more = ready.draw(DRAW_MORE, rng);
         let more = more.filter(|&at| !is_too_slow(all, now_ms, at));
-        best = cheapest(all, want, more)?;
+        best = cheapest(all, now_ms, want, more)?;
     }
     Some(best.1)
 }
 
 fn cheapest(
     all: &Upstreams,
+    now_ms: u64,
     want: &Want<'_>,
     drawn: impl Iterator<Item = usize>,
 ) -> Option<(f64, usize)> {
     drawn
-        .map(|at| (cost(all, want, at), at))
+        .map(|at| (cost(all, now_ms, want, at), at))
         .min_by(|a, b| a.0.total_cmp(&b.0))
 }
 
 /// Expected time to finish, in run times, with what speaks against it.
-fn cost(all: &Upstreams, want: &Want<'_>, at: usize) -> f64 {
+fn cost(all: &Upstreams, now_ms: u64, want: &Want<'_>, at: usize) -> f64 {
     let up = &all.list[at];
     let slots = f64::from(up.counted.allowed + up.counted.foreign).max(1.0);
     let load = f64::from(up.in_flight() + up.counted.foreign) / slots;
-    let failures = 1.0 + 8.0 * up.record.failure_rate();
+    let failures = 1.0 + 8.0 * up.record.failure_weight(now_ms);
     let mut cost = up.limit.ratio().max(1.0) * (1.0 + load) * failures;
     if want.tried.iter().any(|t| t.upstream == at) {
         cost += AVOID * AVOID;
--- a/src/load/upstreams/attempts.rs
+++ b/src/load/upstreams/attempts.rs
@@ -99,7 +99,7 @@
 
     fn failed(&mut self, now_ms: u64, to: Target) {
         let pool = &mut self.pools[to.pool];
-        let reason = self.list[to.upstream].record.failed(&pool.rate);
+        let reason = self.list[to.upstream].record.failed(now_ms, &pool.rate);
         pool.rate.saw(true);
         let Some(reason) = reason else {
             return;
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -1,7 +1,7 @@
 //! What callers get under each pattern of load, played on the bench.
 #![allow(missing_docs, clippy::unwrap_used)]
 
-use rosemarygauge::load::harness::Side;
+use rosemarygauge::load::harness::{Behaviour, Side};
 use rosemarygauge::load::plays::{self, Figures, Played};
 use rosemarygauge::load::scenarios::{Kind, Scenario, Stream};
 use rosemarygauge::load::{Dispatcher, Health};
@@ -92,6 +92,38 @@
     assert!(naive.failed > naive.offered / 5, "{naive:?}");
 }
 
+#[test]
+fn an_upstream_that_failed_once_or_twice_gets_its_part_again() {
+    // Callers see one upstream of two do all the work for good. The other one is out
+    // of reach for a moment and fails a request or two, too few to be ejected. From
+    // then on it loses every comparison with one that is not busy, and as only its
+    // own runs lower its failure rate, the rate stays.
+    let mut failed_a_few = 0;
+    for seed in 0..12 {
+        let mut s = Scenario::workers(Kind::Dispatcher, seed, 2);
+        s.add(0, 30_000, &Stream::new("check", Class::Urgent, 20.0, 20));
+        s.bench.behave(2_000, "pool-1", Behaviour::Gone);
+        let works = Behaviour::Works { slowdown: 1.0 };
+        s.bench.behave(2_100, "pool-1", works);
+        s.bench.run(1_999);
+        let before = s.bench.sent_to("pool-1");
+        s.bench.run(2_100);
+        let failed = s.bench.sent_to("pool-1") - before;
+        s.bench.run(10_000);
+        let sent = |s: &Scenario| ["pool-0", "pool-1"].map(|name| s.bench.sent_to(name));
+        let then = sent(&s);
+        s.bench.run(30_000);
+        let now = sent(&s);
+        let [one, two] = [now[0] - then[0], now[1] - then[1]];
+        assert!(
+            two * 3 > one,
+            "seed {seed}: {failed} failed, then {one} to {two}"
+        );
+        failed_a_few += u32::from((1..=2).contains(&failed));
+    }
+    assert!(failed_a_few >= 4, "only {failed_a_few} seeds show it");
+}
+
 #[test]
 fn a_slow_upstream_is_limited_and_not_ejected() {
     // One worker takes ten times as long from one moment on. By least connections
@@ -152,7 +184,7 @@
     );
 
     let mut s = Scenario::ten_workers(Kind::Dispatcher, 8);
-    let fails = rosemarygauge::load::harness::Behaviour::Fails { after_ms: 5 };
+    let fails = Behaviour::Fails { after_ms: 5 };
     (0..10).for_each(|i| s.bench.behave(0, &format!("pool-{i}"), fails));
     s.add(100, 3_000, &Stream::new("check", Class::Urgent, 500.0, 20));
     s.bench.run(3_000);
