Catch signals before anything else at a start

Operators who had the settings read again, or stopped an instance as planned, while it was starting, found the process gone: ended by the signal, without a line, as by a crash.

Cause: the handlers were set up last, after the data folder was opened and the links were up. On a busy disk that takes a second; until then SIGHUP and SIGTERM did what they do by default.

Ruled out: a crash of its own (status: signal 1), the settings file (written whole by a rename), a signal to another process (the instance had logged its start and nothing else).

Signals are now caught before the settings are read, and handed on once the loop is there; also by `serve`, whose planned stop had the same gap. What remains is the time between the exec and the first lines of the program, in which nobody can catch a signal: the fault soak steps a clock by a signal only where the program has said a line.

Why it holds: no step that can take long comes before the handlers, and a signal that is caught waits in the process until it is taken.

--- a/src/cmd/platform.rs
+++ b/src/cmd/platform.rs
@@ -7,7 +7,7 @@
 use super::Exit;
 use crate::control::Policy;
 use crate::logs;
-use crate::platform::{self, Settings};
+use crate::platform::{self, CaughtSignals, Settings};
 
 /// What `--help` says.
 pub const HELP: &str = "\
@@ -59,6 +59,7 @@
 }
 
 fn serve(args: &Args) -> eyre::Result<Exit> {
+    let caught = CaughtSignals::catch()?;
     let settings = Settings::load().map_err(platform::ServeError::Settings)?;
     let policy = match &args.policy {
         Some(file) => Policy::load(file).map_err(platform::ServeError::Policy)?,
@@ -66,8 +67,8 @@
     };
     tracing::info!(role = ?args.role, node = settings.node, version = env!("CARGO_PKG_VERSION"), "serve: starts");
     match args.role {
-        Role::Entry => platform::serve_entry(settings)?,
-        Role::Control => platform::serve_control(settings, policy)?,
+        Role::Entry => platform::serve_entry(settings, caught)?,
+        Role::Control => platform::serve_control(settings, policy, caught)?,
     }
     Ok(Exit::Done)
 }
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -46,6 +46,9 @@
 /// Wrong settings, a data folder that cannot be used, or an address that cannot
 /// be listened on.
 pub fn run(args: &Args) -> eyre::Result<Exit> {
+    // Before the data folder is opened, which can take seconds: uncaught, a planned stop
+    // ends the process as a crash would. Caught, it waits until the instance is up.
+    let mut signals = Signals::new([SIGINT, SIGTERM])?;
     let conf = load(args)?;
     logs::start(&conf.log);
     let disk = match &conf.data_folder {
@@ -65,7 +68,6 @@
         "operators": listeners.operators.local_addr()?,
         "peers": listeners.peers.local_addr()?,
     });
-    let mut signals = Signals::new([SIGINT, SIGTERM])?;
     let driver = Driver::start(DriverSettings {
         node: node_settings(&conf)?,
         listeners,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,6 +5,7 @@
 //! module knows the platform's names.
 
 mod advisor;
+mod caught_signals;
 mod cell;
 mod client;
 mod configuration;
@@ -21,6 +22,7 @@
 mod settings_fault;
 mod workers;
 
+pub use caught_signals::CaughtSignals;
 pub use client::{Client, ClientError};
 pub use configuration::read_configuration;
 pub use control_calls::ControlCalls;
--- a/src/platform/serve.rs
+++ b/src/platform/serve.rs
@@ -7,14 +7,13 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use signal_hook::consts::{SIGHUP, SIGTERM};
-use signal_hook::iterator::Signals;
 use tokio::runtime::LocalOptions;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
-use super::{ControlCalls, EntryCalls, Platform, Settings, SettingsFault};
+use super::settings_fault::list;
+use super::{CaughtSignals, ControlCalls, EntryCalls, Platform, Settings, SettingsFault};
 use crate::control::{
     self, Desk, Driver, Gateway, Node, NodeSettings, PeerMessage, Policy, PolicyFault, Signal,
     WallClock, steady_ms,
@@ -75,11 +74,6 @@
     Storage(StorageError),
 }
 
-fn list<T: ToString>(faults: &[T]) -> String {
-    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
-    lines.join("\n")
-}
-
 struct PeerLinks(Links<PeerMessage>);
 
 impl control::Links for PeerLinks {
@@ -92,7 +86,11 @@
 ///
 /// # Errors
 /// It cannot be set up, or its data folder failed.
-pub fn serve_control(settings: Settings, policy: Policy) -> Result<(), ServeError> {
+pub fn serve_control(
+    settings: Settings,
+    policy: Policy,
+    caught: CaughtSignals,
+) -> Result<(), ServeError> {
     let folder = settings.data_folder.clone();
     let folder = folder.ok_or_else(|| missing("data_dir", "the folder of a control instance"))?;
     let control = settings
@@ -117,7 +115,7 @@
     let node = Node::new(node, recovered, wall.unix_ms(), steady_ms());
     let outside = Rc::new(Platform::new(&settings));
     let handler = ControlCalls::new(Arc::clone(&desk), settings.clone()).handler();
-    watch_signals(signals, wall.clone())?;
+    caught.pass_on(signals, wall.clone())?;
     run(async move {
         let (stop, stopped) = watch::channel(false);
         let limits = Limits {
@@ -141,7 +139,7 @@
 ///
 /// # Errors
 /// It cannot be set up.
-pub fn serve_entry(settings: Settings) -> Result<(), ServeError> {
+pub fn serve_entry(settings: Settings, caught: CaughtSignals) -> Result<(), ServeError> {
     let wanted = "an address IP:PORT";
     let front = settings
         .front
@@ -154,7 +152,7 @@
     let (desk, calls) = Desk::new(rand::random::<u64>() >> 1);
     let gateway = Gateway::new(settings.seed_names());
     let grace_ms = settings.timing.grace_ms;
-    watch_signals(signals, WallClock::default())?;
+    caught.pass_on(signals, WallClock::default())?;
     run(async move {
         let (stop, stopped) = watch::channel(false);
         let limits = Limits {
@@ -288,40 +286,3 @@
     })?;
     Ok(tx)
 }
-
-/// Hands planned stops and changed settings to the loop.
-fn watch_signals(signals: UnboundedSender<Signal>, wall: WallClock) -> Result<(), ServeError> {
-    let mut watched = Signals::new([SIGTERM, SIGHUP])?;
-    std::thread::Builder::new()
-        .name("signals".into())
-        .spawn(move || {
-            for signal in watched.forever() {
-                let signal = match signal {
-                    SIGHUP => reload(&wall),
-                    _ => Some(Signal::Stop),
-                };
-                if signal.is_some_and(|signal| signals.send(signal).is_err()) {
-                    return;
-                }
-            }
-        })?;
-    Ok(())
-}
-
-/// Reads the settings again; wrong ones change nothing.
-fn reload(wall: &WallClock) -> Option<Signal> {
-    match Settings::load() {
-        Ok(settings) => {
-            tracing::info!(seeds = ?settings.seeds, "serve: the settings are read again");
-            wall.set_offset_ms(settings.clock_offset_ms);
-            Some(Signal::Found(settings.seed_names()))
-        }
-        Err(faults) => {
-            tracing::error!(
-                faults = list(&faults),
-                "serve: the changed settings are wrong"
-            );
-            None
-        }
-    }
-}
--- a/src/platform/settings_fault.rs
+++ b/src/platform/settings_fault.rs
@@ -34,3 +34,9 @@
         wanted: &'static str,
     },
 }
+
+/// Faults of any kind, a line each.
+pub(super) fn list<T: ToString>(faults: &[T]) -> String {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
--- a/tests/platform/path.rs
+++ b/tests/platform/path.rs
@@ -1,7 +1,8 @@
 //! The whole path as separate processes on loopback: an entry instance, a control
 //! instance and stand-in workers.
 
-use std::io::{BufRead, BufReader};
+use std::ffi::OsStr;
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
@@ -24,10 +25,15 @@
 
 impl Process {
     fn start(role: &str, folder: &Path, settings: &Value) -> Self {
+        Self::start_with(role, folder, settings, &[])
+    }
+
+    fn start_with(role: &str, folder: &Path, settings: &Value, args: &[&OsStr]) -> Self {
         let file = folder.join(format!("{role}.json"));
         std::fs::write(&file, settings.to_string()).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_rosemarygauge"))
             .args(["platform", role])
+            .args(args)
             .env("ROSEMARYGAUGE_CONFIG", &file)
             .stdout(Stdio::piped())
             .spawn()
@@ -51,9 +57,18 @@
         parsed.filter(|line| line["message"] == message).collect()
     }
 
-    fn terminate(&mut self) -> std::process::ExitStatus {
+    fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
-        Command::new("kill").args(["-TERM", &pid]).status().unwrap();
+        let sent = Command::new("kill").args([signal, &pid]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    fn terminate(&mut self) -> std::process::ExitStatus {
+        self.signal("-TERM");
+        self.end()
+    }
+
+    fn end(&mut self) -> std::process::ExitStatus {
         let end = Instant::now() + LIMIT;
         loop {
             if let Some(status) = self.child.try_wait().unwrap() {
@@ -357,3 +372,42 @@
     }
     assert_eq!(text.matches("in use").count(), 1, "{text}");
 }
+
+// The settings are to be read again, or the instance to stop, while it starts: on a slow
+// disk it opens its data folder for a second and more. The signals met nobody and did what
+// they do by default: the process was gone without a line, and its planned stop looked
+// like a crash. Here its policy comes from a pipe, which holds the start up.
+#[test]
+fn signals_during_the_start_are_taken_once_it_is_up() {
+    let folder = tempfile::tempdir().unwrap();
+    let at = OwnLoopback::take();
+    let mut core = settings(&at.address(1, CONTROL_PORT).ip().to_string(), LINK_PORT);
+    core["data_dir"] = json!(folder.path().join("data"));
+    core["fault_tolerance"] = json!({"machines": 0});
+    let pipe = folder.path().join("policy");
+    let made = Command::new("mkfifo").arg(&pipe).status().unwrap();
+    assert!(made.success());
+    let args = [OsStr::new("--policy"), pipe.as_os_str()];
+    let mut control = Process::start_with("control", folder.path(), &core, &args);
+
+    // It can be opened once the process has it open.
+    let (opened, open) = std::sync::mpsc::channel();
+    std::thread::spawn(move || opened.send(std::fs::File::create(pipe)));
+    let mut policy = open.recv_timeout(LIMIT).unwrap().unwrap();
+    control.signal("-HUP");
+    control.signal("-TERM");
+    // A process that the signals have ended does not read it.
+    let _ = policy.write_all(b"{}");
+    drop(policy);
+
+    let status = control.end();
+    assert!(status.success(), "{status}: {:?}", control.lines.lock());
+    until("the lines of its end", || {
+        let ended = control.logged("serve: stopped");
+        (!ended.is_empty()).then_some(())
+    });
+    assert_eq!(
+        control.logged("serve: the settings are read again").len(),
+        1
+    );
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -52,6 +52,10 @@
     // An entry instance at the end of its planned stop broke off the calls that no
     // leader had answered: all control instances had just been killed.
     assert!(passes(125, USUAL, 12), "see the lines above");
+    // A control instance that still opened its data folder was told to read its settings
+    // again, caught no signals yet, and was ended by that.
+    assert!(passes(319, USUAL, 12), "see the lines above");
+    assert!(passes(320, USUAL, 12), "see the lines above");
 }
 
 /// What a leader takes for a fleet of the size that is grown, without faults: prints
--- a/tests/soak/process.rs
+++ b/tests/soak/process.rs
@@ -42,11 +42,7 @@
         if self.child.is_some() {
             return;
         }
-        let log = File::create(
-            self.folder
-                .join(format!("{}-{}.log", self.name, self.starts)),
-        );
-        let log = log.unwrap();
+        let log = File::create(self.log_file(self.starts)).unwrap();
         self.write_settings();
         let child = Command::new(env!("CARGO_BIN_EXE_rosemarygauge"))
             .args(["platform", self.role])
@@ -116,7 +112,20 @@
     pub fn step_clock(&mut self, offset_ms: i64) {
         self.settings["clock_offset_ms"] = json!(offset_ms);
         self.write_settings();
-        self.signal("HUP");
+        // Before its first line the program may not run yet, and nobody can catch the
+        // signal; it then starts with either time of day.
+        if self.has_begun() {
+            self.signal("HUP");
+        }
+    }
+
+    fn has_begun(&self) -> bool {
+        let log = self.log_file(self.starts.saturating_sub(1));
+        std::fs::metadata(log).is_ok_and(|log| log.len() > 0)
+    }
+
+    fn log_file(&self, start: usize) -> PathBuf {
+        self.folder.join(format!("{}-{start}.log", self.name))
     }
 
     /// Processor time so far, in milliseconds; none if it does not run.
