--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -42,5 +42,6 @@
 pub use replica::Replica;
 pub use settings::ReplicaSettings;
 pub use snapshot::Snapshot;
+pub use snapshots::SNAPSHOT_LIMIT_BYTES;
 pub use status::{Role, Status, VoterState};
 pub use voter_change::VoterChange;
--- a/src/consensus/snapshots.rs
+++ b/src/consensus/snapshots.rs
@@ -10,7 +10,7 @@
 /// The largest snapshot. None above is taken in from a leader, so that a wrong
 /// length can't ask for more memory than an entry instance has; so none above is
 /// taken either, as it would reach nobody. The log then grows instead.
-const SNAPSHOT_LIMIT_BYTES: u64 = 64 << 20;
+pub const SNAPSHOT_LIMIT_BYTES: usize = 64 << 20;
 
 /// A snapshot that arrives piece by piece.
 #[derive(Debug)]
@@ -72,8 +72,16 @@
         let Some(term) = self.log.term_at(index) else {
             return;
         };
-        let too_large = data.len() as u64 > SNAPSHOT_LIMIT_BYTES;
-        if index <= last || index > self.applied_index || too_large {
+        let too_large = data.len() > SNAPSHOT_LIMIT_BYTES;
+        if too_large {
+            tracing::error!(
+                index,
+                bytes = data.len(),
+                "consensus: the state is too large for a snapshot"
+            );
+            return;
+        }
+        if index <= last || index > self.applied_index {
             return;
         }
         let snapshot = Arc::new(Snapshot {
@@ -108,7 +116,7 @@
             let outcome = ReplyOutcome::Matched { index };
             return self.reply(now_ms, from, beat, outcome);
         }
-        if head.total_bytes > SNAPSHOT_LIMIT_BYTES {
+        if head.total_bytes > SNAPSHOT_LIMIT_BYTES as u64 {
             return;
         }
         let mut incoming = match self.incoming.take() {
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -138,7 +138,7 @@
     /// # Errors
     /// The bytes are no snapshot.
     pub fn decode(bytes: &[u8]) -> Result<Self, CodecError> {
-        let mut state: Self = crate::codec::decode(bytes)?;
+        let mut state: Self = crate::codec::decode_state(bytes)?;
         state.runs = RunsByWorker::of(state.active());
         state.addresses = WorkersByAddress::of(state.workers.iter());
         Ok(state)
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -28,6 +28,7 @@
 mod scheduler;
 mod sizes;
 mod specs;
+mod snapshots;
 mod throttle;
 mod upkeep;
 mod worker;
--- /dev/null
+++ b/tests/control/snapshots.rs
@@ -0,0 +1,58 @@
+//! The state that all instances keep, as a snapshot.
+
+use std::sync::Arc;
+
+use rosemarygauge::control::{Change, State};
+use rosemarygauge::jobs::{JobId, JobSpec};
+
+use crate::pool::apply;
+use crate::world::{configuration, job, step};
+
+/// More than a peer's message may have.
+const LARGE_BYTES: usize = 17 << 20;
+/// About what the largest payload of a job takes.
+const PAYLOAD_BYTES: usize = 3_900;
+
+/// All instances are killed and come back, and no job is known any more. While the state was
+/// large it was written as a snapshot and the log cut behind it; then it was read with the
+/// limit of a peer's message, which is smaller, and the instances went on from nothing.
+#[test]
+fn a_large_state_can_be_read_again() {
+    let mut state = State::default();
+    apply(&mut state, Change::Configure(Arc::new(configuration(1))));
+    let spec = Arc::new(JobSpec {
+        payload: "p".repeat(PAYLOAD_BYTES),
+        ..job(vec![step(4)])
+    });
+    for id in 0..(LARGE_BYTES / PAYLOAD_BYTES) as u64 {
+        let change = Change::Accept {
+            job: JobId::from(id),
+            queue: "quick".into(),
+            spec: Arc::clone(&spec),
+        };
+        apply(&mut state, change);
+    }
+    let bytes = state.encode();
+    assert!(bytes.len() > LARGE_BYTES, "{} bytes", bytes.len());
+    let read = State::decode(&bytes).map_err(|err| err.to_string());
+    assert_eq!(read.map(|read| read == state), Ok(true));
+}
+
+/// The same for many small jobs: their numbers take a byte each and count as eight.
+#[test]
+fn a_state_of_many_small_jobs_can_be_read_again() {
+    const JOBS: u64 = 70_000;
+    let mut state = State::default();
+    apply(&mut state, Change::Configure(Arc::new(configuration(1))));
+    let spec = Arc::new(job(vec![step(24)]));
+    for id in 0..JOBS {
+        let change = Change::Accept {
+            job: JobId::from(id),
+            queue: "quick".into(),
+            spec: Arc::clone(&spec),
+        };
+        apply(&mut state, change);
+    }
+    let read = State::decode(&state.encode()).map_err(|err| err.to_string());
+    assert_eq!(read.map(|read| read.active_count()), Ok(JOBS as usize));
+}
