--- a/src/consensus/replica.rs
+++ b/src/consensus/replica.rs
@@ -37,6 +37,8 @@
     pub(super) snapshot: Option<Arc<Snapshot>>,
     pub(super) incoming: Option<Incoming>,
     pub(super) taking_snapshot: bool,
+    /// Up to which entry the last snapshot that was asked for goes.
+    pub(super) snapshot_asked_index: u64,
     pub(super) commit_index: u64,
     pub(super) applied_index: u64,
     pub(super) part: Part,
@@ -88,6 +90,7 @@
             snapshot: recovered.snapshot,
             incoming: None,
             taking_snapshot: false,
+            snapshot_asked_index: 0,
             commit_index: applied,
             applied_index: applied,
             part: Part::Follower,
--- a/src/consensus/snapshots.rs
+++ b/src/consensus/snapshots.rs
@@ -60,8 +60,13 @@
         }
         let every = self.settings.snapshot_every;
         let last = self.snapshot.as_ref().map_or(0, |s| s.index);
+        // One that came out too large counts as well. Else each entry that is applied asks
+        // for the next, and encoding a state of that size takes longer than a leader may be
+        // silent.
+        let last = last.max(self.snapshot_asked_index);
         if every > 0 && !self.taking_snapshot && self.applied_index >= last + every {
             self.taking_snapshot = true;
+            self.snapshot_asked_index = self.applied_index;
             self.out.push(Action::TakeSnapshot);
         }
     }
--- a/tests/consensus_replica.rs
+++ b/tests/consensus_replica.rs
@@ -17,6 +17,11 @@
 /// Replica `me` of voters a, b and c with a folder that holds these entries, and
 /// learner d.
 fn replica(me: &str, entries: Vec<Entry>) -> Replica {
+    replica_with(me, entries, 0)
+}
+
+/// The same, with a snapshot after so many entries.
+fn replica_with(me: &str, entries: Vec<Entry>, snapshot_every: u64) -> Replica {
     let settings = ReplicaSettings {
         me: me.into(),
         voters: ["a", "b", "c"].map(EntryName::from).into(),
@@ -24,7 +29,7 @@
         heartbeat_ms: 50,
         election_timeout_ms: ELECTION_MS,
         view_lease_ms: 250,
-        snapshot_every: 0,
+        snapshot_every,
         seed: 1,
     };
     let recovered = Recovered {
@@ -420,3 +425,29 @@
     }
     assert!(decoded > 20_000, "{decoded}");
 }
+
+/// A state above the limit of a snapshot makes the whole site slow: none was taken then, and
+/// each entry that was applied asked for another. A state of this size takes longer to encode
+/// than a leader may be silent. The next try waits for as many entries as any other.
+#[test]
+fn a_snapshot_that_is_too_large_is_not_asked_for_at_each_entry() {
+    const EVERY: u64 = 10;
+    const TOO_LARGE_BYTES: usize = (64 << 20) + 1;
+    let mut replica = replica_with("a", entries(3 * EVERY), EVERY);
+    let mut asked = Vec::new();
+    for index in 1..=3 * EVERY {
+        let message = Message::Append {
+            beat: beat(2, None, index),
+            prev_index: 3 * EVERY,
+            prev_term: 1,
+            entries: Vec::new(),
+        };
+        let actions = replica.handle(index, from("b", message));
+        if actions.iter().any(|a| matches!(a, Action::TakeSnapshot)) {
+            asked.push(index);
+            let data = vec![0; TOO_LARGE_BYTES];
+            replica.handle(index, Input::SnapshotTaken { index, data });
+        }
+    }
+    assert_eq!(asked, [EVERY, 2 * EVERY, 3 * EVERY]);
+}
