Order as many stops at once as starts, those that wait longest first

Callers: one takes back hundreds of jobs at a time, and for others everything stands still while the leader writes thousands of stops; answers that came meanwhile count as late, and what they answer is ordered again.

Cause: starts on their way are bounded, stops were not. All runs that are to be stopped were ordered in one go, and all that had no answer in time in one go again.

Test: a_mass_cancellation_holds_up_nobody, with processor time as part of it: 5,760 running tasks are cancelled. Those that are due for longest go first, so stops at workers that do not answer, which come due again and again, hold up nobody else's.

--- a/src/control/node/orders.rs
+++ b/src/control/node/orders.rs
@@ -12,6 +12,7 @@
     RunView,
 };
 use super::Node;
+use super::lead::Lead;
 use super::pass::want_stop;
 use crate::jobs::TaskId;
 use crate::model::InstanceName;
@@ -20,6 +21,10 @@
 pub(super) const ORDER_TIMEOUT_MS: u64 = 400;
 /// Starts that are sent again as they are before the run is given up.
 const START_AGAIN_MAX: u32 = 2;
+/// Stops on their way at once, as many as starts. A caller may cancel thousands of tasks at
+/// a time: without a bound the leader needs longer to write their stops than an answer is
+/// waited for, and gives them all again.
+const STOPS_OPEN_MAX: usize = 192;
 /// Pause before a stop that was not answered is ordered again.
 const STOP_AGAIN_MS: u64 = 250;
 /// Rest of a worker that had less room than it said; its next end frees some.
@@ -57,6 +62,47 @@
     }
 }
 
+impl Lead {
+    /// The stops to order now: those that are due for longest, so that runs on workers that
+    /// do not answer hold up nobody else's.
+    fn take_stops(&mut self, now_ms: u64) -> Vec<Placement> {
+        let mut due = Vec::new();
+        for (name, link) in self.fleet.links() {
+            for ((task, attempt), view) in link.runs.iter() {
+                if let RunPhase::Stopping { ordered, again_ms } = view.phase
+                    && !ordered
+                    && now_ms >= again_ms
+                {
+                    due.push((again_ms, name, *task, *attempt));
+                }
+            }
+        }
+        if due.is_empty() {
+            return Vec::new();
+        }
+        let sent = self.orders.values();
+        let open = sent.filter(|sent| matches!(sent, Sent::Stop(_))).count();
+        due.sort_by_key(|(again_ms, ..)| *again_ms);
+        due.truncate(STOPS_OPEN_MAX.saturating_sub(open));
+        let due = due.into_iter();
+        let stops: Vec<Placement> = due
+            .map(|(_, worker, task, attempt)| Placement {
+                task,
+                attempt,
+                worker: worker.clone(),
+            })
+            .collect();
+        for stop in &stops {
+            if let Some(view) = self.fleet.run_mut(&stop.worker, stop.task, stop.attempt)
+                && let RunPhase::Stopping { ordered, .. } = &mut view.phase
+            {
+                *ordered = true;
+            }
+        }
+        stops
+    }
+}
+
 impl Node {
     /// Sends an order to a worker that is known; `false` if it is not.
     pub(super) fn order(&mut self, sent: Sent, kind: OrderKind, timeout_ms: u64) -> bool {
@@ -278,28 +324,12 @@
         }
     }
 
-    /// Orders all stops that are wanted and not on their way.
+    /// Orders stops that are wanted and not on their way, as many as may be.
     pub(super) fn order_stops(&mut self, now_ms: u64) {
         let Some(lead) = &mut self.lead else {
             return;
         };
-        let mut stops = Vec::new();
-        for (name, link) in lead.fleet.links_mut() {
-            for ((task, attempt), view) in link.runs.iter_mut() {
-                if let RunPhase::Stopping { ordered, again_ms } = &mut view.phase
-                    && !*ordered
-                    && now_ms >= *again_ms
-                {
-                    *ordered = true;
-                    stops.push(Placement {
-                        task: *task,
-                        attempt: *attempt,
-                        worker: name.clone(),
-                    });
-                }
-            }
-        }
-        for stop in stops {
+        for stop in lead.take_stops(now_ms) {
             let kind = OrderKind::Stop {
                 task: stop.task,
                 attempt: stop.attempt,
--- a/tests/control/overload.rs
+++ b/tests/control/overload.rs
@@ -342,3 +342,52 @@
         "no start in a second, {others} in the other pool, where {left} jobs wait"
     );
 }
+
+/// A caller takes back hundreds of jobs that run. The leader orders all their tasks to be
+/// stopped in one go, which holds up everything else for as long as it writes them; answers
+/// that come meanwhile are late, and the orders are given again.
+#[test]
+fn a_mass_cancellation_holds_up_nobody() {
+    let mut site = Site::new(6, 60_000, 1);
+    for worker in site.world.workers.values_mut() {
+        worker.answer_late_ms = 0;
+    }
+    let jobs = u64::from(WORKERS) * 2 * 16 / u64::from(TASKS);
+    let spec = job(vec![Step {
+        estimate_ms: 60_000,
+        ..step(TASKS)
+    }]);
+    for id in 1..=jobs {
+        site.world
+            .submit(1 + id as usize % 3, queue_of(id), id, spec.clone());
+        if id % 4 == 0 {
+            site.world.run_ms(10);
+        }
+    }
+    site.world.run_ms(4_000);
+    let going = |site: &Site| -> usize { site.world.workers.values().map(|w| w.going.len()).sum() };
+    let running = going(&site);
+    let leader = site.world.leader().unwrap();
+    assert!(running > 5_000, "{running} tasks run");
+    let unanswered = site.world.processor(&leader).unanswered;
+    for id in 1..=jobs {
+        site.world.cancel(1 + id as usize % 3, queue_of(id), id);
+    }
+    let mut most = 0;
+    let mut over_ms = None;
+    for elapsed_ms in (0..8_000).step_by(5) {
+        let before = site.world.ordered_by(&leader);
+        site.world.run_ms(5);
+        most = most.max(site.world.ordered_by(&leader) - before);
+        if over_ms.is_none() && going(&site) == 0 {
+            over_ms = Some(elapsed_ms);
+        }
+    }
+    let unanswered = site.world.processor(&leader).unanswered - unanswered;
+    assert_eq!(site.world.leader(), Some(leader), "it leads on");
+    assert!(over_ms.is_some(), "{} tasks go on", going(&site));
+    assert!(
+        most <= 600,
+        "{most} orders in one go, {unanswered} unanswered"
+    );
+}
