Let a gang go to a rack that suits it, or to several if none could hold it

Callers: an accepted job with a gang that is slower on several racks never starts, beside a pool that is idle.

Cause: the gang was held to the rack with the most free room, whatever its labels, limits and tickets asked for, and whether or not it is large enough. Where another rack had what it needs it waited for as long as the first was the freest; where no rack is as large as the gang it waited for good, though several racks only make it slower.

Now the rack is chosen among those that have places for the whole gang. If there is none, it waits while some rack could hold it once all that ends by itself has ended, and goes to several racks otherwise. Workers that the advisor refused and room that lasting tasks hold do not count as what could be.

--- a/src/control/candidate.rs
+++ b/src/control/candidate.rs
@@ -10,6 +10,8 @@
     pub(super) name: &'a InstanceName,
     pub(super) rack: Option<&'a str>,
     pub(super) labels: &'a [String],
+    /// Its room without what lasting tasks hold.
+    pub(super) room: Room,
     pub(super) free: Room,
     pub(super) serving: u32,
     pub(super) best_effort: u32,
@@ -44,6 +46,21 @@
         labelled && step.per_worker_max.is_none_or(|max| self.here < max)
     }
 
+    /// How many more tasks of a step it has room for.
+    pub(super) fn places(&self, step: &Step) -> usize {
+        self.places_in(&self.free, step)
+    }
+
+    fn places_in(&self, room: &Room, step: &Step) -> usize {
+        if !self.suits(step) {
+            return 0;
+        }
+        let most = step
+            .per_worker_max
+            .map_or(u32::MAX, |max| u32::from(max.saturating_sub(self.here)));
+        room.times_holds(&step.reserved()).min(most) as usize
+    }
+
     pub(super) fn cost(
         &self,
         step: &Step,
@@ -93,14 +110,42 @@
     }
 }
 
-/// The rack with the most room.
-pub(super) fn best_rack(pool: &[Candidate], demand: &Room) -> Option<String> {
-    let mut room: BTreeMap<&str, u64> = BTreeMap::new();
-    for candidate in pool.iter().filter(|c| c.free.holds(demand)) {
-        if let Some(rack) = candidate.rack {
-            *room.entry(rack).or_default() += u64::from(candidate.free.cpu_milli);
+/// The rack with the most room, of those that have room for so many tasks of a step on
+/// workers that may run it.
+pub(super) fn best_rack(
+    pool: &[Candidate],
+    step: &Step,
+    tasks: usize,
+    may_run: impl Fn(&Candidate) -> bool,
+) -> Option<String> {
+    let mut racks: BTreeMap<&str, (usize, u64)> = BTreeMap::new();
+    for candidate in pool.iter().filter(|c| may_run(c)) {
+        let places = candidate.places(step);
+        if let Some(rack) = candidate.rack.filter(|_| places > 0) {
+            let (all, free) = racks.entry(rack).or_default();
+            *all = all.saturating_add(places);
+            *free += u64::from(candidate.free.cpu_milli);
         }
     }
-    let best = room.into_iter().max_by_key(|(_, free)| *free);
+    let fit = racks.into_iter().filter(|(_, (all, _))| *all >= tasks);
+    let best = fit.max_by_key(|(_, (_, free))| *free);
     best.map(|(rack, _)| rack.to_owned())
 }
+
+/// Whether the workers of a rack would have room for so many tasks of a step once all that
+/// ends by itself has ended there.
+pub(super) fn a_rack_could_hold(
+    pool: &[Candidate],
+    step: &Step,
+    tasks: usize,
+    may_ever: impl Fn(&Candidate) -> bool,
+) -> bool {
+    let mut racks: BTreeMap<&str, usize> = BTreeMap::new();
+    for candidate in pool.iter().filter(|c| may_ever(c)) {
+        if let Some(rack) = candidate.rack {
+            let all = racks.entry(rack).or_default();
+            *all = all.saturating_add(candidate.places_in(&candidate.room, step));
+        }
+    }
+    racks.into_values().any(|all| all >= tasks)
+}
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -13,7 +13,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::backlog::{Backlog, BacklogWorld};
-use super::candidate::{Candidate, best_rack};
+use super::candidate::{Candidate, a_rack_could_hold, best_rack};
 use super::pool_pass::{PoolPass, Stage};
 use super::step_place::StepPlace;
 use super::{Estimates, Fleet, PlacementPolicy, Policy, Queue, RunLoad, Shares, Sizes, State};
@@ -233,6 +233,7 @@
                 name,
                 rack: worker.report.rack.as_ref().map(|r| r.as_str()),
                 labels: &worker.report.labels,
+                room: worker.report.capacity.less(&used.lasting_room()),
                 free: worker.report.capacity.less(&used.reserved),
                 serving: used.serving,
                 best_effort: used.best_effort,
@@ -291,15 +292,29 @@
                 candidate.here = counts.get(candidate.name).copied().unwrap_or(0);
             }
         }
-        let rack = step.rack_local.then(|| best_rack(pool, &demand)).flatten();
         let tickets = self.tickets.get(&place.task(0)).filter(|_| advised);
+        let may_run = |c: &Candidate| !advised || is_allowed(now_ms, tickets, c.name);
+        let waiting = &place.waiting;
+        let rack = match (step.rack_local, step.gang) {
+            (false, _) => None,
+            (true, false) => best_rack(pool, step, 1, may_run),
+            (true, true) => {
+                let rack = best_rack(pool, step, waiting.len(), may_run);
+                // On several racks it is slower: it waits, but not for a rack that is too
+                // small for it.
+                let may_ever = |c: &Candidate| !advised || !is_refused(now_ms, tickets, c.name);
+                if rack.is_none() && a_rack_could_hold(pool, step, waiting.len(), may_ever) {
+                    return Vec::new();
+                }
+                rack
+            }
+        };
         let may_take = |c: &Candidate| {
             c.free.holds(&demand)
                 && c.suits(step)
-                && (!advised || is_allowed(now_ms, tickets, c.name))
+                && may_run(c)
                 && (!step.gang || rack.is_none() || c.rack == rack.as_deref())
         };
-        let waiting = &place.waiting;
         let most = if step.gang { waiting.len() } else { most };
         let together = place.gang_attempt();
         let mut starts = Vec::new();
@@ -382,6 +397,17 @@
     }
 }
 
+/// Whether the advisor said that a worker may not run a step.
+fn is_refused(
+    now_ms: u64,
+    tickets: Option<&BTreeMap<InstanceName, Ticket>>,
+    name: &InstanceName,
+) -> bool {
+    tickets
+        .and_then(|tickets| tickets.get(name))
+        .is_some_and(|t| t.text.is_none() && now_ms < t.until_ms)
+}
+
 fn is_allowed(
     now_ms: u64,
     tickets: Option<&BTreeMap<InstanceName, Ticket>>,
--- a/src/control/runs.rs
+++ b/src/control/runs.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// What lasting tasks hold.
+    pub fn lasting_room(&self) -> Room {
+        self.reserved.less(&self.passing)
+    }
+
     /// Both together.
     pub fn plus(&self, other: &Self) -> Self {
         self.with(other, u32::saturating_add, u64::saturating_add)
--- a/src/jobs/room.rs
+++ b/src/jobs/room.rs
@@ -24,6 +24,14 @@
             && other.accelerators <= self.accelerators
     }
 
+    /// How many times `other` fits in.
+    pub fn times_holds(&self, other: &Self) -> u32 {
+        let times = |own: u32, other: u32| own.checked_div(other).unwrap_or(u32::MAX);
+        times(self.cpu_milli, other.cpu_milli)
+            .min(times(self.memory_mb, other.memory_mb))
+            .min(times(self.accelerators, other.accelerators))
+    }
+
     /// What is left when `other` is taken out; never below nothing.
     pub fn less(&self, other: &Self) -> Self {
         Self {
--- a/tests/control/pool.rs
+++ b/tests/control/pool.rs
@@ -50,6 +50,18 @@
         apply(&mut self.state, change);
     }
 
+    /// Begins to lead anew: what is placed runs on its workers, which are all heard just now.
+    pub fn follow(&mut self) {
+        self.fleet = Fleet::new(NOW_MS, 5_000, &self.state, &Sizes::default());
+        for name in self.state.workers().keys() {
+            hear(&mut self.fleet, name.as_str());
+        }
+        self.scheduler = Scheduler::default();
+        for job in self.state.active() {
+            self.scheduler.touch(job.id);
+        }
+    }
+
     pub fn accept(&mut self, id: u64, spec: JobSpec) {
         self.change(Change::Accept {
             job: JobId::from(id),
--- a/tests/control/scheduler.rs
+++ b/tests/control/scheduler.rs
@@ -283,3 +283,70 @@
     let again = State::decode(&pool.state.encode()).unwrap();
     assert_eq!(again, pool.state);
 }
+
+/// A gang is slower on several racks, and no rack is large enough for it: its caller waits for
+/// ever beside a pool that could hold it.
+#[test]
+fn a_gang_that_no_rack_can_hold_starts_on_several() {
+    let mut pool = Pool::new(6);
+    let wide = Step {
+        gang: true,
+        rack_local: true,
+        ..step(40)
+    };
+    pool.accept(1, job(vec![wide]));
+    assert_eq!(pool.pass().len(), 40);
+}
+
+/// A rack is large enough for a gang but for the lasting tasks that it holds: waiting for it
+/// would last as long as they do.
+#[test]
+fn a_gang_does_not_wait_for_room_that_lasting_tasks_hold() {
+    let mut pool = Pool::new(4);
+    let mut spec = lasting(4);
+    spec.steps[0].demand.cpu_milli = 5_000;
+    pool.accept(1, spec);
+    let starts = pool.pass();
+    assert_eq!(starts.len(), 4);
+    for start in starts {
+        pool.change(Change::Place {
+            task: start.task,
+            attempt: start.attempt,
+            worker: start.worker,
+        });
+    }
+    pool.follow();
+    let wide = Step {
+        gang: true,
+        rack_local: true,
+        ..step(30)
+    };
+    pool.accept(2, job(vec![wide]));
+    assert_eq!(pool.pass().len(), 30);
+}
+
+/// The rack with the most room has no worker with the label that a gang needs, and another
+/// rack has: its caller waits for as long as the first is the freest.
+#[test]
+fn a_gang_goes_to_the_rack_whose_workers_suit_it() {
+    let mut pool = Pool::new(6);
+    for port in [2, 3] {
+        let mut report = pool
+            .state
+            .worker(&format!("i-{port}").as_str().into())
+            .unwrap()
+            .report
+            .clone();
+        report.labels.push("b".into());
+        report.capacity.cpu_milli = 8_000;
+        apply(&mut pool.state, Change::Report(Arc::new(report)));
+    }
+    let picky = Step {
+        gang: true,
+        rack_local: true,
+        label: Some("b".into()),
+        ..step(10)
+    };
+    pool.accept(1, job(vec![picky]));
+    assert_eq!(pool.pass().len(), 10);
+}
