Count a gang's places before it is tried out

Callers: everybody's jobs wait and leaders change, for as long as large gangs wait for which there is no room. A few hundred of them that can never run are enough.

Cause: a gang was placed task by task, each by a walk of all workers of its pool, and taken back if its last task found no place; in every pass, for up to 192 gangs of each pool.

Now one walk counts the places; a gang that has enough finds them all, so nothing is taken back any more.

Test: a_gang_that_finds_no_room_is_looked_at_once.

--- a/src/control/candidate.rs
+++ b/src/control/candidate.rs
@@ -101,13 +101,6 @@
         self.best_effort += u32::from(step.best_effort);
         self.serving += u32::from(step.tail_target_ms.is_some() && !step.best_effort);
     }
-
-    pub(super) fn give_back(&mut self, step: &Step) {
-        self.free = self.free.plus(&step.reserved());
-        self.lasting -= u32::from(step.lasting);
-        self.best_effort -= u32::from(step.best_effort);
-        self.serving -= u32::from(step.tail_target_ms.is_some() && !step.best_effort);
-    }
 }
 
 /// The rack with the most room, of those that have room for so many tasks of a step on
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -315,6 +315,16 @@
                 && may_run(c)
                 && (!step.gang || rack.is_none() || c.rack == rack.as_deref())
         };
+        if step.gang {
+            // A part of a gang would wait in vain for the rest. Its places are counted
+            // first: tried out task by task and taken back, a gang that finds no room costs
+            // a walk of all workers for each of its tasks, in every pass.
+            let free = pool.iter().filter(|c| may_take(c));
+            let places: usize = free.map(|c| c.places(step)).sum();
+            if places < waiting.len() {
+                return Vec::new();
+            }
+        }
         let most = if step.gang { waiting.len() } else { most };
         let together = place.gang_attempt();
         let mut starts = Vec::new();
@@ -338,14 +348,6 @@
                 worker: best.name.clone(),
             });
         }
-        if step.gang && starts.len() < waiting.len() {
-            // A part of a gang would wait in vain for the rest.
-            for start in starts.drain(..) {
-                if let Some(c) = pool.iter_mut().find(|c| *c.name == start.worker) {
-                    c.give_back(step);
-                }
-            }
-        }
         starts
     }
 
--- a/tests/control/overload.rs
+++ b/tests/control/overload.rs
@@ -343,6 +343,50 @@
     );
 }
 
+/// Gangs for which a pool has no room at present cost the leader as much as if each of their
+/// tasks were placed and taken back, in each pass, over all workers: the site is slow for as
+/// long as they wait. A gang that does not fit has to cost no more than a task that does not.
+#[test]
+fn a_gang_that_finds_no_room_is_looked_at_once() {
+    let never = Step {
+        label: Some("nowhere".into()),
+        ..step(1)
+    };
+    let gang = Step {
+        gang: true,
+        ..step(65)
+    };
+    let [few, many] = [never, gang].map(looks_beside_steps_that_wait);
+    assert!(
+        many <= 2 * few,
+        "{many} looks with gangs, {few} with single tasks"
+    );
+}
+
+/// Steps for which an idle pool of 64 cores has no place wait: what the leader looks at.
+fn looks_beside_steps_that_wait(waiting: Step) -> u64 {
+    let mut world = World::without_moves(5, 4, 4);
+    for id in 0..400 {
+        world.submit(
+            1 + id as usize % 3,
+            "quick",
+            1 + id,
+            job(vec![waiting.clone()]),
+        );
+        if id % 10 == 0 {
+            world.run_ms(5);
+        }
+    }
+    world.run_ms(1_000);
+    let leader = world.leader().unwrap();
+    let before = world.looked(&leader);
+    for id in 0..LOOKS_MS / 50 {
+        world.submit(1, "long", 10_000 + id, job(vec![step(1)]));
+        world.run_ms(50);
+    }
+    world.looked(&leader) - before
+}
+
 /// A caller takes back hundreds of jobs that run. The leader orders all their tasks to be
 /// stopped in one go, which holds up everything else for as long as it writes them; answers
 /// that come meanwhile are late, and the orders are given again.
