Ask the advisor about what comes first, and note no more than can be asked

Callers: of a queue whose placements an advisor has to allow, jobs that come first by their rank wait behind all others while more come than it can answer; some never start.

Cause: which steps it was asked about, six at once, went by the names of their jobs.

Now steps are noted in the order of what waits, as many as may be asked about.

Test: the_advisor_is_asked_about_what_comes_first.

--- a/src/control/node/orders.rs
+++ b/src/control/node/orders.rs
@@ -394,8 +394,7 @@
         let Some(lead) = &mut self.lead else {
             return;
         };
-        let missing = std::mem::take(&mut lead.scheduler.unadvised);
-        for (step, mut workers) in missing {
+        for (step, mut workers) in lead.scheduler.take_unadvised() {
             let asked = lead.questions.values().any(|(s, ..)| *s == step);
             if asked || lead.questions.len() >= QUESTIONS_MAX {
                 continue;
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -20,6 +20,10 @@
 use crate::jobs::{Job, JobId, TaskId};
 use crate::model::{InstanceName, PoolName};
 
+/// Steps that are noted in a pass to ask the advisor about: a few questions are open at
+/// once, and as many that come first may be asked about already.
+const UNADVISED_MAX: usize = 16;
+
 /// A start that should be ordered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Placement {
@@ -57,8 +61,9 @@
     pub(super) tickets: BTreeMap<TaskId, BTreeMap<InstanceName, Ticket>>,
     /// Which jobs are large in their queues.
     pub(super) sizes: Sizes,
-    /// Steps whose advice is missing, with the workers to ask about.
-    pub(super) unadvised: BTreeMap<TaskId, Vec<InstanceName>>,
+    /// Steps whose advice is missing, with the workers to ask about, as they come in the
+    /// order of what waits.
+    unadvised: Vec<(TaskId, Vec<InstanceName>)>,
     /// What waits.
     backlog: Backlog,
     /// The pool whose turn is first in the next pass.
@@ -355,19 +360,26 @@
     /// ask.
     fn is_advised(&mut self, now_ms: u64, place: &StepPlace, pool: &[Candidate]) -> bool {
         let key = place.task(0);
-        let tickets = self.tickets.entry(key).or_default();
-        let unknown: Vec<InstanceName> = pool
-            .iter()
-            .filter(|c| tickets.get(c.name).is_none_or(|t| now_ms >= t.until_ms))
-            .map(|c| c.name.clone())
-            .collect();
-        let any = pool
-            .iter()
-            .any(|c| is_allowed(now_ms, Some(tickets), c.name));
-        if !unknown.is_empty() {
-            self.unadvised.insert(key, unknown);
+        let tickets = self.tickets.get(&key);
+        if self.unadvised.len() < UNADVISED_MAX {
+            let known = |name| tickets.and_then(|t| t.get(name));
+            let unknown: Vec<InstanceName> = pool
+                .iter()
+                .filter(|c| known(c.name).is_none_or(|t| now_ms >= t.until_ms))
+                .map(|c| c.name.clone())
+                .collect();
+            if !unknown.is_empty() {
+                self.unadvised.push((key, unknown));
+            }
         }
-        any
+        pool.iter().any(|c| is_allowed(now_ms, tickets, c.name))
+    }
+
+    /// The steps whose advice the last pass missed, the first in the order of what waits
+    /// first, and the workers to ask about. While more come than the advisor can answer,
+    /// what is asked in another order has its turn by chance or never.
+    pub(super) fn take_unadvised(&mut self) -> Vec<(TaskId, Vec<InstanceName>)> {
+        std::mem::take(&mut self.unadvised)
     }
 
     /// Takes the advisor's word on a step: tickets for the allowed workers, and the
--- a/tests/control/overload.rs
+++ b/tests/control/overload.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use rosemarygauge::control::{Answer, Call};
+use rosemarygauge::control::{Advice, Answer, Call};
 use rosemarygauge::jobs::{JobId, JobSpec, JobState, Step};
 use rosemarygauge::model::EntryName;
 
@@ -435,3 +435,45 @@
         "{most} orders in one go, {unanswered} unanswered"
     );
 }
+
+/// A job that is first by its rank waits behind hundreds that are not: which steps the advisor
+/// is asked about, a few at once, went by the names of their jobs. While more come than it can
+/// answer, some names never have their turn.
+#[test]
+fn the_advisor_is_asked_about_what_comes_first() {
+    let mut world = World::without_moves(8, 40, 4);
+    let mut changed = configuration(2);
+    changed.queues[0].advice = Some(Advice {
+        decision_ms: 10,
+        per_worker_ms: 1,
+        validity_ms: 3_000,
+    });
+    let call = world.call(1, Call::Configure(Arc::new(changed)));
+    world.run_ms(500);
+    assert_eq!(world.answers.get(&call), Some(&Answer::Done));
+    for id in 0..600 {
+        world.submit(1 + id as usize % 3, "quick", 1 + id, job(vec![step(2)]));
+    }
+    let handed_ms = world.now_ms;
+    let last = 10_000;
+    let small = Step {
+        estimate_ms: 10,
+        ..step(1)
+    };
+    world.submit(1, "quick", last, job(vec![small]));
+    world.run_ms(4_000);
+    let first = world
+        .runs
+        .iter()
+        .find(|run| run.task.job == JobId::from(last));
+    let after_ms = first.map(|run| run.began_ms - handed_ms);
+    let others = world
+        .runs
+        .iter()
+        .filter(|run| run.began_ms <= handed_ms + after_ms.unwrap_or(0))
+        .count();
+    assert!(
+        after_ms.is_some_and(|after_ms| after_ms <= 500),
+        "it starts after {after_ms:?} ms, {others} of the others before"
+    );
+}
