Look at what pools need less often the more jobs there are

Callers: with thousands of accepted jobs everything takes longer, and the backlog stays: the same collapse as by ranking the whole backlog, at a backlog some times as large.

Now there are so many milliseconds between two looks that at most 20 jobs a millisecond are looked at: nothing changes up to 2,000 jobs, 5,000 are looked at every 250 ms.

Test: looks_at_what_pools_need_take_a_bounded_part_of_the_time.

--- a/src/control/node/keeping.rs
+++ b/src/control/node/keeping.rs
@@ -14,6 +14,11 @@
 /// How often waves and pools are looked at: a fraction of the time that a machine
 /// takes for either.
 const KEEP_MS: u64 = 100;
+/// Jobs that may be looked at in a millisecond between two looks at what pools need, which
+/// come to each of them: with more jobs the looks are further apart. Else they take the
+/// leader's time in proportion to what waits, and what waits grows by that.
+const NEEDS_JOBS_PER_MS: u64 = 20;
+
 impl Node {
     pub(super) fn keep_machines(&mut self, now_ms: u64) {
         let Some(lead) = &mut self.lead else {
@@ -23,12 +28,19 @@
             return;
         }
         lead.keep_ms = now_ms;
+        let apart_ms = self.state.active_count() as u64 / NEEDS_JOBS_PER_MS;
+        let needs_due = now_ms >= lead.needs_ms + apart_ms;
+        if needs_due {
+            lead.needs_ms = now_ms;
+        }
         if lead.machines.ask(now_ms) {
             self.out.push(Effect::ListMachines);
         }
         self.keep_waves(now_ms);
         self.tell_gone(now_ms);
-        self.keep_pools(now_ms);
+        if needs_due {
+            self.keep_pools(now_ms);
+        }
         self.order_stops(now_ms);
     }
 
--- a/src/control/node/lead.rs
+++ b/src/control/node/lead.rs
@@ -80,6 +80,8 @@
     pub(super) dirty: bool,
     pub(super) pass_ms: u64,
     pub(super) keep_ms: u64,
+    /// When the needs of pools were looked at last.
+    pub(super) needs_ms: u64,
     forget_ms: u64,
     since_ms: u64,
 }
@@ -149,6 +151,7 @@
             dirty: true,
             pass_ms: now_ms,
             keep_ms: now_ms,
+            needs_ms: now_ms,
             forget_ms: now_ms + FORGET_MS,
             since_ms: now_ms,
         }));
--- a/tests/control/overload.rs
+++ b/tests/control/overload.rs
@@ -280,6 +280,17 @@
     );
 }
 
+/// The needs of pools are looked at ten times a second, and each look comes to every job. With
+/// enough of them these looks alone take the leader's time, and the backlog stays.
+#[test]
+fn looks_at_what_pools_need_take_a_bounded_part_of_the_time() {
+    let [few, many] = [2_000, 10_000].map(looks_beside_a_full_pool);
+    assert!(
+        many as f64 <= 1.5 * few as f64,
+        "{many} looks with 10000 jobs, {few} with 2000"
+    );
+}
+
 /// So many jobs wait in a full pool while another works: what the leader looks at.
 fn looks_beside_a_full_pool(waiting: u64) -> u64 {
     let mut world = World::without_moves(3, 4, 12);
