Let a few calls look for a leader while the others wait

Callers: an election takes longer the more calls wait for it, and entry instances, which have a tenth of a core, are busy with calls that nobody can answer.

Cause: while no leader was known each call that waits was sent anew every tenth of a second, to an instance that could only say that it does not lead.

Now 12 calls are sent in a tenth of a second while no leader is known; all others go to it as soon as one of these, or a greeting, finds it.

--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -17,6 +17,10 @@
 /// Pause before an instance that knows no leader is asked again: a tenth of the
 /// shortest election.
 const NO_LEADER_MS: u64 = 100;
+/// Calls that are sent in that time while no leader is known: some to each control instance.
+/// All others wait for what these find. If all that wait were sent again and again, those
+/// that are about to elect a leader would be busy with saying that they are none.
+const PROBES_MAX: usize = 12;
 
 /// What a relay wants done.
 #[derive(Clone, Debug, PartialEq)]
@@ -46,6 +50,9 @@
     leader: Option<EntryName>,
     open: BTreeMap<u64, Open>,
     turn: usize,
+    /// Calls that may still be sent without a leader, and until when.
+    probes_left: usize,
+    probes_until_ms: u64,
 }
 
 #[derive(Debug)]
@@ -103,7 +110,10 @@
             sent: false,
         };
         self.open.insert(id, open);
-        self.tick(now_ms)
+        if self.leader.is_none() && !self.may_probe(now_ms) {
+            return Vec::new();
+        }
+        self.send(now_ms, id).into_iter().collect()
     }
 
     /// Takes an answer from a control instance.
@@ -118,7 +128,12 @@
         let news = leader.is_some() && leader != self.leader;
         open.next_ms = if news { now_ms } else { now_ms + NO_LEADER_MS };
         self.leader = leader;
-        self.tick(now_ms)
+        // Without news nothing else is due: a look at all calls for each of them would cost
+        // a multiple of what their number does.
+        match news {
+            true => self.tick(now_ms),
+            false => Vec::new(),
+        }
     }
 
     /// All calls that wait, for an instance that leads by now.
@@ -160,11 +175,25 @@
             .map(|(id, _)| *id)
             .collect();
         for id in due {
+            if self.leader.is_none() && !self.may_probe(now_ms) {
+                break;
+            }
             steps.extend(self.send(now_ms, id));
         }
         steps
     }
 
+    /// Whether one more call may be sent though no leader is known.
+    fn may_probe(&mut self, now_ms: u64) -> bool {
+        if now_ms >= self.probes_until_ms {
+            self.probes_until_ms = now_ms + NO_LEADER_MS;
+            self.probes_left = PROBES_MAX;
+        }
+        let may = self.probes_left > 0;
+        self.probes_left = self.probes_left.saturating_sub(1);
+        may
+    }
+
     fn send(&mut self, now_ms: u64, id: u64) -> Option<RelayStep> {
         let open = self.open.get(&id)?;
         if open.sent && now_ms >= open.next_ms + RESEND_MS {
--- a/tests/control/relay.rs
+++ b/tests/control/relay.rs
@@ -115,3 +115,43 @@
         "{given_up:?}"
     );
 }
+
+/// No instance leads for two seconds while hundreds of calls wait. Each was sent anew every
+/// tenth of a second, to an instance that could only say that it does not lead: thousands of
+/// messages a second for those that are about to elect one, and a walk of all calls for each.
+#[test]
+fn calls_that_wait_for_a_leader_are_not_all_sent_again_and_again() {
+    const CALLS: u64 = 1_000;
+    let mut relay = relay();
+    let mut sent = 0;
+    let mut steps = Vec::new();
+    for id in 0..CALLS {
+        steps.extend(relay.open(0, id, Call::ReadConfiguration, 9_000));
+    }
+    for now_ms in (0..2_000).step_by(10) {
+        let asked: Vec<u64> = steps.drain(..).filter_map(sent_id).collect();
+        sent += asked.len();
+        for id in asked {
+            let answer = Answer::NotLeader { leader: None };
+            steps.extend(relay.answered(now_ms, id, answer));
+        }
+        steps.extend(relay.tick(now_ms));
+    }
+    assert!(sent <= 2 * CALLS as usize, "{sent} messages");
+    relay.tick(2_000);
+    let steps = relay.set_leader(2_000, Some(name(2)));
+    let to_leader = steps.into_iter().filter_map(sent_id);
+    let asked: std::collections::BTreeSet<u64> = to_leader.collect();
+    assert!(
+        asked.len() >= CALLS as usize / 2,
+        "{} calls go to the leader at once",
+        asked.len()
+    );
+}
+
+fn sent_id(step: RelayStep) -> Option<u64> {
+    match step {
+        RelayStep::Send { id, .. } => Some(id),
+        RelayStep::Answer { .. } => None,
+    }
+}
