Hold by random stories that no job that could run is forgotten

Compares what waits in the end with a look at everything: after random sequences of jobs of all kinds (gangs, labels, limits a worker, steps in order, lasting, too large for any worker), cancellations, workers that crash or are cut off, leaders that are killed or stand still, late answers and queues that exchange their pools, with and without followers that carry orders, nothing may wait that an idle pool could run.

--- /dev/null
+++ b/tests/control/forgotten.rs
@@ -0,0 +1,232 @@
+//! Jobs that are accepted and could run, and are never looked at again.
+
+use std::sync::Arc;
+
+use quickcheck::{QuickCheck, TestResult};
+use rosemarygauge::control::{Answer, Call, State, Worker};
+use rosemarygauge::jobs::{Job, JobId, JobSpec, Step};
+
+use crate::world::{World, address, configuration, job, lasting, name, step};
+
+/// Workers of a pool.
+const WORKERS: u16 = 5;
+/// From the end of all faults on until everything that can run has run: leases, rests of
+/// workers and repeated orders are over long before.
+const QUIET_MS: u64 = 30_000;
+/// Sequences that are tried; more by hand with `FORGOTTEN_TRIES`.
+const TRIES: u64 = 30;
+
+/// A job of a kind that a random number names; of some no worker can run any task.
+fn spec_of(kind: u8) -> JobSpec {
+    let second = Step {
+        after: vec![0],
+        ..step(2)
+    };
+    let single = |step: Step| job(vec![step]);
+    match kind % 12 {
+        0 => job(vec![step(3), second]),
+        1 => single(Step {
+            gang: true,
+            ..step(20)
+        }),
+        2 => single(Step {
+            gang: true,
+            per_worker_max: Some(1),
+            ..step(4)
+        }),
+        3 => single(Step {
+            label: Some("a".into()),
+            ..step(6)
+        }),
+        4 => single(Step {
+            label: Some("nowhere".into()),
+            ..step(2)
+        }),
+        5 => single(heavy(17_000)),
+        6 => single(heavy(12_000)),
+        7 => lasting(2),
+        8 => single(Step {
+            gang: true,
+            ..step(500)
+        }),
+        9 => single(Step {
+            per_worker_max: Some(2),
+            ..step(30)
+        }),
+        10 => single(Step {
+            copies: true,
+            checkpoints: true,
+            ..step(4)
+        }),
+        _ => single(step(12)),
+    }
+}
+
+fn heavy(cpu_milli: u32) -> Step {
+    let mut heavy = step(2);
+    heavy.demand.cpu_milli = cpu_milli;
+    heavy
+}
+
+/// A world with what was done to it.
+struct Story {
+    world: World,
+    jobs: u64,
+    version: u64,
+    /// Lasting jobs: more would leave no room for the rest.
+    lasting: u32,
+}
+
+impl Story {
+    fn new(seed: u64) -> Self {
+        let world = match seed.is_multiple_of(2) {
+            true => World::without_moves(seed, WORKERS, WORKERS - 1),
+            false => World::carried(seed, WORKERS, WORKERS - 1),
+        };
+        Self {
+            world,
+            jobs: 0,
+            version: 1,
+            lasting: 0,
+        }
+    }
+
+    fn submit(&mut self, kind: u8) {
+        let spec = spec_of(kind);
+        if spec.lasts() {
+            self.lasting += 1;
+            if self.lasting > 2 {
+                return;
+            }
+        }
+        self.jobs += 1;
+        let queue = if kind.is_multiple_of(2) {
+            "quick"
+        } else {
+            "long"
+        };
+        let place = 1 + usize::from(kind) % 3;
+        self.world.submit(place, queue, self.jobs, spec);
+    }
+
+    /// What one random number does.
+    fn happen(&mut self, random: u16) {
+        let [what, which] = random.to_le_bytes();
+        let port = 1_000 + u16::from(which) % WORKERS;
+        let place = name(1 + usize::from(which) % 3);
+        match what % 32 {
+            0..20 => self.submit(which),
+            20..22 => {
+                let job = 1 + u64::from(which) % self.jobs.max(1);
+                for queue in ["quick", "long"] {
+                    self.world.cancel(1, queue, job);
+                }
+            }
+            22 if self.world.workers.contains_key(&address(port)) => {
+                self.world.crash_worker(port, 1_200);
+            }
+            23 => self.world.cut_worker(port),
+            24 => self.world.cut.clear(),
+            25 => {
+                self.world.kill(&place);
+                self.world.run_ms(700);
+                self.world.restart(&place);
+            }
+            26 => {
+                self.world.freeze(&place, true);
+                self.world.run_ms(1_500);
+                self.world.freeze(&place, false);
+            }
+            27 => self.world.late_per_mille = 100 * (u32::from(which) % 2),
+            28 => self.reconfigure(),
+            _ => self.world.run_ms(10 * u64::from(which)),
+        }
+        self.world.run_ms(5);
+    }
+
+    /// The queues exchange their pools.
+    fn reconfigure(&mut self) {
+        self.version += 1;
+        let mut changed = configuration(self.version);
+        if self.version.is_multiple_of(2) {
+            changed.queues[0].pool = "west".into();
+            changed.queues[1].pool = "east".into();
+        }
+        self.world.call(1, Call::Configure(Arc::new(changed)));
+    }
+
+    /// All faults are over, and time passes.
+    fn settle(&mut self) {
+        self.world.cut.clear();
+        self.world.late_per_mille = 0;
+        self.world.run_ms(QUIET_MS);
+    }
+}
+
+/// The steps of which tasks wait though an idle pool could run them, found by a look at
+/// everything.
+fn forgotten(state: &State) -> Vec<(JobId, usize)> {
+    let mut steps = Vec::new();
+    for job in state.active().filter(|job| job.verdict.is_none()) {
+        for (_, occurrence) in job.occurrences() {
+            for (step, spec) in job.spec.steps.iter().enumerate() {
+                let waits = occurrence.step(step).iter().any(|task| task.is_waiting());
+                if waits && occurrence.may_start(&job.spec, step) && could_run(state, job, spec) {
+                    steps.push((job.id, step));
+                }
+            }
+        }
+    }
+    steps
+}
+
+/// Whether the idle workers of a job's pool hold a step: the whole of a gang, else a task.
+fn could_run(state: &State, job: &Job, step: &Step) -> bool {
+    let workers = state.workers().values();
+    let here = workers.filter(|w| w.takes_work() && w.report.pool == job.pool);
+    let places: u32 = here.map(|worker| places_on(worker, step)).sum();
+    places >= if step.gang { u32::from(step.tasks) } else { 1 }
+}
+
+/// How many tasks of a step an idle worker holds, beside a core for each lasting job.
+fn places_on(worker: &Worker, step: &Step) -> u32 {
+    let labels = &worker.report.labels;
+    if step.label.as_ref().is_some_and(|l| !labels.contains(l)) {
+        return 0;
+    }
+    let cores = worker.report.capacity.cpu_milli.saturating_sub(2_000);
+    let most = step.per_worker_max.map_or(u32::MAX, u32::from);
+    (cores / step.demand.cpu_milli).min(most)
+}
+
+/// An accepted job is never run beside idle workers: what waits was not told of a change, or
+/// is passed over by every look. Whatever came, ended, was cancelled, moved to another pool or
+/// was lost, and whoever led, in the end nothing waits that an idle pool could run.
+fn nothing_that_can_run_waits(seed: u64, happens: Vec<u16>) -> TestResult {
+    let mut story = Story::new(seed);
+    for random in &happens {
+        story.happen(*random);
+    }
+    story.settle();
+    let leader = story.world.leader();
+    let Some(leader) = leader else {
+        return TestResult::error(format!("seed {seed}: nobody leads: {happens:?}"));
+    };
+    let answered = story.world.answers.values();
+    let accepted = answered.filter(|a| **a == Answer::Done).count();
+    match forgotten(story.world.state(&leader)) {
+        steps if steps.is_empty() => TestResult::passed(),
+        steps => TestResult::error(format!(
+            "seed {seed}: {steps:?} of {accepted} jobs wait beside idle workers: {happens:?}"
+        )),
+    }
+}
+
+#[test]
+fn no_job_that_could_run_is_forgotten() {
+    let tries = std::env::var("FORGOTTEN_TRIES").ok();
+    let tries = tries.and_then(|tries| tries.parse().ok()).unwrap_or(TRIES);
+    QuickCheck::new()
+        .tests(tries)
+        .quickcheck(nothing_that_can_run_waits as fn(u64, Vec<u16>) -> TestResult);
+}
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -15,6 +15,7 @@
 mod failures;
 mod faults;
 mod forecast;
+mod forgotten;
 mod lapsing;
 mod late_starts;
 mod leases;
