Conclude nothing from a listing that is full of ends

Callers would see a task start once more after it was done. A worker lists 500 ends at once, and the next ones only when these are acknowledged. A run that ended beyond them is neither among those that run nor among those listed as ended, which the leader took for proof that it is gone and will not start: it placed the task anew, and acknowledged the end when it was listed later.

A listing with as many ends as that says nothing of what it lacks; the one after the next acknowledgement does. No run showed this: it was found by reading, and takes a worker with 500 ends that are not acknowledged yet.

Before: the new test's run is taken for absent beside 500 listed ends. After: only once all ends fit. The tests' worker lists no more than 500 either.

--- a/src/control/worker_link.rs
+++ b/src/control/worker_link.rs
@@ -155,6 +155,8 @@
 /// A worker that was not heard for so much longer than a renewal waits there gets no
 /// work: an answer takes a fraction of it.
 const SILENT_MS: u64 = 1_200;
+/// Ends that a worker lists at once, as the platform sets it.
+const ENDS_LISTED_MAX: usize = 500;
 /// Failures fade by half in this time.
 const FAILURES_HALVE_MS: f64 = 6_000.0;
 
@@ -303,6 +305,12 @@
                 }
             }
         }
+        // Ends beyond these are listed once those before them are acknowledged. A run whose
+        // end is among them is in neither list: taken for absent it would start once more,
+        // after an end that is acknowledged later.
+        if ended.len() >= ENDS_LISTED_MAX {
+            return Vec::new();
+        }
         let listed = |key: &(TaskId, u32)| {
             running.iter().any(|r| (r.task, r.attempt) == *key)
                 || ended.iter().any(|e| (e.task, e.attempt) == *key)
--- a/tests/control/leases.rs
+++ b/tests/control/leases.rs
@@ -1,6 +1,9 @@
 //! What a leader believes of a worker's lease.
 
-use rosemarygauge::control::{RunsPolicy, WorkerLink};
+use rosemarygauge::control::{
+    Change, Command, Ended, Fleet, RunPhase, RunsPolicy, Sizes, State, WorkerLink,
+};
+use rosemarygauge::jobs::{Ending, JobId, TaskId};
 
 const LEASE_MS: u64 = 5_000;
 
@@ -86,8 +89,36 @@
 /// gone, or it would start a second time elsewhere.
 #[test]
 fn an_old_listing_says_nothing_of_a_later_start() {
-    use rosemarygauge::control::{Change, Command, Fleet, RunPhase, Sizes, State};
-    use rosemarygauge::jobs::{JobId, TaskId};
+    let (mut fleet, task) = fleet_with_a_run();
+    let link = fleet.link_mut(&"i-1".into()).unwrap();
+    assert!(link.listed(300, 100, 5, &[], &[]).is_empty());
+    assert_eq!(link.listed(400, 200, 6, &[], &[]), [(task, 1)]);
+}
+
+/// A task is done and starts once more. Its worker has more ends than it lists at once, as
+/// acknowledgements are late: the task is not among those that run, nor is its end listed
+/// yet. That it is in neither list says nothing before all ends fit.
+#[test]
+fn a_listing_that_is_full_of_ends_says_nothing_of_what_it_lacks() {
+    let (mut fleet, task) = fleet_with_a_run();
+    let link = fleet.link_mut(&"i-1".into()).unwrap();
+    let end = |number| Ended {
+        number,
+        task: TaskId {
+            job: JobId::from(1_000 + number),
+            ..task
+        },
+        attempt: 1,
+        ending: Ending::Done,
+        checkpoint: String::new(),
+    };
+    let full: Vec<Ended> = (1..=500).map(end).collect();
+    assert!(link.listed(300, 200, 5, &[], &full).is_empty());
+    assert_eq!(link.listed(400, 350, 6, &[], &full[1..]), [(task, 1)]);
+}
+
+/// A worker on which a task runs since 150 ms.
+fn fleet_with_a_run() -> (Fleet, TaskId) {
     let task = TaskId {
         job: JobId::from(1),
         occurrence: 0,
@@ -117,11 +148,7 @@
     });
     let mut fleet = Fleet::new(0, LEASE_MS, &state, &Sizes::default());
     let link = fleet.link_mut(&"i-1".into()).unwrap();
-    let start = |link: &mut WorkerLink| {
-        let view = link.run_mut(task, 1).unwrap();
-        view.phase = RunPhase::Running { since_ms: 150 };
-    };
-    start(link);
-    assert!(link.listed(300, 100, 5, &[], &[]).is_empty());
-    assert_eq!(link.listed(400, 200, 6, &[], &[]), [(task, 1)]);
+    let view = link.run_mut(task, 1).unwrap();
+    view.phase = RunPhase::Running { since_ms: 150 };
+    (fleet, task)
 }
--- a/tests/control/worker.rs
+++ b/tests/control/worker.rs
@@ -7,6 +7,8 @@
 use rosemarygauge::control::{Ended, OrderKind, OrderOutcome, Phase, Rejection, Report, Running};
 use rosemarygauge::jobs::{Ending, Room, TaskId};
 
+/// Ends that it lists at once; the others follow once these are acknowledged.
+const ENDS_LISTED_MAX: usize = 500;
 /// How long a stop takes.
 const STOP_MS: u64 = 100;
 
@@ -235,7 +237,7 @@
                 OrderOutcome::Listed {
                     clock_ms,
                     running: self.running(now_ms),
-                    ended: self.ended.clone(),
+                    ended: self.ended.iter().take(ENDS_LISTED_MAX).cloned().collect(),
                 }
             }
             OrderKind::Throttle { .. } => OrderOutcome::Done {
