Step down before anything is decided without a quorum

Callers see a task run on two workers at once after a change of leader. A leader that is behind, or stood still, learns at its next tick that it has lost its quorum. Before that it comes to outcomes that waited: a start that was not answered is sent again, under its old token and with a lease that counts from now. A worker that its successor does not reach, as in a zone that is cut off with the old leader, knows no newer token, takes the lease, and keeps all that runs there for as long. The successor frees these runs when the lease that could be granted up to its own beginning has run out, and starts them elsewhere.

The reckoning of the successor is right only if nobody grants after it begins. Voters elect nobody for 450 ms after they heard the leader; it steps down after 405, but that was looked at in ticks only, and under load ticks come late by hundreds of milliseconds; the successor's margin covers some 500 of them. Now each event looks first, as cheap as a look at the voters' latest answers. What was granted before carries its end in the order: late orders, also those that a follower carries out, extend nothing.

Ruled out: renewals, which are sent in ticks only; orders of the successor's predecessor where the successor was heard, as their token is refused; the driver's own look for a gap, which sees none if the process stood still within a go of its loop.

The tests' worker takes a lease from a start that it has already, as the platform's do, and an instance that stood still finds its outcomes when it goes on.

--- a/src/consensus/leading.rs
+++ b/src/consensus/leading.rs
@@ -117,13 +117,13 @@
         }
     }
 
-    /// Whether no quorum has answered for nine tenths of an election timeout.
+    /// Whether it leads and no quorum has answered for nine tenths of an election timeout.
     ///
     /// A leader cut off with a minority would go on telling its side that its
     /// view is recent while the other side elects a new one and changes pools: an
     /// instance would serve two. Its voters elect no other for a whole election
     /// timeout; the tenth is for clocks that run apart.
-    fn lost_quorum(&self, now_ms: u64) -> bool {
+    pub fn lost_quorum(&self, now_ms: u64) -> bool {
         let Part::Leader(leading) = &self.part else {
             return false;
         };
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -145,6 +145,7 @@
 
     /// Takes an event and returns what to do, in this order.
     pub fn handle(&mut self, now_ms: u64, event: Event) -> Vec<Effect> {
+        self.step_down_in_time(now_ms);
         match event {
             Event::Tick => self.tick(now_ms),
             Event::Peer { from, message } => self.peer(now_ms, from, *message),
@@ -190,6 +191,19 @@
         self.clock.compare(now_ms, unix_ms);
     }
 
+    /// Ends a lead without a quorum before anything is decided on it.
+    ///
+    /// A loop that is behind, or a process that stood still, comes to other events before
+    /// its next tick. A start that it then sent again would extend its worker's lease, while
+    /// a successor counts from its own beginning when all leases have run out: tasks would
+    /// start elsewhere beside their runs. Nobody else is elected before this holds.
+    fn step_down_in_time(&mut self, now_ms: u64) {
+        if self.lead.is_some() && self.replica.lost_quorum(now_ms) {
+            self.log(now_ms, Input::Tick);
+            self.follow_lead(now_ms);
+        }
+    }
+
     fn tick(&mut self, now_ms: u64) {
         self.log(now_ms, Input::Tick);
         self.follow_lead(now_ms);
--- a/tests/control/leases.rs
+++ b/tests/control/leases.rs
@@ -1,10 +1,12 @@
-//! What a leader believes of a worker's lease.
+//! What a leader believes of a worker's lease, and who extends it.
 
 use rosemarygauge::control::{
     Change, Command, Ended, Fleet, RunPhase, RunsPolicy, Sizes, State, WorkerLink,
 };
 use rosemarygauge::jobs::{Ending, JobId, TaskId};
 
+use crate::world::{World, address, job, name, step};
+
 const LEASE_MS: u64 = 5_000;
 
 #[test]
@@ -152,3 +154,42 @@
     view.phase = RunPhase::Running { since_ms: 150 };
     (fleet, task)
 }
+
+/// A task runs on two workers at once. Its start is not answered, and the leader stands
+/// still. Another leads, cannot reach the worker, and waits until all leases there have run
+/// out. The first leader goes on: before its next tick it comes to the start and sends it
+/// again, with a lease that ends after that. The task starts elsewhere beside its run.
+#[test]
+fn a_leader_that_stood_still_extends_no_lease() {
+    for seed in 610..616 {
+        let mut world = World::without_moves(seed, 2, 0);
+        let old = world.leader().unwrap();
+        let ports = [1_000, 1_001];
+        for port in ports {
+            world.worker(port).run_ms = 60_000;
+            for place in 1..=3 {
+                let answers = (address(port).to_string(), name(place).to_string());
+                world.cut.insert(answers);
+            }
+        }
+        world.submit(1, "quick", 1, job(vec![step(1)]));
+        assert!(world.until(1_000, |w| w.runs.len() == 1), "{seed}");
+        let port = ports
+            .into_iter()
+            .find(|port| !world.worker(*port).going.is_empty())
+            .unwrap();
+        world.cut.clear();
+        world.cut_worker(port);
+        world
+            .cut
+            .remove(&(old.to_string(), address(port).to_string()));
+        world.freeze(&old, true);
+        world.run_ms(2_500);
+        assert!(world.leader().is_some_and(|next| next != old), "{seed}");
+        let lease_end_ms = world.worker(port).lease_end_ms;
+        world.freeze(&old, false);
+        world.run_ms(6_000);
+        assert_eq!(world.worker(port).lease_end_ms, lease_end_ms, "{seed}");
+        assert_eq!(world.runs.len(), 2, "{seed}: {:?}", world.runs);
+    }
+}
--- a/tests/control/worker.rs
+++ b/tests/control/worker.rs
@@ -171,6 +171,7 @@
                 ..
             } => {
                 if self.going.get(task).is_some_and(|g| g.attempt == *attempt) {
+                    self.lease_end_ms = self.lease_end_ms.max(*lease_end_ms);
                     return OrderOutcome::Done {
                         clock_ms: Some(clock_ms),
                     };
--- a/tests/control/world/deliveries.rs
+++ b/tests/control/world/deliveries.rs
@@ -61,9 +61,20 @@
                 id,
                 outcome,
             } => {
-                if self.starts[&to] == start {
-                    self.feed(&to, Event::Ordered { id, outcome });
+                if self.starts[&to] != start {
+                    return;
+                }
+                // An instance that stood still finds it when it goes on, before a tick.
+                if self.controls[&to].frozen {
+                    let ordered = Flying::Ordered {
+                        to,
+                        start,
+                        id,
+                        outcome,
+                    };
+                    return self.fly(STEP_MS, ordered);
                 }
+                self.feed(&to, Event::Ordered { id, outcome });
             }
             Flying::Machine {
                 from,
