--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -28,6 +28,7 @@
 mod relay;
 mod scheduler;
 mod sizes;
+mod slow_days;
 mod snapshots;
 mod specs;
 mod throttle;
