Compare policies on emulated fleets, seed by seed

`lab compare` plays a workload (fleet, queues, demand, faults) under two policies on the same seeds, in simulated time, with the real decisions of a control instance, and prints for each measure both means and the mean paired difference with its 95 % interval. Jobs and faults are drawn before a play begins, so both policies meet the same world. Every start is checked against what is promised; a break, or a panic of a decision, ends the run and names its seed.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 pub mod drain;
 mod exit;
 pub mod explain;
+pub mod lab;
 pub mod load;
 pub mod measure;
 pub mod measure_capacity;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod entry;
 pub mod http;
 pub mod jobs;
+pub mod lab;
 pub mod link;
 pub mod load;
 pub mod logs;
--- a/src/main.rs
+++ b/src/main.rs
@@ -55,6 +55,9 @@
     /// Measure the decisions against naive ones and against their bounds.
     #[command(long_about = cmd::measure::HELP)]
     Measure(cmd::measure::Args),
+    /// Compare policies on emulated fleets.
+    #[command(long_about = cmd::lab::HELP)]
+    Lab(cmd::lab::Args),
     /// Send open-loop load and account for every request.
     #[command(long_about = cmd::load::HELP)]
     Load(Box<cmd::load::Args>),
@@ -90,6 +93,7 @@
         Command::Status(args) => cmd::status::run(args),
         Command::Explain(args) => cmd::explain::run(args),
         Command::Measure(args) => cmd::measure::run(args),
+        Command::Lab(args) => cmd::lab::run(args),
         Command::Load(args) => cmd::load::run(args),
         Command::Upstream(args) => cmd::upstream::run(args),
         Command::Proxy(args) => cmd::proxy::run(args),
