Let a pool give away no more machines than it counts

What callers saw: nothing in a release build, where the count wraps and comes out right; a checked build of the leader ends with "attempt to subtract with overflow".

Cause: pools are counted, then machines that would not empty are given up in the same look: spare again, but not in their pool's count. A pool with machines on their way could give one away while its count was none. Now only a pool that counts a machine gives one.

Ruled out by reading: another way for the spare machines to be more than the count.

--- a/src/control/capacity.rs
+++ b/src/control/capacity.rs
@@ -226,7 +226,11 @@
         idle: bool,
         moves: &mut Vec<Move>,
     ) -> bool {
-        let givers = (0..pools.len()).filter(|p| pools[*p].surplus() > 0);
+        // A machine whose emptying was given up in this look is spare, but counted as its
+        // pool's own from the next look on. A pool with machines on their way could else
+        // give more than it counts: the count wraps, and a checked build ends.
+        let has_some = |p: &usize| pools[*p].has > 0 && pools[*p].surplus() > 0;
+        let givers = (0..pools.len()).filter(has_some);
         let fits = |p: &usize| {
             let easiest = spare[*p].last();
             easiest.is_some_and(|worker| !idle || worker.passing == 0)
