Ask an upstream that was slow again, and believe what it answers

Callers saw an upstream that had been slow for two seconds get no work again while the others had room, though it was as fast as ever.

Cause: the same as with failures: of those that are drawn the cheapest takes a request, run times above the usual raise the cost, and only runs of the upstream itself lowered them. One request a second was to show whether it has recovered, but that rule only kept requests off; the cost kept the one away as well.

Ruled out: its limit (it has free slots), ejection (slow answers are whole), the load (two upstreams, 0.8 requests in flight).

Now slowness counts in the choice only for the second after a request went there, the pause that was meant. An answer after such a pause counts for half and not for an eighth of what is known: by eighths it would take 40 s to come back from twelve times slower.

Why it holds: what speaks against an upstream ends by time, so that it is asked again whatever the others' load; one that is still slow costs one request a second.

--- a/src/load/limit.rs
+++ b/src/load/limit.rs
@@ -26,6 +26,14 @@
 /// round of an upstream with eight slots.
 const GAIN: f64 = 1.0 / 8.0;
 
+/// Share of a sample after `STALE_MS` without one: what is known is old, and an upstream
+/// that was slow is given so few requests that eighths would keep it slow for a minute.
+const GAIN_STALE: f64 = 1.0 / 2.0;
+
+/// Age at which the last sample is old: about the pause between two requests to see
+/// whether a slow upstream has recovered.
+const STALE_MS: u64 = 900;
+
 /// A run time ratio beyond this says no more than this.
 const RATIO_MAX: f64 = 50.0;
 
@@ -36,6 +44,7 @@
     slots: u32,
     ratio: f64,
     round: u32,
+    ran_ms: u64,
 }
 
 impl Limit {
@@ -45,6 +54,7 @@
             slots,
             ratio: 1.0,
             round: 0,
+            ran_ms: 0,
         }
     }
 
@@ -68,8 +78,11 @@
     }
 
     /// A request ran for `ratio` times its usual time beside `in_flight` others.
-    pub(super) fn ran(&mut self, ratio: f64, in_flight: u32) {
-        self.ratio += GAIN * (ratio.min(RATIO_MAX) - self.ratio);
+    pub(super) fn ran(&mut self, now_ms: u64, ratio: f64, in_flight: u32) {
+        let is_stale = self.ran_ms + STALE_MS <= now_ms;
+        let gain = if is_stale { GAIN_STALE } else { GAIN };
+        self.ran_ms = now_ms;
+        self.ratio += gain * (ratio.min(RATIO_MAX) - self.ratio);
         self.round += 1;
         if self.ratio >= SLOW {
             if self.round >= self.get() {
--- a/src/load/route.rs
+++ b/src/load/route.rs
@@ -82,7 +82,7 @@
     let slots = f64::from(up.counted.allowed + up.counted.foreign).max(1.0);
     let load = f64::from(up.in_flight() + up.counted.foreign) / slots;
     let failures = 1.0 + 8.0 * up.record.failure_weight(now_ms);
-    let mut cost = up.limit.ratio().max(1.0) * (1.0 + load) * failures;
+    let mut cost = slowness(up, now_ms) * (1.0 + load) * failures;
     if want.tried.iter().any(|t| t.upstream == at) {
         cost += AVOID * AVOID;
     } else if want.tried.iter().any(|t| is_same_rack(all, t, up)) {
@@ -94,6 +94,16 @@
     cost
 }
 
+/// How many times longer than usual it runs, as far as this was seen of late. Without
+/// the end to it an upstream that was slow for a moment would get nothing for as long as
+/// others have room, since only its own runs show that it is fast again.
+fn slowness(up: &Upstream, now_ms: u64) -> f64 {
+    if up.last_dispatch_ms + SLOW_PROBE_MS <= now_ms {
+        return 1.0;
+    }
+    up.limit.ratio().max(1.0)
+}
+
 fn is_same_rack(all: &Upstreams, tried: &Target, up: &Upstream) -> bool {
     let other = &all.list[tried.upstream];
     up.rack.is_some() && other.rack == up.rack && other.zone == up.zone
--- a/src/load/upstreams/attempts.rs
+++ b/src/load/upstreams/attempts.rs
@@ -81,7 +81,7 @@
         match end {
             End::Answered { ratio } => {
                 let beside = up.in_flight() + up.foreign(now_ms).requests;
-                up.limit.ran(ratio, beside);
+                up.limit.ran(now_ms, ratio, beside);
                 self.pools[to.pool].answered(ratio);
                 if up.record.succeeded() {
                     up.warm_up = Some(1);
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -124,6 +124,27 @@
     assert!(failed_a_few >= 4, "only {failed_a_few} seeds show it");
 }
 
+#[test]
+fn an_upstream_that_was_slow_for_a_moment_gets_its_part_again() {
+    // Callers see one upstream of two do all the work for good. The other one was slow
+    // for two seconds. From then on its run time speaks against it whenever the first is
+    // not busy, and as only its own runs can show that it is fast again, it stays so.
+    for seed in 0..12 {
+        let mut s = Scenario::workers(Kind::Dispatcher, seed, 2);
+        s.add(0, 60_000, &Stream::new("check", Class::Urgent, 40.0, 20));
+        let works = |slowdown| Behaviour::Works { slowdown };
+        s.bench.behave(2_000, "pool-1", works(12.0));
+        s.bench.behave(4_000, "pool-1", works(1.0));
+        s.bench.run(30_000);
+        let sent = |s: &Scenario| ["pool-0", "pool-1"].map(|name| s.bench.sent_to(name));
+        let then = sent(&s);
+        s.bench.run(60_000);
+        let now = sent(&s);
+        let [one, two] = [now[0] - then[0], now[1] - then[1]];
+        assert!(two * 3 > one, "seed {seed}: {one} to {two}");
+    }
+}
+
 #[test]
 fn a_slow_upstream_is_limited_and_not_ejected() {
     // One worker takes ten times as long from one moment on. By least connections
