Let a pass see the starts that it has found itself

Cause: a pass that gives up behind what finds no room goes on along the rest, from where the last pass ended. When that is before what it has placed already, it comes to the same steps again, and knew only the starts of earlier passes: it placed the same tasks once more, which the state refuses, and others of the step beside them on workers that had their share. The two walks came with the kept order of what waits.

Why it holds: a start counts from the moment it is found, for every later look of the same pass.

--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -138,9 +138,6 @@
             backlog.resume_behind(&pool, reached);
         }
         self.backlog = backlog;
-        for start in &starts {
-            self.proposed.insert(start.task, start.clone());
-        }
         starts
     }
 
@@ -205,6 +202,11 @@
             }
             pass.misses = 0;
             pass.measure();
+            // At once: a pass can come to a step twice, along its order and along the rest.
+            // Without these starts it would place the same tasks again, and beside them more
+            // on a worker than the step allows.
+            let on_their_way = starts.iter().map(|start| (start.task, start.clone()));
+            self.proposed.extend(on_their_way);
             return starts;
         }
         Vec::new()
--- a/tests/control/backlog.rs
+++ b/tests/control/backlog.rs
@@ -126,3 +126,25 @@
         assert!(started, "seed {seed}");
     }
 }
+
+/// A worker gets two tasks of a step of which it may have one. A pass that gives up on what
+/// finds no room walks the rest from where the last one ended, here from the beginning, and
+/// comes to a step again of which it has placed some tasks already. It knew only the starts
+/// of earlier passes, so it placed the same tasks once more, and others beside them.
+#[test]
+fn a_step_that_a_pass_comes_to_twice_is_placed_once() {
+    let mut pool = Pool::new(3);
+    let mut spread = step(13);
+    spread.per_worker_max = Some(1);
+    spread.estimate_ms = 1;
+    pool.accept(1, job(vec![spread]));
+    for id in 100..400 {
+        let mut never = step(1);
+        never.demand.cpu_milli = 17_000;
+        pool.accept(id, job(vec![never]));
+    }
+    let starts = pool.pass();
+    let tasks: BTreeSet<_> = starts.iter().map(|start| start.task).collect();
+    let workers: BTreeSet<_> = starts.iter().map(|start| &start.worker).collect();
+    assert_eq!((tasks.len(), workers.len(), starts.len()), (3, 3, 3));
+}
