Keep a claim's key when the log holds the claim twice

A caller's request that may run only once was answered done, and ran again when the caller sent it again under its key; sent again while it ran, it ran beside itself.

A claim that is not applied within 400 ms is proposed again, so a log that stands still for longer (a slow sync, an election, a short processor) holds it twice. The first copy is granted and its request is sent. The second copy gets the first one's reply, and as no proposal was open for it any more it was taken for a claim that had been given up: its key was set free while the request ran, and the answer that came later found no claim to be stored under.

Now only a claim that was given up here is released, and once. It holds as giving up is the only way by which a claim's proposal is closed without its reply, and the state grants a command once.

Test: a disk that stands still for 500 ms. Before: 2 of the 3 new tests fail (the third keeps what is right: a claim that was given up sets its key free). After: 10 of 10 in tests/node.rs.

--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -71,7 +71,8 @@
     calls: BTreeMap<CallId, RequestId>,
     storing: BTreeMap<CallId, Storing>,
     waiters: Vec<Waiter>,
-    released: BTreeSet<RequestId>,
+    /// Requests whose claim was given up before its reply.
+    claims_given_up: BTreeSet<RequestId>,
     held: Vec<Held>,
     hold_since: BTreeMap<JobId, u64>,
     attempts: u64,
@@ -150,7 +151,7 @@
             calls: BTreeMap::new(),
             storing: BTreeMap::new(),
             waiters: Vec::new(),
-            released: BTreeSet::new(),
+            claims_given_up: BTreeSet::new(),
             held: Vec::new(),
             hold_since: BTreeMap::new(),
             attempts: 0,
--- a/src/entry/node/claims.rs
+++ b/src/entry/node/claims.rs
@@ -147,6 +147,7 @@
         request: RequestId,
         out: &mut Vec<Effect>,
     ) {
+        self.claims_given_up.insert(request);
         let outcome = self.unchecked_claim(request);
         self.drop_claim(request);
         self.finish_call(now_ms, request, outcome, out);
--- a/src/entry/node/log.rs
+++ b/src/entry/node/log.rs
@@ -171,10 +171,14 @@
     /// A claim that was given up is granted after all: nothing was sent under
     /// it, so the key is set free. Without this it would be held until this
     /// process ends.
+    ///
+    /// Only one that was given up: the log may hold a claim twice, and the second
+    /// comes when the request of the first is under way. Set free then, the key
+    /// runs again for a caller that sends it again.
     fn unexpected(&mut self, now_ms: u64, command: &Command, reply: &Reply, out: &mut Vec<Effect>) {
         if let Change::Claim { key, request, .. } = &command.change
             && let Reply::Claim(ClaimReply::Granted { fence }) = reply
-            && self.released.insert(*request)
+            && self.claims_given_up.remove(request)
         {
             let change = Change::ClaimRelease {
                 key: key.clone(),
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -21,7 +21,10 @@
     now_ms: u64,
     seen: Vec<Effect>,
     calls: u64,
+    ids: u64,
     reports: u64,
+    /// Writes that a disk which stands still has not synced; none while it works.
+    unsynced: Option<Vec<u64>>,
 }
 
 impl Bench {
@@ -43,7 +46,9 @@
             now_ms: 0,
             seen: Vec::new(),
             calls: 0,
+            ids: 0,
             reports: 0,
+            unsynced: None,
         };
         bench.run_ms(3_000);
         bench.feed(Event::Operator {
@@ -66,7 +71,10 @@
         while let Some(event) = events.pop() {
             for effect in self.node.handle(self.now_ms, event) {
                 if let Effect::Persist { token, .. } = effect {
-                    events.push(Event::Persisted { token });
+                    match &mut self.unsynced {
+                        Some(unsynced) => unsynced.push(token),
+                        None => events.push(Event::Persisted { token }),
+                    }
                 } else {
                     self.seen.push(effect);
                 }
@@ -74,6 +82,14 @@
         }
     }
 
+    /// The disk syncs nothing for so long, then all at once.
+    fn stall_disk_ms(&mut self, ms: u64) {
+        self.run_ms(ms);
+        for token in self.unsynced.take().unwrap_or_default() {
+            self.feed(Event::Persisted { token });
+        }
+    }
+
     fn run_ms(&mut self, ms: u64) {
         let end_ms = self.now_ms + ms;
         while self.now_ms < end_ms {
@@ -91,16 +107,22 @@
 
     fn call(&mut self, idempotent: bool) -> CallId {
         self.calls += 1;
-        let id = CallId(self.calls);
+        self.call_key(self.calls, idempotent, 5_000)
+    }
+
+    /// A call under the key of the call of that number.
+    fn call_key(&mut self, number: u64, idempotent: bool, deadline_ms: u64) -> CallId {
+        self.ids += 1;
+        let id = CallId(self.ids);
         let call = Call {
             service: "check".into(),
             team: "t".into(),
             caller: "c".into(),
             class: None,
-            key: Some(format!("k{}", self.calls).as_str().into()),
+            key: Some(format!("k{number}").as_str().into()),
             idempotent,
             first: false,
-            deadline_ms: 5_000,
+            deadline_ms,
             body: Arc::from(&b"body"[..]),
         };
         self.feed(Event::Call { id, call });
@@ -277,6 +299,68 @@
     assert_eq!(bench.sent().len(), 1);
 }
 
+/// A caller's request that may run only once is answered `done`; sent again under
+/// its key it runs a second time. The disk stands still, so the claim is proposed
+/// again after 400 ms and the log holds it twice. The first one is granted and the
+/// request is sent; the second one was taken for a claim that had been given up,
+/// and the key was set free while its request ran.
+#[test]
+fn a_claim_that_the_log_holds_twice_keeps_its_key() {
+    let mut bench = Bench::start();
+    bench.unsynced = Some(Vec::new());
+    bench.call(false);
+    bench.stall_disk_ms(500);
+    let sent = bench.sent();
+    assert_eq!(sent.len(), 1);
+    bench.run_ms(100);
+    bench.end(&sent[0], whole());
+    let again = bench.call_key(1, false, 5_000);
+    assert_eq!(bench.sent().len(), 1, "it ran again");
+    assert_eq!(bench.answer_to(again), Some(done()));
+}
+
+/// The same, and the second call comes while the first one's request still runs:
+/// the key ran twice at once. It waits for the one answer.
+#[test]
+fn a_call_beside_a_claim_that_the_log_holds_twice_waits_for_its_answer() {
+    let mut bench = Bench::start();
+    bench.unsynced = Some(Vec::new());
+    bench.call(false);
+    bench.stall_disk_ms(500);
+    let sent = bench.sent();
+    bench.run_ms(100);
+    let again = bench.call_key(1, false, 5_000);
+    assert_eq!(bench.sent().len(), 1, "it ran beside itself");
+    assert_eq!(bench.answer_to(again), None);
+    bench.end(&sent[0], whole());
+    assert_eq!(bench.answer_to(again), Some(done()));
+}
+
+/// A call is told `unknown` as the disk stands still for longer than it waits.
+/// Later its claim is granted after all, and the log holds it several times.
+/// Nothing was sent under it, so the key must be free for the next call, and stay
+/// that one's.
+#[test]
+fn a_claim_that_was_given_up_sets_its_key_free_once() {
+    let mut bench = Bench::start();
+    bench.unsynced = Some(Vec::new());
+    let late = bench.call_key(1, false, 1_000);
+    bench.stall_disk_ms(1_500);
+    let unknown = CallAnswer::Outcome(Outcome::Unknown);
+    assert_eq!(bench.answer_to(late), Some(unknown));
+    assert_eq!(bench.sent().len(), 0);
+    bench.run_ms(100);
+    bench.report();
+    let again = bench.call_key(1, false, 5_000);
+    let sent = bench.sent();
+    assert_eq!(sent.len(), 1, "the key is still held");
+    bench.run_ms(1_000);
+    bench.end(&sent[0], whole());
+    assert_eq!(bench.answer_to(again), Some(done()));
+    bench.call_key(1, false, 5_000);
+    assert_eq!(bench.sent().len(), 1, "it ran again");
+}
+
 /// A call comes before the entry instance knows the pools. "Unknown service"
 /// would tell the caller never to come back; it is told when to.
 #[test]
@@ -359,7 +443,9 @@
         now_ms,
         seen: Vec::new(),
         calls: 0,
+        ids: 0,
         reports: 0,
+        unsynced: None,
     }
 }
 
