Begin a patient job once however often it is given to its owner

A patient job that may run only once ran twice at once.

The leader gives a job out again when that is not applied within 400 ms, so a log that stood still holds it twice, and the owner began an attempt at each; state and fence were the same both times, so nothing told the second from the first.

An owner now remembers under which fence it began a job and begins it once under each. It holds as a job that is handed back or taken away gets a new fence, and a new start has a new incarnation; the memory goes when the state says that the job is no longer this start's. A job that waits here to be offered again is offered as before.

--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -9,7 +9,7 @@
 use crate::consensus::{self, Recovered, Replica};
 use crate::load::{self, AttemptId, Dispatcher, LoadSettings, RequestId};
 use crate::model::{EntryName, InstanceName, RequestKey};
-use crate::state::{Change, JobId, State};
+use crate::state::{Change, Fence, JobId, State};
 
 use super::open::{Open, Storing};
 use super::peer_state::PeerState;
@@ -75,6 +75,8 @@
     claims_given_up: BTreeSet<RequestId>,
     held: Vec<Held>,
     hold_since: BTreeMap<JobId, u64>,
+    /// Jobs given to this start whose attempt was begun, by the fence it has.
+    jobs_begun: BTreeMap<JobId, Fence>,
     attempts: u64,
     attempts_on: BTreeMap<(RequestId, AttemptId), InstanceName>,
     in_flight: BTreeMap<InstanceName, u32>,
@@ -154,6 +156,7 @@
             claims_given_up: BTreeSet::new(),
             held: Vec::new(),
             hold_since: BTreeMap::new(),
+            jobs_begun: BTreeMap::new(),
             attempts: 0,
             attempts_on: BTreeMap::new(),
             in_flight: BTreeMap::new(),
--- a/src/entry/node/jobs.rs
+++ b/src/entry/node/jobs.rs
@@ -30,14 +30,39 @@
 }
 
 impl Node {
-    /// Starts the attempt of a job that was given to this entry instance.
-    pub(super) fn start_job(&mut self, now_ms: u64, job: &JobId, out: &mut Vec<Effect>) {
-        let Some(job) = self.state.job(job).cloned() else {
+    /// Begins the attempt of a job that was given to this entry instance, once.
+    ///
+    /// The log may hold the giving twice, and a snapshot repeats it for a job that
+    /// is under way here. Begun at each, a job that may run only once runs beside
+    /// itself. A job that is given again after it was handed back has a new fence.
+    pub(super) fn begin_job(&mut self, now_ms: u64, id: &JobId, out: &mut Vec<Effect>) {
+        let Some(job) = self.state.job(id).filter(|job| self.owns(job)) else {
             return;
         };
-        if !self.owns(&job) {
-            return;
+        let fence = job.fence;
+        if self.jobs_begun.insert(id.clone(), fence) != Some(fence) {
+            self.start_job(now_ms, id, out);
         }
+    }
+
+    /// Forgets the beginnings of jobs that are no longer this start's.
+    pub(super) fn forget_begun(&mut self) {
+        let mut begun = std::mem::take(&mut self.jobs_begun);
+        begun.retain(|id, _| self.state.job(id).is_some_and(|job| self.owns(job)));
+        self.jobs_begun = begun;
+    }
+
+    /// The same for one job, whose attempt may have ended.
+    pub(super) fn forget_begun_job(&mut self, id: &JobId) {
+        if !self.state.job(id).is_some_and(|job| self.owns(job)) {
+            self.jobs_begun.remove(id);
+        }
+    }
+
+    fn start_job(&mut self, now_ms: u64, job: &JobId, out: &mut Vec<Effect>) {
+        let Some(job) = self.state.job(job).filter(|job| self.owns(job)).cloned() else {
+            return;
+        };
         let Some(attempt_ms) = self.job_attempt_ms(&job) else {
             let reason = RefusalReason::UnknownService;
             return self.refuse_job(now_ms, &job.id, job.fence, reason, out);
--- a/src/entry/node/log.rs
+++ b/src/entry/node/log.rs
@@ -94,8 +94,9 @@
                     .jobs_owned(&self.settings.me, self.settings.incarnation)
                     .map(|job| job.id.clone())
                     .collect();
+                self.forget_begun();
                 for job in mine {
-                    self.start_job(now_ms, &job, out);
+                    self.begin_job(now_ms, &job, out);
                 }
                 self.settle_waiters(now_ms, out);
             }
@@ -200,18 +201,24 @@
         match &command.change {
             Change::JobAssign { job, owner, .. } if *owner == self.settings.me => {
                 if matches!(reply, Reply::Job(crate::state::JobReply::Assigned { .. })) {
-                    self.start_job(now_ms, job, out);
+                    self.begin_job(now_ms, job, out);
                 }
             }
             Change::PutRows { .. }
             | Change::Fleet {
                 change: Some(_), ..
             } => self.confirm(index, command),
+            Change::JobDone { job, .. }
+            | Change::JobNotRun { job, .. }
+            | Change::JobLost { job, .. }
+            | Change::JobRefused { job, .. } => self.forget_begun_job(job),
             Change::ClaimAnswer { .. }
             | Change::ClaimRelease { .. }
-            | Change::ClaimUnknown { .. }
-            | Change::EntryLost { .. }
-            | Change::EntrySeen { .. } => self.settle_waiters(now_ms, out),
+            | Change::ClaimUnknown { .. } => self.settle_waiters(now_ms, out),
+            Change::EntryLost { .. } | Change::EntrySeen { .. } => {
+                self.forget_begun();
+                self.settle_waiters(now_ms, out);
+            }
             _ => {}
         }
     }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -1,7 +1,7 @@
 //! A whole entry instance without its edges: events in, effects out.
 #![allow(missing_docs, clippy::unwrap_used)]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use rosemarygauge::consensus::Recovered;
@@ -129,6 +129,24 @@
         id
     }
 
+    /// A call that brings a patient job which may run only once.
+    fn job(&mut self, number: u64) -> CallId {
+        let id = CallId(9_000 + number);
+        let call = Call {
+            service: "archive".into(),
+            team: "t".into(),
+            caller: "c".into(),
+            class: None,
+            key: Some(format!("j{number}").as_str().into()),
+            idempotent: false,
+            first: false,
+            deadline_ms: 5_000,
+            body: Arc::from(&b"body"[..]),
+        };
+        self.feed(Event::Call { id, call });
+        id
+    }
+
     fn sent(&self) -> Vec<Sending> {
         let sending = |effect: &Effect| match effect {
             Effect::Send(sending) => Some(sending.clone()),
@@ -361,6 +379,23 @@
     assert_eq!(bench.sent().len(), 1, "it ran again");
 }
 
+/// A patient job that may run only once runs twice at once. The disk stands still,
+/// so the leader gives the job out again after 400 ms and the log holds that twice.
+/// At each of the two its owner began an attempt.
+#[test]
+fn a_job_that_is_given_out_twice_begins_once() {
+    let mut bench = Bench::start();
+    bench.job(1);
+    bench.unsynced = Some(Vec::new());
+    bench.stall_disk_ms(700);
+    bench.run_ms(200);
+    let sent = bench.sent();
+    assert_eq!(sent.len(), 1, "attempts of one job");
+    bench.end(&sent[0], whole());
+    bench.run_ms(1_000);
+    assert_eq!(bench.sent().len(), 1, "attempts after its end");
+}
+
 /// A call comes before the entry instance knows the pools. "Unknown service"
 /// would tell the caller never to come back; it is told when to.
 #[test]
@@ -393,9 +428,14 @@
 
 impl Pair {
     fn start() -> Self {
+        Self::start_with(NodeSettings::default().snapshot_every)
+    }
+
+    /// With a snapshot after so many entries.
+    fn start_with(snapshot_every: u64) -> Self {
         let mut pair = Self {
-            leader: pair_node("a-1", Some(7), 1, 0),
-            learner: pair_node("a-2", None, 1, 0),
+            leader: pair_node("a-1", Some(7), 1, 0, snapshot_every),
+            learner: pair_node("a-2", None, 1, 0, snapshot_every),
         };
         pair.run_ms(3_000, true);
         pair.leader.feed(Event::Operator {
@@ -424,7 +464,13 @@
 }
 
 /// Entry instance `me` of a-1, which votes alone, and a-2, which follows.
-fn pair_node(me: &str, folder: Option<u64>, incarnation: u64, now_ms: u64) -> Bench {
+fn pair_node(
+    me: &str,
+    folder: Option<u64>,
+    incarnation: u64,
+    now_ms: u64,
+    snapshot_every: u64,
+) -> Bench {
     let settings = NodeSettings {
         me: me.into(),
         incarnation,
@@ -432,6 +478,7 @@
         members: ["a-1", "a-2"].map(|name| (name.into(), "a".into())).into(),
         voters: vec!["a-1".into()],
         seed: folder.unwrap_or(3) + incarnation,
+        snapshot_every,
         ..NodeSettings::default()
     };
     let recovered = Recovered {
@@ -496,6 +543,38 @@
     assert_eq!(told(&mut pair.learner, 3), 0, "cut off");
 }
 
+/// An entry instance runs jobs that may run only once, is cut off for two seconds
+/// and is so far behind then that it is given a snapshot. The snapshot says that the
+/// jobs are its own: it began them anew, beside the attempts under way.
+#[test]
+fn a_snapshot_begins_no_job_that_is_under_way() {
+    let mut pair = Pair::start_with(8);
+    pair.learner.report();
+    pair.run_ms(100, true);
+    pair.learner.report();
+    for number in 0..4 {
+        pair.leader.job(number);
+    }
+    pair.run_ms(500, true);
+    let sent = pair.learner.sent();
+    assert!(!sent.is_empty(), "it was given jobs");
+    let before = pair.learner.node.status(pair.learner.now_ms).applied_index;
+    pair.run_ms(100, false);
+    for number in 10..50 {
+        pair.leader.job(number);
+        pair.run_ms(20, false);
+    }
+    pair.run_ms(1_000, false);
+    pair.run_ms(1_000, true);
+    let after = pair.learner.node.status(pair.learner.now_ms).applied_index;
+    assert!(after >= before + 40, "it caught up: {before} {after}");
+    let jobs: BTreeSet<_> = pair.learner.sent().into_iter().map(|s| s.key).collect();
+    assert_eq!(pair.learner.sent().len(), jobs.len(), "attempts and jobs");
+    pair.learner.end(&sent[0], whole());
+    pair.run_ms(500, true);
+    assert_eq!(pair.learner.sent().len(), jobs.len(), "after an end");
+}
+
 /// An entry instance restarts, and the leader hears its new start before it is in
 /// the replicated state. Jobs given to the old start would run nowhere, and those
 /// that may run only once would end as unknown although nothing was lost.
@@ -503,7 +582,8 @@
 fn no_job_is_given_to_a_start_that_is_over() {
     let mut pair = Pair::start();
     let now_ms = pair.leader.now_ms;
-    pair.learner = pair_node("a-2", None, 2, now_ms);
+    let every = NodeSettings::default().snapshot_every;
+    pair.learner = pair_node("a-2", None, 2, now_ms, every);
     pair.learner.feed(Event::Tick);
     let frame = rosemarygauge::entry::PeerFrame {
         incarnation: 2,
@@ -514,19 +594,7 @@
     let from = "a-2".into();
     pair.leader.feed(Event::Peer { from, frame });
     for number in 0..4 {
-        let id = CallId(9_000 + number);
-        let call = Call {
-            service: "archive".into(),
-            team: "t".into(),
-            caller: "c".into(),
-            class: None,
-            key: Some(format!("j{number}").as_str().into()),
-            idempotent: false,
-            first: false,
-            deadline_ms: 5_000,
-            body: Arc::from(&b"body"[..]),
-        };
-        pair.leader.feed(Event::Call { id, call });
+        pair.leader.job(number);
     }
     pair.run_ms(500, false);
     for number in 0..4 {
