Show with real processes that a key outlives a log that stood still

The leader's zone is cut off for 0.6 s under calls that may run only once; then the same keys are sent to another zone.

--- a/tests/promise_cut_off.rs
+++ b/tests/promise_cut_off.rs
@@ -146,6 +146,33 @@
     assert_eq!(again["done"], again["sent"], "{again:#}");
 }
 
+// The leader's zone is cut off for 0.6 s, less than an election takes. Claims that
+// wait there are proposed again after 0.4 s, and the log holds them twice. Callers
+// are answered `done`; sent again, their keys ran again, as the second copy of a
+// claim had set its key free.
+#[test]
+fn a_key_is_kept_when_its_claim_waited_for_the_log() {
+    let (mut system, ups) = start();
+    let leader = system.await_leader();
+    let once = ["--not-idempotent", "100", "--label", "waited"];
+    let first = std::thread::scope(|scope| {
+        let load = scope.spawn(|| at(&system, leader, &ups, &once));
+        until(5_000, "it is under load", || ups[leader].runs().len() > 10);
+        system.cut_off(&[leader], &LinkFaults::cut());
+        std::thread::sleep(std::time::Duration::from_millis(600));
+        system.cut_off(&[leader], &LinkFaults::default());
+        load.join().unwrap()
+    });
+    assert!(first["done"].as_u64() > Some(0), "{first:#}");
+    system.await_leader();
+    system.await_ready();
+    let again = at(&system, (leader + 1) % 3, &ups, &once);
+    assert!(
+        again["done"].as_u64() >= first["done"].as_u64(),
+        "{again:#}"
+    );
+}
+
 // A caller's booking runs through zone z1 while z3 is cut off, and its answer is
 // lost. The caller sends the key again, to z3, which cannot know of it. Told
 // `not-run`, the caller would book anew under another key: two crews. It must be
