--- a/tests/promise_cut_off.rs
+++ b/tests/promise_cut_off.rs
@@ -146,7 +146,7 @@
     assert_eq!(again["done"], again["sent"], "{again:#}");
 }
 
-// The leader's zone is cut off for 0.6 s, less than an election takes. Claims that
+// The leader's zone is cut off for 0.6 s, about as long as an election takes. Claims that
 // wait there are proposed again after 0.4 s, and the log holds them twice. Callers
 // are answered `done`; sent again, their keys ran again, as the second copy of a
 // claim had set its key free.
