Keep links by who is proved to take part in the log, not by who came first

What callers saw: nothing is served with 147 entry instances. No leader is elected, no configuration acknowledged, no job accepted.

Cause: a listener kept the first 64 connections. The entry instances opened links to the three control instances of the settings within 0.3 s and took all places. Links among control instances got no answer to their first stream, so that the founder never heard the other first voters.

Change: a connection is unproved until its first frame, which names the class of its opener, is verified; the oldest of these makes room for a new one. A proved peer has one link, a newer one replaces it. When all places are taken a client is refused with that reason, and a replica takes the place of the oldest client. Answers to a client go back on its own link, which halves the links between entry and control instances, and links that carry nothing are closed by their opener. How many links there may be follows from the files that the settings grant, divided among links, callers and calls to workers, so that their sum fits; it is told at the start. Events of links are counted, and a link that does not come up is logged when its reason changes.

Test: tests/platform/crowd.rs, 150 clients before the third voter, then a kill of all. The decision itself: tests/links.rs.

--- a/src/control/metrics.rs
+++ b/src/control/metrics.rs
@@ -1,3 +1,4 @@
+use prometheus::core::Collector;
 use prometheus::{
     CounterVec, Gauge, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder, exponential_buckets,
@@ -92,6 +93,15 @@
 }
 
 impl Metrics {
+    /// Shows these beside its own.
+    pub fn register(&self, collectors: Vec<Box<dyn Collector>>) {
+        for collector in collectors {
+            if let Err(err) = self.registry.register(collector) {
+                tracing::error!(%err, "metrics: a collector cannot be shown");
+            }
+        }
+    }
+
     /// A call was answered after this time.
     pub fn answered(&self, answer: &Answer, seconds: f64) {
         self.calls.with_label_values(&[outcome(answer)]).inc();
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -13,7 +13,7 @@
     Callers, HealthBoard, HttpServer, Limits, OperatorKeys, Operators, Outgoing, OutgoingError,
     Upstreams,
 };
-use crate::link::{Directory, LinkError, Links, LinksConfig, PeerKey};
+use crate::link::{Directory, LinkError, LinkLimits, Links, LinksConfig, PeerClass, PeerKey};
 use crate::model::EntryName;
 use crate::storage::{self, Disk, StorageError};
 use crate::unix_time::unix_ms;
@@ -123,7 +123,9 @@
         let conf = LinksConfig {
             me: node.me.clone(),
             key: settings.key,
+            limits: LinkLimits::for_peers(settings.peers.len()),
             peers: Directory::Listed(settings.peers),
+            class: PeerClass::Replica,
         };
         let links = Links::start(conf, listeners.peers, move |from, frame| {
             sink(Event::Peer { from, frame })
--- a/src/link/error.rs
+++ b/src/link/error.rs
@@ -11,6 +11,10 @@
     #[display("peer did not prove the shared key")]
     #[from(skip)]
     Unproved,
+    /// The peer keeps no more links.
+    #[display("peer has no room for another link")]
+    #[from(skip)]
+    Refused,
     /// A frame is larger than allowed.
     #[display("frame of {_0} bytes is over the limit")]
     #[from(skip)]
--- a/src/link/peer_key.rs
+++ b/src/link/peer_key.rs
@@ -39,6 +39,18 @@
     pub sequence: u64,
 }
 
+impl Place {
+    /// The start of the other direction of the same stream.
+    pub fn reversed(&self) -> Self {
+        Self {
+            nonce: self.nonce,
+            from: self.to.clone(),
+            to: self.from.clone(),
+            sequence: 0,
+        }
+    }
+}
+
 impl PeerKey {
     /// The MAC of a payload at its place.
     pub fn sign(&self, place: &Place, payload: &[u8]) -> [u8; MAC_BYTES] {
--- a/src/link/runtime.rs
+++ b/src/link/runtime.rs
@@ -1,20 +1,21 @@
 use std::collections::BTreeMap;
-use std::marker::PhantomData;
 use std::net::{IpAddr, SocketAddr, TcpListener};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::thread::JoinHandle;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::runtime::Handle;
-use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 
-use super::{LinkError, PeerKey, receiver, sender};
+use super::queues::{Queued, Queues};
+use super::receiver::Receiver;
+use super::sender::Sender;
+use super::{LinkError, LinkEvent, LinkLimits, LinkStats, PeerClass, PeerKey};
 use crate::model::EntryName;
 
-/// Frames that may wait for one peer. More means that the peer does not keep up
-/// or is cut off, and what is waiting is old.
-const QUEUE_FRAMES: usize = 1024;
+/// Takes proved frames; `false` when it wants no more.
+pub(super) type Sink<F> = Arc<dyn Fn(EntryName, F) -> bool + Send + Sync>;
 
 /// Who may connect, and where everyone takes links.
 #[derive(Clone, Debug)]
@@ -47,6 +48,10 @@
     pub key: PeerKey,
     /// The others.
     pub peers: Directory,
+    /// What this instance takes part in.
+    pub class: PeerClass,
+    /// How many links there may be.
+    pub limits: LinkLimits,
 }
 
 impl LinksConfig {
@@ -56,9 +61,9 @@
         self.peers.address(&name).is_some().then_some(name)
     }
 
-    /// Whether a peer that cannot be reached is given up after a while; one that is
-    /// listed never is.
-    pub(super) fn gives_up(&self) -> bool {
+    /// Whether peers are found by their address. A link to such a peer is closed when it is
+    /// not used, and given up when it does not come up; one to a listed peer never is.
+    pub(super) fn found_by_address(&self) -> bool {
         matches!(self.peers, Directory::ByAddress { .. })
     }
 }
@@ -66,14 +71,14 @@
 /// The links to and from all peers, in a thread of their own.
 ///
 /// Dropping it closes the queues and ends the thread.
-#[derive(Debug)]
 pub struct Links<F> {
     conf: LinksConfig,
-    queues: Mutex<BTreeMap<EntryName, mpsc::Sender<Vec<u8>>>>,
+    queues: Queues,
+    stats: LinkStats,
+    sink: Sink<F>,
     runtime: Handle,
-    stop: Option<tokio::sync::oneshot::Sender<()>>,
+    stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
-    frames: PhantomData<fn(F)>,
 }
 
 impl<F: Serialize + DeserializeOwned + Send + 'static> Links<F> {
@@ -92,8 +97,15 @@
             .enable_all()
             .build()?;
         let handle = runtime.handle().clone();
-        let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
-        let receiving = conf.clone();
+        let (stop, stopped) = oneshot::channel::<()>();
+        let (queues, stats) = (Queues::default(), LinkStats::default());
+        let sink: Sink<F> = Arc::new(sink);
+        let receiver = Receiver::new(
+            conf.clone(),
+            Arc::clone(&sink),
+            queues.clone(),
+            stats.clone(),
+        );
         let thread = std::thread::Builder::new()
             .name("links".into())
             .spawn(move || {
@@ -103,63 +115,73 @@
                         return;
                     };
                     tokio::select! {
-                        () = receiver::run(receiving, listener, Arc::new(sink)) => {}
+                        () = receiver.run(listener) => {}
                         _ = stopped => {}
                     }
                 });
             })?;
         let links = Self {
             conf,
-            queues: Mutex::default(),
+            queues,
+            stats,
+            sink,
             runtime: handle,
             stop: Some(stop),
             thread: Some(thread),
-            frames: PhantomData,
         };
         if let Directory::Listed(peers) = &links.conf.peers {
-            let mut queues = links.queues();
             for peer in peers.keys() {
-                links.open(&mut queues, peer);
+                links.open(peer);
             }
         }
         Ok(links)
     }
 
-    /// Queues a frame; it is lost if the peer's queue is full.
+    /// What happened to the links so far.
+    pub fn stats(&self) -> &LinkStats {
+        &self.stats
+    }
+
+    /// Queues a frame; it is lost if the peer's queue is full or no link can be opened.
     pub fn send(&self, to: &EntryName, frame: &F) {
-        let mut queues = self.queues();
-        if queues.get(to).is_none_or(mpsc::Sender::is_closed) {
-            self.open(&mut queues, to);
+        if !self.queues.has(to) {
+            self.open(to);
         }
-        if let Some(queue) = queues.get(to)
-            && queue.try_send(crate::codec::encode(frame)).is_err()
-        {
-            tracing::debug!("link: queue to {to} is full, a frame is dropped");
+        match self.queues.push(to, crate::codec::encode(frame)) {
+            Queued::Waits => {}
+            lost @ (Queued::Full | Queued::NoLink) => {
+                self.stats.count(LinkEvent::FrameDropped);
+                tracing::debug!(%to, ?lost, "link: a frame is dropped");
+            }
         }
     }
 
     /// Begins a link to a peer whose address is known.
-    fn open(&self, queues: &mut BTreeMap<EntryName, mpsc::Sender<Vec<u8>>>, peer: &EntryName) {
+    fn open(&self, peer: &EntryName) {
         let Some(address) = self.conf.peers.address(peer) else {
             return;
         };
-        let (tx, rx) = mpsc::channel(QUEUE_FRAMES);
-        queues.insert(peer.clone(), tx);
-        let sending = sender::run(self.conf.clone(), peer.clone(), address, rx);
-        self.runtime.spawn(sending);
-    }
-}
-
-impl<F> Links<F> {
-    /// A panic elsewhere leaves the map whole: each change is one step.
-    fn queues(&self) -> MutexGuard<'_, BTreeMap<EntryName, mpsc::Sender<Vec<u8>>>> {
-        self.queues.lock().unwrap_or_else(PoisonError::into_inner)
+        let Some(queue) = self.queues.open(peer, self.conf.limits.outgoing) else {
+            self.stats.count(LinkEvent::NotOpened);
+            let limit = self.conf.limits.outgoing;
+            tracing::info!(%peer, %address, limit, "link: not opened, all places are taken");
+            return;
+        };
+        self.stats.set_outgoing(self.queues.outgoing());
+        let sender = Sender {
+            conf: self.conf.clone(),
+            peer: peer.clone(),
+            address,
+            sink: Arc::clone(&self.sink),
+            stats: self.stats.clone(),
+        };
+        self.runtime.spawn(sender.run(queue));
     }
 }
 
 impl<F> Drop for Links<F> {
     fn drop(&mut self) {
-        self.queues().clear();
+        self.queues.close();
         self.stop.take();
         if let Some(thread) = self.thread.take() {
             // The thread only ends with the queues; a panic in it was logged.
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::TokioIo;
 use rustix::net::sockopt::set_tcp_user_timeout;
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, Semaphore, oneshot};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
@@ -60,6 +60,8 @@
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    /// Its place among all.
+    _place: OwnedSemaphorePermit,
     /// The task that owns the socket ends when this closes.
     _open: oneshot::Sender<()>,
 }
@@ -123,12 +125,15 @@
 /// those of the next leader, so that two leaders took turns on one machine. A reset
 /// throws away what has not arrived.
 ///
+/// A connection beyond the limit of all takes the place of one that is idle, or waits.
 /// Calls to one address beyond its connections wait for one: opening a connection costs
 /// more than the answer's round trip that it saves, several times over when a pass
 /// orders a dozen starts of one worker.
 #[derive(Debug)]
 pub struct Client {
     connections_max: usize,
+    /// Places for connections to all addresses.
+    places: Arc<Semaphore>,
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
     room: RefCell<HashMap<SocketAddr, Rc<Semaphore>>>,
     aborted: Arc<Notify>,
@@ -137,8 +142,15 @@
 impl Client {
     /// A client with at most so many connections to one address.
     pub fn new(connections_max: usize) -> Self {
+        Self::bounded(connections_max, Semaphore::MAX_PERMITS)
+    }
+
+    /// A client with at most so many connections to one address and to all together.
+    pub fn bounded(connections_max: usize, all_max: usize) -> Self {
+        let places = all_max.min(Semaphore::MAX_PERMITS);
         Self {
             connections_max,
+            places: Arc::new(Semaphore::new(places)),
             idle: RefCell::default(),
             room: RefCell::default(),
             aborted: Arc::default(),
@@ -194,10 +206,13 @@
         loop {
             let (mut connection, kept) = match self.take(address) {
                 Some(connection) => (connection, true),
-                None => match timeout_at(due, connect(address)).await {
-                    Ok(opened) => (opened?, false),
-                    Err(_) => return Err(ClientError::Silent),
-                },
+                None => {
+                    let place = self.place(due).await?;
+                    match timeout_at(due, connect(address, place)).await {
+                        Ok(opened) => (opened?, false),
+                        Err(_) => return Err(ClientError::Silent),
+                    }
+                }
             };
             // A loop that was held, or suspended, finds a free connection beside the end
             // of the limit. What left now would arrive after its sender gave it up.
@@ -223,6 +238,30 @@
         Rc::clone(room.entry(address).or_insert_with(all))
     }
 
+    /// A place for one more connection.
+    async fn place(&self, due: Instant) -> Result<OwnedSemaphorePermit, ClientError> {
+        if let Ok(place) = Arc::clone(&self.places).try_acquire_owned() {
+            return Ok(place);
+        }
+        self.close_idle();
+        let place = timeout_at(due, Arc::clone(&self.places).acquire_owned()).await;
+        match place {
+            Ok(Ok(place)) => Ok(place),
+            Ok(Err(_)) | Err(_) => {
+                tracing::info!("client: a call did not leave, all connections are taken");
+                Err(ClientError::NotSent)
+            }
+        }
+    }
+
+    /// Closes one idle connection, if there is one.
+    fn close_idle(&self) {
+        let mut idle = self.idle.borrow_mut();
+        let closed = idle.values_mut().find_map(Vec::pop);
+        drop(closed);
+        idle.retain(|_, kept| !kept.is_empty());
+    }
+
     fn take(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&address)?;
@@ -240,7 +279,10 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Connection, ClientError> {
+async fn connect(
+    address: SocketAddr,
+    place: OwnedSemaphorePermit,
+) -> Result<Connection, ClientError> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     stream.set_zero_linger()?;
@@ -260,6 +302,7 @@
     });
     Ok(Connection {
         sender,
+        _place: place,
         _open: open,
     })
 }
--- a/src/platform/outside.rs
+++ b/src/platform/outside.rs
@@ -25,10 +25,10 @@
 }
 
 impl Platform {
-    /// The platform that the settings tell of.
-    pub fn new(settings: &Settings) -> Self {
+    /// The platform that the settings tell of, with at most so many connections to workers.
+    pub fn new(settings: &Settings, worker_connections: usize) -> Self {
         Self {
-            workers: Rc::new(Client::new(WORKER_CONNECTIONS)),
+            workers: Rc::new(Client::bounded(WORKER_CONNECTIONS, worker_connections)),
             services: Rc::new(Client::new(SERVICE_CONNECTIONS)),
             holder: settings.node.clone(),
             keeper: settings.keeper,
--- a/src/platform/serve.rs
+++ b/src/platform/serve.rs
@@ -15,11 +15,11 @@
 use super::settings_fault::list;
 use super::{CaughtSignals, ControlCalls, EntryCalls, Platform, Settings, SettingsFault};
 use crate::control::{
-    self, Desk, Driver, Gateway, Node, NodeSettings, PeerMessage, Policy, PolicyFault, Signal,
-    WallClock, steady_ms,
+    self, ConnectionBudget, Desk, Driver, Gateway, Node, NodeSettings, PeerMessage, Policy,
+    PolicyFault, Signal, WallClock, steady_ms,
 };
 use crate::http::{Handler, HttpServer, Limits, text};
-use crate::link::{Directory, LinkError, Links, LinksConfig, PeerKey};
+use crate::link::{Directory, LinkError, LinkLimits, Links, LinksConfig, PeerClass, PeerKey};
 use crate::model::EntryName;
 use crate::storage::{self, Disk, StorageError};
 
@@ -99,8 +99,10 @@
     let (disk, recovered) = Disk::open(&folder)?;
     let (signals, signalled) = unbounded_channel();
     let disk = start_disk(disk, signals.clone())?;
-    let links = start_links(&settings, signals.clone())?;
+    let budget = ConnectionBudget::control(settings.grant);
+    let links = start_links(&settings, PeerClass::Replica, budget, signals.clone())?;
     let (desk, calls) = Desk::new(rand::random::<u64>() >> 1);
+    desk.metrics().register(links.0.stats().collectors());
     let node = NodeSettings {
         me: settings.me(),
         seeds: settings.seed_names(),
@@ -113,12 +115,13 @@
     let wall = WallClock::default();
     wall.set_offset_ms(settings.clock_offset_ms);
     let node = Node::new(node, recovered, wall.unix_ms(), steady_ms());
-    let outside = Rc::new(Platform::new(&settings));
+    let outside = Rc::new(Platform::new(&settings, budget.workers));
     let handler = ControlCalls::new(Arc::clone(&desk), settings.clone()).handler();
     caught.pass_on(signals, wall.clone())?;
     run(async move {
         let (stop, stopped) = watch::channel(false);
         let limits = Limits {
+            connections: budget.callers,
             body_bytes: CONTROL_BODY_BYTES,
             head_timeout: IDLE,
             ..Limits::default()
@@ -126,7 +129,7 @@
         let listener = listen("listen.control", settings.bound(control))?;
         let server = spawn_local(server("control", listener, limits, handler).run(stopped.clone()));
         serve_metrics(&settings, &desk, stopped.clone());
-        tracing::info!(%control, "serve: a control instance is up");
+        tracing::info!(%control, ?budget, grant = ?settings.grant, "serve: a control instance is up");
         let driver = Driver::new(desk, calls, signalled, links);
         driver.run_control(node, disk, outside, wall).await?;
         stop.send_replace(true);
@@ -148,14 +151,17 @@
         .ready
         .ok_or_else(|| missing("listen.ready", wanted))?;
     let (signals, signalled) = unbounded_channel();
-    let links = start_links(&settings, signals.clone())?;
+    let budget = ConnectionBudget::entry(settings.grant);
+    let links = start_links(&settings, PeerClass::Client, budget, signals.clone())?;
     let (desk, calls) = Desk::new(rand::random::<u64>() >> 1);
+    desk.metrics().register(links.0.stats().collectors());
     let gateway = Gateway::new(settings.seed_names());
     let grace_ms = settings.timing.grace_ms;
     caught.pass_on(signals, WallClock::default())?;
     run(async move {
         let (stop, stopped) = watch::channel(false);
         let limits = Limits {
+            connections: budget.callers,
             head_timeout: IDLE,
             ..Limits::default()
         };
@@ -167,7 +173,7 @@
         let listener = listen("listen.ready", settings.bound(ready))?;
         spawn_local(server("health", listener, limits, health).run(stopped.clone()));
         serve_metrics(&settings, &desk, stopped.clone());
-        tracing::info!(%front, "serve: an entry instance is up");
+        tracing::info!(%front, ?budget, grant = ?settings.grant, "serve: an entry instance is up");
         let driver = Driver::new(desk, calls, signalled, links);
         driver.run_entry(gateway, grace_ms).await;
         stop.send_replace(true);
@@ -254,6 +260,8 @@
 
 fn start_links(
     settings: &Settings,
+    class: PeerClass,
+    budget: ConnectionBudget,
     signals: UnboundedSender<Signal>,
 ) -> Result<PeerLinks, ServeError> {
     let conf = LinksConfig {
@@ -262,6 +270,8 @@
         peers: Directory::ByAddress {
             port: settings.link_port,
         },
+        class,
+        limits: LinkLimits::within(budget.links),
     };
     let address = settings.bound((settings.ip, settings.link_port).into());
     let listener = listen("port_range", address)?;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,11 +1,12 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 
+use rustix::process::{Resource, getrlimit};
 use serde_json::Value;
 
 use super::SettingsFault;
 use super::reader::Reader;
-use crate::control::Timing;
+use crate::control::{Grant, Timing};
 use crate::model::EntryName;
 
 /// The variable of the environment that names the settings file.
@@ -41,6 +42,8 @@
     pub control: Option<SocketAddr>,
     /// How many control instances may be lost at once.
     pub losses_borne: usize,
+    /// What the instance may use.
+    pub grant: Grant,
     /// Who keeps the machines, if anyone does.
     pub keeper: Option<SocketAddr>,
     /// Who advises on placements, if anyone does.
@@ -138,6 +141,8 @@
     let losses = rdr.maybe("fault_tolerance.machines", "a whole number", Value::as_u64);
     let keeper = rdr.maybe("cloud.address", "an address IP:PORT", address);
     let advisor = rdr.maybe("advice", "an address IP:PORT", address);
+    let open_files = rdr.maybe("limits.max_fds", "a whole number", Value::as_u64);
+    let memory_mb = rdr.maybe("limits.memory_mb", "a whole number", Value::as_u64);
     let timing = timing(rdr);
     Some(Settings {
         node: node?,
@@ -152,12 +157,26 @@
         ready,
         control,
         losses_borne: usize::try_from(losses.unwrap_or(1)).ok()?,
+        grant: Grant {
+            open_files: open_files.map_or_else(open_files_limit, as_size),
+            memory_bytes: memory_mb.map(|mb| as_size(mb).saturating_mul(1 << 20)),
+        },
         keeper,
         advisor,
         timing: timing?,
     })
 }
 
+/// The process's own limit, if the platform tells none.
+fn open_files_limit() -> usize {
+    let limit = getrlimit(Resource::Nofile).current;
+    limit.map_or(usize::MAX, as_size)
+}
+
+fn as_size(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
+
 fn timing(rdr: &mut Reader) -> Option<Timing> {
     let report_interval_ms = rdr.ms("heartbeat_ms");
     let lease_max_ms = rdr.ms("bounds.max_hold_ms");
--- /dev/null
+++ b/tests/links.rs
@@ -0,0 +1,162 @@
+//! Links between instances: which of many connections a listener keeps.
+#![allow(missing_docs, clippy::unwrap_used)]
+
+use std::collections::BTreeSet;
+
+use quickcheck_macros::quickcheck;
+use rosemarygauge::link::{Admission, LinkLimits, PeerClass, Refusal};
+use rosemarygauge::model::EntryName;
+
+const LIMITS: LinkLimits = LinkLimits {
+    unproved: 4,
+    incoming: 8,
+    outgoing: 8,
+};
+
+fn name(text: impl std::fmt::Display) -> EntryName {
+    EntryName::from(text.to_string())
+}
+
+/// Connects and proves it: the handle that made room.
+fn join(
+    admission: &mut Admission<u64>,
+    handle: u64,
+    peer: &EntryName,
+    class: PeerClass,
+) -> Result<Option<u64>, Refusal> {
+    let (id, _) = admission.arrive(handle);
+    admission.prove(id, peer, class)
+}
+
+/// Guards against: clients that connect first keep the replicas out, and no leader is elected.
+#[test]
+fn replicas_get_a_place_however_many_clients_came_first() {
+    let mut admission = Admission::new(LIMITS);
+    let mut refused = 0;
+    for client in 0..150 {
+        let joined = join(&mut admission, client, &name(client), PeerClass::Client);
+        refused += usize::from(joined == Err(Refusal::Full));
+    }
+    assert_eq!((admission.proved(), refused), (8, 142));
+    for replica in 0..5 {
+        let peer = name(format!("replica-{replica}"));
+        let joined = join(&mut admission, 1_000 + replica, &peer, PeerClass::Replica);
+        assert_eq!(joined, Ok(Some(replica)), "the oldest client makes room");
+    }
+    assert_eq!(admission.proved(), 8);
+}
+
+/// Guards against: a replica takes the place of another one.
+#[test]
+fn replicas_do_not_evict_each_other() {
+    let mut admission = Admission::new(LIMITS);
+    for replica in 0..8 {
+        assert!(join(&mut admission, replica, &name(replica), PeerClass::Replica).is_ok());
+    }
+    let ninth = join(&mut admission, 8, &name(8), PeerClass::Replica);
+    assert_eq!(ninth, Err(Refusal::Full));
+}
+
+/// Guards against: connections that a cut left half open keep their peers from coming back.
+#[test]
+fn a_newer_link_of_a_peer_replaces_the_older() {
+    let mut admission = Admission::new(LIMITS);
+    for round in 0..3 {
+        for client in 0..8 {
+            let joined = join(
+                &mut admission,
+                10 * round + client,
+                &name(client),
+                PeerClass::Client,
+            );
+            let replaced = (round > 0).then(|| 10 * (round - 1) + client);
+            assert_eq!(joined, Ok(replaced));
+        }
+    }
+    assert_eq!(admission.proved(), 8);
+}
+
+/// Guards against: the end of a replaced connection takes away its successor's place.
+#[test]
+fn the_end_of_a_replaced_link_leaves_the_newer() {
+    let mut admission = Admission::new(LIMITS);
+    let peer = name("a");
+    let (first, _) = admission.arrive(1);
+    assert_eq!(admission.prove(first, &peer, PeerClass::Client), Ok(None));
+    assert_eq!(
+        join(&mut admission, 2, &peer, PeerClass::Client),
+        Ok(Some(1))
+    );
+    admission.leave(first, Some(&peer));
+    assert_eq!(admission.proved(), 1);
+}
+
+/// Guards against: connections that prove nothing keep everybody else out.
+#[test]
+fn the_oldest_unproved_connection_makes_room() {
+    let mut admission = Admission::new(LIMITS);
+    let (stuck, _) = admission.arrive(0);
+    let evicted: Vec<Option<u64>> = (1..=5).map(|handle| admission.arrive(handle).1).collect();
+    assert_eq!(evicted, [None, None, None, Some(0), Some(1)]);
+    let late = admission.prove(stuck, &name("a"), PeerClass::Replica);
+    assert_eq!(late, Err(Refusal::Evicted));
+}
+
+/// The limits add up to no more than what they were given.
+#[quickcheck]
+fn limits_fit_into_the_connections(connections: u16) -> bool {
+    let limits = LinkLimits::within(usize::from(connections));
+    let sum = limits.unproved + limits.incoming + limits.outgoing;
+    sum <= usize::from(connections).max(3)
+}
+
+/// Whatever connects, proves itself and leaves in whatever order: no more links than the
+/// limit, one a peer, and no replica is closed but by a newer link of its own.
+#[quickcheck]
+fn no_order_of_events_breaks_the_limits(events: Vec<(u8, u8, bool)>) -> bool {
+    let mut admission = Admission::new(LIMITS);
+    let mut open: Vec<(u64, EntryName, PeerClass)> = Vec::new();
+    for (kind, peer, replica) in events {
+        let class = match replica {
+            true => PeerClass::Replica,
+            false => PeerClass::Client,
+        };
+        let peer = name(format!("{class}-{}", peer % 12));
+        match kind % 3 {
+            0 | 1 => {
+                let (id, _) = admission.arrive(u64::MAX);
+                let Ok(closed) = admission.prove(id, &peer, class) else {
+                    continue;
+                };
+                if closed.is_some() {
+                    let place = match open.iter().position(|(_, name, _)| *name == peer) {
+                        Some(place) => place,
+                        None => {
+                            let mut clients = open.iter();
+                            match clients.position(|(_, _, class)| *class == PeerClass::Client) {
+                                Some(place) => place,
+                                None => return false,
+                            }
+                        }
+                    };
+                    open.remove(place);
+                }
+                open.push((id, peer, class));
+            }
+            _ => {
+                if !open.is_empty() {
+                    let (id, name, _) = open.remove(0);
+                    admission.leave(id, Some(&name));
+                }
+            }
+        }
+        let names: BTreeSet<&EntryName> = open.iter().map(|(_, name, _)| name).collect();
+        if open.len() > LIMITS.incoming || names.len() != open.len() {
+            return false;
+        }
+        if admission.proved() != open.len() {
+            return false;
+        }
+    }
+    true
+}
--- a/tests/platform/connections.rs
+++ b/tests/platform/connections.rs
@@ -157,7 +157,7 @@
 fn platform(keeper: SocketAddr) -> Platform {
     let mut settings = settings("127.0.0.1", 7_000);
     settings["cloud"] = json!({"address": keeper.to_string()});
-    Platform::new(&Settings::parse(&settings.to_string()).unwrap())
+    Platform::new(&Settings::parse(&settings.to_string()).unwrap(), 64)
 }
 
 /// A stop for a worker there.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod own_loopback;
 
 mod connections;
+mod crowd;
 mod formats;
 mod path;
 mod settings;
--- a/tests/platform/path.rs
+++ b/tests/platform/path.rs
@@ -18,13 +18,13 @@
 /// Longer than anything here takes on a machine that is busy.
 const LIMIT: Duration = Duration::from_secs(60);
 
-struct Process {
+pub struct Process {
     child: Child,
     lines: Arc<Mutex<Vec<String>>>,
 }
 
 impl Process {
-    fn start(role: &str, folder: &Path, settings: &Value) -> Self {
+    pub fn start(role: &str, folder: &Path, settings: &Value) -> Self {
         Self::start_with(role, folder, settings, &[])
     }
 
@@ -57,7 +57,7 @@
         parsed.filter(|line| line["message"] == message).collect()
     }
 
-    fn signal(&self, signal: &str) {
+    pub fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         let sent = Command::new("kill").args([signal, &pid]).status().unwrap();
         assert!(sent.success());
@@ -68,7 +68,7 @@
         self.end()
     }
 
-    fn end(&mut self) -> std::process::ExitStatus {
+    pub fn end(&mut self) -> std::process::ExitStatus {
         let end = Instant::now() + LIMIT;
         loop {
             if let Some(status) = self.child.try_wait().unwrap() {
@@ -98,7 +98,7 @@
         .into()
 }
 
-fn post(url: &str, body: &Value) -> Option<(u16, String)> {
+pub fn post(url: &str, body: &Value) -> Option<(u16, String)> {
     post_within(url, body, "3000")
 }
 
@@ -125,7 +125,7 @@
 }
 
 /// Waits for a condition.
-fn until<T>(what: &str, mut cond: impl FnMut() -> Option<T>) -> T {
+pub fn until<T>(what: &str, mut cond: impl FnMut() -> Option<T>) -> T {
     let end = Instant::now() + LIMIT;
     loop {
         if let Some(found) = cond() {
@@ -136,8 +136,8 @@
     }
 }
 
-const LINK_PORT: u16 = 7_000;
-const CONTROL_PORT: u16 = LINK_PORT + 1;
+pub const LINK_PORT: u16 = 7_000;
+pub const CONTROL_PORT: u16 = LINK_PORT + 1;
 const FRONT_PORT: u16 = 7_003;
 const READY_PORT: u16 = 7_004;
 /// As the deploy file names it.
@@ -209,7 +209,7 @@
     }
 }
 
-fn configuration() -> Value {
+pub fn configuration() -> Value {
     json!({
         "version": 1,
         "routes": [{"name": "q", "host": "h.example", "path_prefix": "/a/", "kind": "unsafe",
