Refuse connections beyond the limit at once, and say why nobody leads

What callers saw: beyond a listener's connections their requests waited in the kernel's queue until their deadline, unseen. Operators saw processes that were up and logged nothing while no leader could be elected.

Change: a connection beyond the limit is answered 503 with Retry-After, logged and counted by listener. An instance that knows no leader for 2 s logs which voters it misses, whether the cluster is founded and for how long, when that changes and every 5 s; the metrics have the time without a leader.

--- a/src/cmd/proxy.rs
+++ b/src/cmd/proxy.rs
@@ -90,12 +90,7 @@
     let addresses: Vec<_> = links.iter().map(|link| link.address()).collect();
     let ready = serde_json::json!({ "control": listener.local_addr()?, "links": addresses });
     let mut signals = signal_hook::iterator::Signals::new([SIGINT, SIGTERM])?;
-    let server = HttpServer {
-        name: "control",
-        listener,
-        limits: Limits::default(),
-        handler: handler(links),
-    };
+    let server = HttpServer::new("control", listener, Limits::default(), handler(links));
     let (stop, stopped) = watch::channel(false);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/src/consensus/view.rs
+++ b/src/consensus/view.rs
@@ -18,7 +18,7 @@
             commit_index: self.commit_index,
             applied_index: self.applied_index,
             fresh: self.fresh(now_ms),
-            voters: self.log.membership().iter().map(|v| v.0.clone()).collect(),
+            voters: self.voters(),
             quorum_lost: self.quorum_lost(now_ms),
             last_index: self.log.last_index(),
             snapshot_index: self.snapshot.as_ref().map_or(0, |s| s.index),
@@ -39,6 +39,12 @@
         self.leader.as_ref()
     }
 
+    /// The voters that the log names; none before the cluster is founded.
+    pub fn voters(&self) -> Vec<EntryName> {
+        let membership = self.log.membership();
+        membership.iter().map(|(name, _)| name.clone()).collect()
+    }
+
     /// Whether what it knows is recent; see [`Status::fresh`].
     pub fn is_fresh(&self, now_ms: u64) -> bool {
         self.fresh(now_ms)
--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -191,6 +191,8 @@
                 node.compare_clock(now_ms, wall.unix_ms());
             }
             let leads = node.leads(now_ms);
+            let leaderless = Duration::from_millis(node.leaderless_ms(now_ms));
+            self.desk.metrics().leaderless(leaderless.as_secs_f64());
             self.desk.show(Board {
                 report_places: node.report_places(now_ms),
                 ready: leads,
--- a/src/control/metrics.rs
+++ b/src/control/metrics.rs
@@ -22,6 +22,7 @@
     loop_events: IntCounterVec,
     loop_waiting: IntGauge,
     loop_late: Gauge,
+    leaderless: Gauge,
 }
 
 impl Default for Metrics {
@@ -64,6 +65,11 @@
                 "How late the loop came to its time, at most in the last second",
             )
             .expect("a plain name"),
+            leaderless: Gauge::new(
+                "rosemarygauge_leaderless_seconds",
+                "How long no leader has been known here",
+            )
+            .expect("a plain name"),
         };
         let registered = [
             metrics.registry.register(Box::new(metrics.calls.clone())),
@@ -84,6 +90,9 @@
             metrics
                 .registry
                 .register(Box::new(metrics.loop_late.clone())),
+            metrics
+                .registry
+                .register(Box::new(metrics.leaderless.clone())),
         ];
         for result in registered {
             result.expect("names that differ");
@@ -128,6 +137,11 @@
         self.loop_late.set(late_seconds);
     }
 
+    /// How long nobody has led.
+    pub fn leaderless(&self, seconds: f64) {
+        self.leaderless.set(seconds);
+    }
+
     /// All of them, as text, while so many calls are open.
     pub fn text(&self, open_calls: usize) -> String {
         self.open.set(open_calls as i64);
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -6,6 +6,7 @@
 mod carrying;
 mod keeping;
 mod lead;
+mod leaderless;
 mod log;
 mod members;
 mod orders;
@@ -24,6 +25,7 @@
 use crate::consensus::{Input, Recovered, Replica, ReplicaSettings};
 use crate::model::EntryName;
 use lead::Lead;
+use leaderless::Leaderless;
 
 /// How long a call at a follower is held for a leader to answer it.
 const CALL_PATIENCE_MS: u64 = 900;
@@ -107,6 +109,7 @@
     /// Control instances that said hello, and when.
     met: BTreeMap<EntryName, u64>,
     hello_ms: u64,
+    leaderless: Leaderless,
     /// When it looks next at which voters are away, if it leads.
     voters_ms: u64,
     stopping_since_ms: Option<u64>,
@@ -135,6 +138,7 @@
             carrier: Carrier::default(),
             met: BTreeMap::new(),
             hello_ms: now_ms,
+            leaderless: Leaderless::default(),
             voters_ms: now_ms,
             stopping_since_ms: None,
             unlearnt: Estimates::default(),
@@ -210,6 +214,7 @@
         // Before a new leader orders anything: what is thrown away here is not its own.
         self.follow_carrying(now_ms);
         self.greet(now_ms);
+        self.tell_leaderless(now_ms);
         self.change_voters(now_ms);
         let steps = self.relay.tick(now_ms);
         self.relay_steps(steps);
--- a/src/control/node/members.rs
+++ b/src/control/node/members.rs
@@ -15,7 +15,7 @@
 /// How often instances greet those that they know.
 const HELLO_MS: u64 = 800;
 /// An instance that said hello within this time is there.
-const THERE_MS: u64 = 2_500;
+pub(super) const THERE_MS: u64 = 2_500;
 /// A voter that did not answer for this long is away: longer than a restart or a short
 /// cut takes, so that these cost no change of voters.
 ///
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -192,12 +192,7 @@
 }
 
 fn server(name: &'static str, listener: TcpListener, handler: crate::http::Handler) -> HttpServer {
-    HttpServer {
-        name,
-        listener,
-        limits: Limits::default(),
-        handler,
-    }
+    HttpServer::new(name, listener, Limits::default(), handler)
 }
 
 fn serve_http(
--- a/src/http/limits.rs
+++ b/src/http/limits.rs
@@ -3,7 +3,7 @@
 /// Bounds on what one listener takes in.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
-    /// Connections at once; further ones wait in the kernel's queue.
+    /// Connections at once; further ones are answered that there is no room.
     pub connections: usize,
     /// Bytes of a request's head.
     pub head_bytes: usize,
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -14,12 +14,14 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use prometheus::core::Collector;
+use prometheus::{IntCounter, Opts};
 use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, watch};
 use tokio::time::timeout;
 
 use super::Limits;
-use super::reply::{Reply, text};
+use super::reply::{Reply, set, text};
 
 /// A whole request.
 #[derive(Debug)]
@@ -56,16 +58,51 @@
 /// One listener and its handler.
 pub struct HttpServer {
     /// For logs.
-    pub name: &'static str,
+    name: &'static str,
     /// Where it listens.
-    pub listener: TcpListener,
+    listener: TcpListener,
     /// What it lets in.
-    pub limits: Limits,
+    limits: Limits,
     /// What answers.
-    pub handler: Handler,
+    handler: Handler,
+    /// Connections that were refused.
+    refused: IntCounter,
 }
 
+/// Connections that are being told that there is no room, at once; further ones are reset.
+const REFUSALS_MAX: usize = 64;
+/// When a caller that found no room may come again, in seconds.
+const REFUSED_RETRY_S: &str = "1";
+/// How long a connection without room has for its request and answer.
+const REFUSAL: Duration = Duration::from_secs(1);
+
 impl HttpServer {
+    /// A server with a name for logs and metrics.
+    pub fn new(
+        name: &'static str,
+        listener: TcpListener,
+        limits: Limits,
+        handler: Handler,
+    ) -> Self {
+        let refused = Opts::new(
+            "rosemarygauge_connections_refused_total",
+            "Connections that were refused, as all were taken",
+        );
+        let refused = refused.const_label("listener", name);
+        Self {
+            name,
+            listener,
+            limits,
+            handler,
+            refused: IntCounter::with_opts(refused).expect("a plain name and label"),
+        }
+    }
+
+    /// What a registry takes.
+    pub fn collectors(&self) -> Vec<Box<dyn Collector>> {
+        vec![Box::new(self.refused.clone())]
+    }
+
     /// Serves until `stop` turns true, then takes no more connections, lets open
     /// requests end and returns.
     pub async fn run(self, mut stop: watch::Receiver<bool>) {
@@ -78,26 +115,41 @@
             return;
         };
         let room = Arc::new(Semaphore::new(self.limits.connections));
+        let refusals = Arc::new(Semaphore::new(REFUSALS_MAX));
         let mut open = tokio::task::JoinSet::new();
         loop {
-            let permit = tokio::select! {
-                permit = Arc::clone(&room).acquire_owned() => permit,
-                _ = stop.wait_for(|stop| *stop) => break,
-            };
-            let Ok(permit) = permit else { break };
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 _ = stop.wait_for(|stop| *stop) => break,
             };
             match accepted {
-                Ok((stream, _)) => {
-                    let served =
-                        connection(stream, self.limits, Arc::clone(&self.handler), stop.clone());
-                    open.spawn(async move {
-                        served.await;
-                        drop(permit);
-                    });
-                }
+                Ok((stream, _)) => match Arc::clone(&room).try_acquire_owned() {
+                    Ok(permit) => {
+                        let handler = Arc::clone(&self.handler);
+                        let served = connection(stream, self.limits, handler, stop.clone());
+                        open.spawn(async move {
+                            served.await;
+                            drop(permit);
+                        });
+                    }
+                    Err(_) => {
+                        self.refused.inc();
+                        let (listener, limit) = (self.name, self.limits.connections);
+                        tracing::info!(
+                            listener,
+                            limit,
+                            "http: a connection is refused, all are taken"
+                        );
+                        if let Ok(permit) = Arc::clone(&refusals).try_acquire_owned() {
+                            let refusal = connection(stream, self.limits, no_room(), stop.clone());
+                            open.spawn(async move {
+                                // It is refused either way; its caller may be too slow to hear.
+                                let _ = timeout(REFUSAL, refusal).await;
+                                drop(permit);
+                            });
+                        }
+                    }
+                },
                 Err(err) => {
                     // Out of descriptors, most likely: going on at once would spin.
                     tracing::warn!("http: accept on {} failed: {err}", self.name);
@@ -114,6 +166,19 @@
     }
 }
 
+/// Tells a caller that there is no room for its connection.
+fn no_room() -> Handler {
+    Arc::new(|_| {
+        Box::pin(async {
+            let line = "no room for another connection; nothing was done: come again\n";
+            let mut reply = text(StatusCode::SERVICE_UNAVAILABLE, line);
+            set(&mut reply, "retry-after", REFUSED_RETRY_S);
+            set(&mut reply, "connection", "close");
+            reply
+        })
+    })
+}
+
 /// How long a connection that was taken just before a stop has for its first request,
 /// which its caller sends at once: some round trips.
 const FIRST_REQUEST: Duration = Duration::from_millis(100);
--- a/src/platform/serve.rs
+++ b/src/platform/serve.rs
@@ -127,7 +127,9 @@
             ..Limits::default()
         };
         let listener = listen("listen.control", settings.bound(control))?;
-        let server = spawn_local(server("control", listener, limits, handler).run(stopped.clone()));
+        let server = HttpServer::new("control", listener, limits, handler);
+        desk.metrics().register(server.collectors());
+        let server = spawn_local(server.run(stopped.clone()));
         serve_metrics(&settings, &desk, stopped.clone());
         tracing::info!(%control, ?budget, grant = ?settings.grant, "serve: a control instance is up");
         let driver = Driver::new(desk, calls, signalled, links);
@@ -168,10 +170,11 @@
         let callers = EntryCalls::new(Arc::clone(&desk)).handler();
         let health = health(Arc::clone(&desk));
         let listener = listen("listen.front", settings.bound(front))?;
-        let callers = server("callers", listener, limits, callers).run(stopped.clone());
-        let callers = spawn_local(callers);
+        let callers = HttpServer::new("callers", listener, limits, callers);
+        desk.metrics().register(callers.collectors());
+        let callers = spawn_local(callers.run(stopped.clone()));
         let listener = listen("listen.ready", settings.bound(ready))?;
-        spawn_local(server("health", listener, limits, health).run(stopped.clone()));
+        spawn_local(HttpServer::new("health", listener, limits, health).run(stopped.clone()));
         serve_metrics(&settings, &desk, stopped.clone());
         tracing::info!(%front, ?budget, grant = ?settings.grant, "serve: an entry instance is up");
         let driver = Driver::new(desk, calls, signalled, links);
@@ -212,20 +215,6 @@
     })
 }
 
-fn server(
-    name: &'static str,
-    listener: TcpListener,
-    limits: Limits,
-    handler: Handler,
-) -> HttpServer {
-    HttpServer {
-        name,
-        listener,
-        limits,
-        handler,
-    }
-}
-
 fn health(desk: Arc<Desk>) -> Handler {
     Arc::new(move |_| {
         let ready = desk.board().ready;
@@ -254,7 +243,7 @@
         let text = desk.metrics().text(desk.waiting());
         Box::pin(async move { crate::http::text(StatusCode::OK, text) })
     });
-    let server = server("metrics", listener, Limits::default(), handler);
+    let server = HttpServer::new("metrics", listener, Limits::default(), handler);
     spawn_local(server.run(stopped));
 }
 
--- a/tests/platform/crowd.rs
+++ b/tests/platform/crowd.rs
@@ -78,7 +78,7 @@
     }
 }
 
-fn start(at: &OwnLoopback, folder: &Path, last: u8, max_fds: usize) -> Process {
+pub fn start(at: &OwnLoopback, folder: &Path, last: u8, max_fds: usize) -> Process {
     let control = at.address(last, CONTROL_PORT);
     let mut core = settings(&control.ip().to_string(), LINK_PORT);
     let seeds: Vec<String> = (1..=3)
--- a/tests/platform/path.rs
+++ b/tests/platform/path.rs
@@ -49,7 +49,7 @@
         Self { child, lines }
     }
 
-    fn logged(&self, message: &str) -> Vec<Value> {
+    pub fn logged(&self, message: &str) -> Vec<Value> {
         let lines = self.lines.lock().unwrap();
         let parsed = lines.iter().map(|line| {
             serde_json::from_str::<Value>(line).unwrap_or_else(|_| panic!("no JSON: {line}"))
@@ -116,7 +116,7 @@
     ))
 }
 
-fn get(url: &str) -> Option<(u16, String)> {
+pub fn get(url: &str) -> Option<(u16, String)> {
     let mut answer = agent().get(url).header("host", "h.example").call().ok()?;
     Some((
         answer.status().as_u16(),
@@ -141,7 +141,7 @@
 const FRONT_PORT: u16 = 7_003;
 const READY_PORT: u16 = 7_004;
 /// As the deploy file names it.
-const METRICS_PORT: u16 = 9_464;
+pub const METRICS_PORT: u16 = 9_464;
 
 /// An entry instance's settings at an address.
 fn edge_settings(at: &OwnLoopback, last: u8) -> Value {
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -122,12 +122,8 @@
         });
         for (at, listener) in listeners.into_iter().enumerate() {
             fleet.begin(at, pools[at % pools.len()]);
-            let server = HttpServer {
-                name: "worker",
-                listener,
-                limits: Limits::default(),
-                handler: handler(&fleet, at),
-            };
+            let server =
+                HttpServer::new("worker", listener, Limits::default(), handler(&fleet, at));
             let (stop, stopped) = watch::channel(false);
             // Workers go on until the test ends.
             std::mem::forget(stop);
--- a/tests/soak/keeper.rs
+++ b/tests/soak/keeper.rs
@@ -49,12 +49,7 @@
         });
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let server = HttpServer {
-            name: "keeper",
-            listener,
-            limits: Limits::default(),
-            handler: handler(&keeper),
-        };
+        let server = HttpServer::new("keeper", listener, Limits::default(), handler(&keeper));
         let (stop, stopped) = watch::channel(false);
         // It goes on until the test ends.
         std::mem::forget(stop);
