Elect a leader in one term where one can do

What callers saw: changes and calls stall for two or three election timeouts after a leader is lost on machines that are busy (promise_moves, promise_cut_off).

Cause, from 200 simulated elections a setting: candidates that ask at the same time are all encouraged and split the votes; a candidate that was refused because the others still heard the old leader waits for a whole timeout; votes that come after a candidate's own timeout are thrown away although the term still lasts.

Change: a voter favours one candidate at a time, and of two that ask each other the one with the shorter log or the later name steps back; a round that cannot be won any more is begun again after an eighth to a half of a timeout; votes count for as long as the term lasts; the timeout is drawn from half the span.

--- a/src/consensus/election.rs
+++ b/src/consensus/election.rs
@@ -41,6 +41,7 @@
         self.part = Part::Candidate {
             pre,
             granted: BTreeSet::new(),
+            refused: BTreeSet::new(),
         };
         let term = self.hard.term.saturating_add(u64::from(pre));
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
@@ -57,13 +58,16 @@
             // could win it twice, with another log the second time.
             self.send_after_sync(now_ms, name.clone(), message);
         }
-        self.after_sync(now_ms, Waiting::OwnVote { term });
+        match pre {
+            true => self.favoured_by(now_ms, self.settings.me.clone(), term),
+            false => self.after_sync(now_ms, Waiting::OwnVote { term }),
+        }
     }
 
-    /// The own vote is synced and counts, if it is still wanted.
+    /// The own vote is synced and counts.
     pub(super) fn own_vote(&mut self, now_ms: u64, term: u64) {
         let me = self.settings.me.clone();
-        self.count_vote(now_ms, me, term);
+        self.elected_by(now_ms, me, term);
     }
 
     pub(super) fn asked_for_vote(&mut self, now_ms: u64, from: EntryName, request: &VoteRequest) {
@@ -72,7 +76,8 @@
         if self.incarnation != Some(request.counted_as) {
             return;
         }
-        let granted = self.may_vote(now_ms, &from, request);
+        let granted = self.may_vote(now_ms, &from, request)
+            && (!request.pre || self.favours(now_ms, &from, request));
         if granted && !request.pre {
             self.give_vote(now_ms, &from, request.term);
         }
@@ -98,6 +103,40 @@
         free && complete && !self.bound_to_leader(now_ms)
     }
 
+    /// Whether it tells this candidate that it would elect it.
+    ///
+    /// Candidates that ask at the same time would all be encouraged, split the votes and
+    /// wait for another timeout. So one of them is favoured for a while, and of two
+    /// candidates that ask each other one steps back. It costs no safety: nobody is bound
+    /// by this answer, and who was refused asks again soon.
+    ///
+    /// A candidate whose log reaches further goes first: the other one cannot win its vote.
+    fn favours(&mut self, now_ms: u64, from: &EntryName, request: &VoteRequest) -> bool {
+        let asks_itself = matches!(self.part, Part::Candidate { pre: true, .. });
+        let other = match &self.favoured {
+            Some((name, at_ms)) => name != from && now_ms < at_ms + self.favour_ms(),
+            None => false,
+        };
+        let ours = (self.log.last_term(), self.log.last_index());
+        let reaches_further = (request.last_term, request.last_index) > ours;
+        let favours = match asks_itself {
+            true => reaches_further || *from < self.settings.me,
+            false => !other,
+        };
+        if favours {
+            if asks_itself {
+                self.become_follower(now_ms);
+            }
+            self.favoured = Some((from.clone(), now_ms));
+        }
+        favours
+    }
+
+    /// How long a candidate is favoured: some round trips.
+    fn favour_ms(&self) -> u64 {
+        self.settings.election_timeout_ms / 4
+    }
+
     /// Whether it may still be the one that keeps a leader in office.
     ///
     /// A leader holds that no other can be elected until a quorum has not heard
@@ -126,35 +165,68 @@
         granted: bool,
         incarnation: u64,
     ) {
-        if !granted {
-            if term > self.hard.term {
-                self.enter_term(now_ms, term);
-            }
-            return;
+        if !granted && term > self.hard.term {
+            return self.enter_term(now_ms, term);
         }
         let counts = self.log.membership().counts(&from, Some(incarnation));
-        let asked = matches!(&self.part, Part::Candidate { pre: asked, .. } if *asked == pre);
-        if counts && asked {
-            self.count_vote(now_ms, from, term);
+        match (granted, pre) {
+            _ if !counts => {}
+            (true, true) => self.favoured_by(now_ms, from, term),
+            (true, false) => self.elected_by(now_ms, from, term),
+            (false, _) => self.refused_by(now_ms, from, pre),
         }
     }
 
-    fn count_vote(&mut self, now_ms: u64, from: EntryName, term: u64) {
-        let Part::Candidate { pre, granted } = &mut self.part else {
+    fn favoured_by(&mut self, now_ms: u64, from: EntryName, term: u64) {
+        let Part::Candidate {
+            pre: true, granted, ..
+        } = &mut self.part
+        else {
             return;
         };
-        let pre = *pre;
-        if term != self.hard.term.saturating_add(u64::from(pre)) {
+        if term != self.hard.term.saturating_add(1) {
             return;
         }
         granted.insert(from);
-        if granted.len() < self.log.membership().quorum() {
+        if granted.len() >= self.log.membership().quorum() {
+            self.campaign(now_ms, false);
+        }
+    }
+
+    /// Counts a vote that binds.
+    ///
+    /// Votes count for as long as the term lasts, also when they come after this replica
+    /// has begun to ask again: on machines that are starved they take longer than a
+    /// timeout, and to throw them away would begin each round anew.
+    fn elected_by(&mut self, now_ms: u64, from: EntryName, term: u64) {
+        let stands = self.hard.voted_for.as_ref() == Some(&self.settings.me);
+        if term != self.hard.term || !stands || self.leads() {
             return;
         }
-        if pre {
-            self.campaign(now_ms, false);
-        } else {
+        self.votes.insert(from);
+        if self.votes.len() >= self.log.membership().quorum() {
             self.become_leader(now_ms);
         }
     }
+
+    /// Asks again soon, once the round cannot be won any more.
+    fn refused_by(&mut self, now_ms: u64, from: EntryName, pre: bool) {
+        let Part::Candidate {
+            pre: asked,
+            refused,
+            ..
+        } = &mut self.part
+        else {
+            return;
+        };
+        if *asked != pre {
+            return;
+        }
+        refused.insert(from);
+        let voters = self.log.membership();
+        let still_possible = voters.len().saturating_sub(refused.len());
+        if still_possible < voters.quorum() {
+            self.rest_briefly(now_ms);
+        }
+    }
 }
--- a/src/consensus/replica.rs
+++ b/src/consensus/replica.rs
@@ -49,6 +49,10 @@
     pub(super) resigned_term: Option<u64>,
     /// The latest moment at which the leader has proved to know of this replica.
     pub(super) confirmed_ms: Option<u64>,
+    /// Who elected it in the present term, itself included.
+    pub(super) votes: BTreeSet<EntryName>,
+    /// The candidate that was told last that it would be elected, and when.
+    pub(super) favoured: Option<(EntryName, u64)>,
     /// When to ask for an election.
     pub(super) election_ms: u64,
     pub(super) founding: Founding,
@@ -62,7 +66,10 @@
     Candidate {
         /// Whether it only asks if it would be elected.
         pre: bool,
+        /// Who would elect it.
         granted: BTreeSet<EntryName>,
+        /// Who refused.
+        refused: BTreeSet<EntryName>,
     },
     Leader(Box<Leading>),
 }
@@ -98,6 +105,8 @@
             heard_ms: None,
             resigned_term: None,
             confirmed_ms: None,
+            votes: BTreeSet::new(),
+            favoured: None,
             election_ms: 0,
             founding: Founding::default(),
             out: Vec::new(),
@@ -250,6 +259,7 @@
             voted_for: None,
         };
         self.journal.write(Record::Hard(self.hard.clone()));
+        self.votes.clear();
         self.leader = None;
         self.become_follower(now_ms);
     }
@@ -262,10 +272,17 @@
     /// Draws anew how long to wait for a leader.
     pub(super) fn rest(&mut self, now_ms: u64) {
         let timeout_ms = self.settings.election_timeout_ms;
-        let more_ms = self.rng.random_range(0..=timeout_ms);
+        let more_ms = self.rng.random_range(0..=timeout_ms / 2);
         self.election_ms = now_ms + timeout_ms + more_ms;
     }
 
+    /// Draws anew how long to wait after a round that was lost early: the voters answer, so
+    /// only their reasons have to pass.
+    pub(super) fn rest_briefly(&mut self, now_ms: u64) {
+        let timeout_ms = self.settings.election_timeout_ms;
+        self.election_ms = now_ms + self.rng.random_range(timeout_ms / 8..=timeout_ms / 2);
+    }
+
     pub(super) fn leads(&self) -> bool {
         matches!(self.part, Part::Leader(_))
     }
--- a/src/consensus/settings.rs
+++ b/src/consensus/settings.rs
@@ -13,7 +13,7 @@
     /// How often a leader shows that it is alive.
     pub heartbeat_ms: u64,
     /// How long without a leader before an election; drawn anew each time
-    /// between this and twice this. Several heartbeats long, or one lost message
+    /// between this and half as much again. Several heartbeats long, or one lost message
     /// costs an election.
     pub election_timeout_ms: u64,
     /// How long what a replica knows counts as recent after the leader confirmed
--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -1,6 +1,7 @@
 //! The replicated log under random schedules of faults.
 #![allow(missing_docs, clippy::unwrap_used)]
 
+mod consensus_elections;
 mod consensus_world;
 mod naive_disk;
 
@@ -47,6 +48,7 @@
                 lost_percent: world.rng.random_range(0..30),
                 doubled_percent: world.rng.random_range(0..30),
                 delay_max_ms: [2, 20, 200, 1000][world.rng.random_range(0..4)],
+                sync_max_ms: 0,
             };
         }
         _ => {
--- a/tests/consensus_world/mod.rs
+++ b/tests/consensus_world/mod.rs
@@ -18,8 +18,13 @@
     pub lost_percent: u32,
     pub doubled_percent: u32,
     pub delay_max_ms: u64,
+    /// Longest time that a write takes to be synced; 0 for [`SYNC_MAX_MS`].
+    pub sync_max_ms: u64,
 }
 
+/// How long writes take to be synced, at most, on a healthy disk.
+const SYNC_MAX_MS: u64 = 7;
+
 struct Node {
     replica: Replica,
     /// What the disk holds, synced; none without a folder.
@@ -262,7 +267,10 @@
         match action {
             Action::Send { to, message } => self.send(name, to, message),
             Action::Persist { token, records } => {
-                let at_ms = self.now_ms + self.rng.random_range(1..8);
+                let at_ms = self.now_ms
+                    + self
+                        .rng
+                        .random_range(1..=self.net.sync_max_ms.max(SYNC_MAX_MS));
                 let node = self.nodes.get_mut(name).unwrap();
                 assert!(node.writing.is_none(), "one write at a time");
                 node.writing = Some((at_ms, token, records));
