Send what waits in one frame, and do not end links over short ones

What callers saw: in the second after all lost power, a leader begins and ends 0.16 s later, and the next one stands a second after it.

And 15,000 messages came in that second: an instance that was elected and had not begun was named by the others, so all calls that waited went to it and back, every round trip.

Change: messages that wait leave in one frame with one MAC; the limit is set to what the window allows; an instance that has just answered that it does not lead is not believed to for a tenth of a second, unless it says so itself.

--- a/src/control/candidate.rs
+++ b/src/control/candidate.rs
@@ -15,7 +15,6 @@
     pub(super) free: Room,
     pub(super) serving: u32,
     pub(super) best_effort: u32,
-    pub(super) lasting: u32,
     pub(super) due: bool,
     pub(super) failures: f64,
     /// Runs of the step that is being placed, where their number matters.
@@ -29,9 +28,6 @@
 const DUE_COST: f64 = 300.0;
 /// Spreads the lasting tasks of one step: a lost worker should cost it one.
 const SAME_STEP_COST: f64 = 60.0;
-/// Brings lasting tasks of different steps together, so that other machines stay
-/// free to move between pools.
-const TOGETHER_GAIN: f64 = 20.0;
 /// Moves work away from a worker with recent failures.
 const FAILURE_COST: f64 = 200.0;
 /// Work far from its data takes a multiple of the time.
@@ -82,7 +78,6 @@
         }
         if step.lasting {
             cost += f64::from(self.here) * SAME_STEP_COST;
-            cost -= f64::from(self.lasting.min(policy.lasting_together)) * TOGETHER_GAIN;
             if self.due && policy.avoid_due {
                 cost += DUE_COST;
             }
@@ -97,7 +92,6 @@
 
     pub(super) fn take(&mut self, step: &Step) {
         self.free = self.free.less(&step.reserved());
-        self.lasting += u32::from(step.lasting);
         self.best_effort += u32::from(step.best_effort);
         self.serving += u32::from(step.tail_target_ms.is_some() && !step.best_effort);
     }
--- a/src/control/connection_budget.rs
+++ b/src/control/connection_budget.rs
@@ -7,6 +7,8 @@
 /// Descriptors for all else: listeners, the log and snapshots, the runtime, calls to the
 /// keeper and the advisor, and what the system sets aside.
 const RESERVED_FILES: usize = 320;
+/// One connection in so many is for links, and at a control instance for callers.
+const SMALL_SHARE: usize = 8;
 /// What a caller's connection takes at most: its head's buffer and its task.
 const CALLER_BYTES: usize = 24 * 1024;
 
@@ -31,22 +33,22 @@
 }
 
 impl ConnectionBudget {
-    /// For a control instance: half for calls to workers, of which one a worker is held
+    /// For a control instance: most for calls to workers, of which one a worker is held
     /// open all the time.
     pub fn control(grant: Grant) -> Self {
         let files = grant.usable_files();
-        let quarter = (files / 4).max(1);
+        let part = (files / SMALL_SHARE).max(1);
         Self {
-            links: quarter,
-            callers: grant.callers(quarter),
-            workers: files.saturating_sub(2 * quarter).max(1),
+            links: part,
+            callers: grant.callers(part),
+            workers: files.saturating_sub(2 * part).max(1),
         }
     }
 
     /// For an entry instance, which calls no workers.
     pub fn entry(grant: Grant) -> Self {
         let files = grant.usable_files();
-        let links = (files / 4).max(1);
+        let links = (files / SMALL_SHARE).max(1);
         Self {
             links,
             callers: grant.callers(files.saturating_sub(links).max(1)),
--- a/src/control/gateway.rs
+++ b/src/control/gateway.rs
@@ -154,9 +154,12 @@
             }
         }
         self.relay.set_members(members);
-        if leader.is_none() || term < self.term {
+        let Some(named) = leader.as_ref().filter(|_| term >= self.term) else {
             // Someone who heard it long ago may name a leader that is over.
             return Vec::new();
+        };
+        if named != from && self.relay.is_denied(now_ms, named) {
+            return Vec::new();
         }
         if term > self.term {
             self.hello_ms = now_ms;
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -244,7 +244,6 @@
                 free: worker.report.capacity.less(&used.reserved),
                 serving: used.serving,
                 best_effort: used.best_effort,
-                lasting: used.lasting,
                 due: self.due.contains(name),
                 failures: link.failures(),
                 here: 0,
--- a/src/control/policy.rs
+++ b/src/control/policy.rs
@@ -209,9 +209,6 @@
 pub struct PlacementPolicy {
     /// Whether the fullest worker that has room is chosen, instead of the freest.
     pub pack: bool,
-    /// Up to so many lasting tasks of different steps are brought together on a worker,
-    /// so that other machines stay free to move.
-    pub lasting_together: u32,
     /// Whether lasting tasks avoid machines that are due for upkeep.
     pub avoid_due: bool,
     /// Starts on their way at once. Without a bound a turn's first pass orders thousands:
@@ -226,7 +223,6 @@
     fn default() -> Self {
         Self {
             pack: true,
-            lasting_together: 3,
             avoid_due: true,
             starts_open: 192,
         }
@@ -389,10 +385,6 @@
             ("standby.fewest", count(self.standby.fewest, 0.0)),
             ("order.begun_part", part(self.order.begun_part, 1.0)),
             ("order.large_part", part(self.order.large_part, 1.0)),
-            (
-                "placement.lasting_together",
-                count(self.placement.lasting_together as usize, 0.0),
-            ),
             (
                 "placement.starts_open",
                 count(self.placement.starts_open, 1.0),
--- a/src/control/relay.rs
+++ b/src/control/relay.rs
@@ -52,6 +52,9 @@
     leader: Option<EntryName>,
     open: BTreeMap<u64, Open>,
     turn: usize,
+    /// The control instance that others named as the leader last and that answered that it
+    /// is none, and until when it is not believed to lead.
+    denied: Option<(EntryName, u64)>,
     /// Calls that may still be sent without a leader, and until when.
     probes_left: usize,
     probes_until_ms: u64,
@@ -65,6 +68,8 @@
     came_ms: u64,
     give_up_ms: u64,
     next_ms: u64,
+    /// Where it was sent last.
+    sent_to: Option<EntryName>,
     /// How often it was sent without an answer so far.
     unanswered: usize,
     /// A leader took it and did not tell what became of it.
@@ -127,6 +132,7 @@
             came_ms: now_ms,
             give_up_ms,
             next_ms: now_ms,
+            sent_to: None,
             unanswered: 0,
             taken: false,
         };
@@ -154,10 +160,14 @@
             }
         };
         open.unanswered = open.unanswered.saturating_sub(1);
+        if open.sent_to.is_some() && open.sent_to == self.leader {
+            let denied = self.leader.take();
+            self.denied = denied.map(|name| (name, now_ms + NO_LEADER_MS));
+        }
+        let leader = leader.filter(|name| !self.is_denied(now_ms, name));
         let news = leader.is_some() && leader != self.leader;
-        open.next_ms = if news { now_ms } else { now_ms + NO_LEADER_MS };
-        if news {
-            self.probes_pause_ms = 0;
+        if let Some(open) = self.open.get_mut(&id) {
+            open.next_ms = if news { now_ms } else { now_ms + NO_LEADER_MS };
         }
         self.leader = leader;
         // Without news nothing else is due: a look at all calls for each of them would cost
@@ -168,6 +178,16 @@
         }
     }
 
+    /// Whether it answered a moment ago that it does not lead.
+    ///
+    /// One that is elected and has not begun, or has just lost its lead, is still named by the
+    /// others. If all calls that wait went to it each time that it is named, and back, every
+    /// round trip, those that are about to elect a leader would be busy with nothing else.
+    pub(super) fn is_denied(&self, now_ms: u64, name: &EntryName) -> bool {
+        let denied = self.denied.as_ref();
+        denied.is_some_and(|(denied, until_ms)| denied == name && now_ms < *until_ms)
+    }
+
     /// All calls that wait, for an instance that leads by now.
     pub fn take_all(&mut self) -> Vec<(u64, Call)> {
         let open = std::mem::take(&mut self.open);
@@ -234,6 +254,7 @@
         }
         let to = self.target()?;
         let open = self.open.get_mut(&id)?;
+        open.sent_to = Some(to.clone());
         open.unanswered += 1;
         open.next_ms = now_ms + RESEND_MS;
         Some(RelayStep::Send {
--- a/src/link/limits.rs
+++ b/src/link/limits.rs
@@ -21,17 +21,17 @@
 
     /// The limits whose sum is this many connections.
     pub fn within(connections: usize) -> Self {
-        let unproved = (connections / UNPROVED_SHARE).max(1);
-        let proved = (connections.saturating_sub(unproved) / 2).max(1);
+        let part = (connections / SMALL_SHARE).max(1);
         Self {
-            unproved,
-            incoming: proved,
-            outgoing: proved,
+            unproved: part,
+            incoming: connections.saturating_sub(2 * part).max(1),
+            outgoing: part,
         }
     }
 }
 
 /// Unproved connections beside a short list of peers, which may connect several times.
 const UNPROVED_LEAST: usize = 64;
-/// One connection in so many may be one that proves itself at present.
-const UNPROVED_SHARE: usize = 8;
+/// One connection in so many may be one that proves itself at present, and one in so many is
+/// opened from here: only replicas are called, clients call.
+const SMALL_SHARE: usize = 8;
--- a/src/link/receiver.rs
+++ b/src/link/receiver.rs
@@ -13,7 +13,7 @@
 use super::peer_key::Place;
 use super::queues::{Frame, Queues};
 use super::runtime::{LinksConfig, Sink};
-use super::stream::{FrameReader, FrameWriter};
+use super::stream::{FrameReader, FrameWriter, batch};
 use super::{LinkError, LinkEvent, LinkStats, PeerClass};
 use crate::model::EntryName;
 
@@ -24,6 +24,10 @@
 const PROOF_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How long the answer to a refused link may take to leave.
 const FAREWELL: Duration = Duration::from_millis(200);
+/// What short DATA frames that were not read yet may cost beyond their bytes. The window
+/// bounds how many there can be, each by 256 bytes at most; with the library's own limit some
+/// 200 of them, which a busy process finds at once, would end the link.
+pub(super) const FRAME_OVERHEAD_BYTES: usize = 1 << 20;
 /// Pause after the system gave no connection, most likely for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -110,7 +114,9 @@
     ) -> Result<(), LinkError> {
         stream.set_nodelay(true)?;
         let first = async {
-            let mut connection = server::handshake(stream).await?;
+            let mut builder = server::Builder::new();
+            builder.data_frame_budget(FRAME_OVERHEAD_BYTES);
+            let mut connection = builder.handshake(stream).await?;
             let accepted = connection.accept().await.ok_or(LinkError::Ended)??;
             Ok::<_, LinkError>((connection, accepted))
         };
@@ -203,7 +209,10 @@
         };
         // Closes the connection that made room.
         drop(admitted);
-        proved.writer.send(&crate::codec::encode(&verdict)).await?;
+        proved
+            .writer
+            .send(&[crate::codec::encode(&verdict)])
+            .await?;
         match verdict {
             Verdict::Admitted => {
                 self.stats.count(LinkEvent::Admitted);
@@ -251,8 +260,8 @@
 
 /// Sends what is queued until the queue is closed.
 async fn write(mut writer: FrameWriter, mut queue: mpsc::Receiver<Frame>) -> Result<(), LinkError> {
-    while let Some(payload) = queue.recv().await {
-        writer.send(&payload).await?;
+    while let Some(message) = queue.recv().await {
+        writer.send(&batch(message, &mut queue)).await?;
     }
     writer.finish()
 }
--- a/src/link/sender.rs
+++ b/src/link/sender.rs
@@ -13,9 +13,9 @@
 use super::outage::Outage;
 use super::peer_key::{NONCE_BYTES, Place};
 use super::queues::Frame;
-use super::receiver::within;
+use super::receiver::{FRAME_OVERHEAD_BYTES, within};
 use super::runtime::{LinksConfig, Sink};
-use super::stream::{FrameReader, FrameWriter};
+use super::stream::{FrameReader, FrameWriter, batch};
 use super::{LinkError, LinkEvent, LinkStats, PeerClass};
 use crate::model::EntryName;
 
@@ -94,7 +94,7 @@
             .await
             .map_err(|_| LinkError::Silent)??;
         stream.set_nodelay(true)?;
-        let (client, mut connection) = timeout(CONNECT, client::handshake(stream))
+        let (client, mut connection) = timeout(CONNECT, connect(stream))
             .await
             .map_err(|_| LinkError::Silent)??;
         let pings = connection.ping_pong().ok_or(LinkError::Protocol)?;
@@ -146,7 +146,7 @@
         let mut writer = FrameWriter::new(stream, key.clone(), place);
         let class = self.conf.class;
         let introduction = crate::codec::encode(&Introduction { class });
-        writer.send(&introduction).await?;
+        writer.send(&[introduction]).await?;
         match crate::codec::decode::<Verdict>(&reader.next().await?)? {
             Verdict::Admitted => Ok((writer, reader)),
             Verdict::Full => Err(LinkError::Refused),
@@ -159,8 +159,8 @@
         queue: &mut mpsc::Receiver<Frame>,
     ) -> Result<Ended, LinkError> {
         loop {
-            let payload = match timeout(IDLE, queue.recv()).await {
-                Ok(Some(payload)) => payload,
+            let message = match timeout(IDLE, queue.recv()).await {
+                Ok(Some(message)) => message,
                 Ok(None) => {
                     writer.finish()?;
                     return Ok(Ended::Closed);
@@ -168,15 +168,15 @@
                 Err(_) if self.conf.found_by_address() => {
                     // A frame that is queued at this moment still leaves.
                     queue.close();
-                    while let Some(payload) = queue.recv().await {
-                        writer.send(&payload).await?;
+                    while let Some(message) = queue.recv().await {
+                        writer.send(&batch(message, queue)).await?;
                     }
                     writer.finish()?;
                     return Ok(Ended::Idle);
                 }
                 Err(_) => continue,
             };
-            writer.send(&payload).await?;
+            writer.send(&batch(message, queue)).await?;
         }
     }
 
@@ -194,6 +194,14 @@
     }
 }
 
+async fn connect(
+    stream: TcpStream,
+) -> Result<(SendRequest<Bytes>, client::Connection<TcpStream>), h2::Error> {
+    let mut builder = client::Builder::new();
+    builder.data_frame_budget(FRAME_OVERHEAD_BYTES);
+    builder.handshake(stream).await
+}
+
 /// How long to wait for the next try.
 fn pause(err: &LinkError) -> Duration {
     match err {
--- a/tests/control/relay.rs
+++ b/tests/control/relay.rs
@@ -158,6 +158,34 @@
     }
 }
 
+/// Pattern: an instance is elected and takes a second to begin, or has just lost its lead, while
+/// the others name it; 150 entry instances have calls that wait.
+/// Guards against: all calls go to it and back, every round trip.
+#[test]
+fn calls_do_not_go_round_while_a_leader_is_named_that_does_not_lead() {
+    const CALLS: u64 = 10;
+    let mut relay = relay();
+    let mut sent = 0;
+    let mut flying = Vec::new();
+    for id in 0..CALLS {
+        flying.extend(relay.open(0, id, Call::ReadConfiguration, 9_000));
+    }
+    for now_ms in (0..1_000).step_by(2) {
+        for step in std::mem::take(&mut flying) {
+            let RelayStep::Send { to, id, .. } = step else {
+                continue;
+            };
+            sent += 1;
+            let leader = (to != name(1)).then(|| name(1));
+            flying.extend(relay.answered(now_ms, id, Answer::NotLeader { leader }));
+        }
+        flying.extend(relay.tick(now_ms));
+    }
+    assert!(sent <= 20 * CALLS, "{sent} messages in a second");
+    let steps = relay.set_leader(1_000, Some(name(1)));
+    assert_eq!(targets(&steps).len(), CALLS as usize, "when it begins");
+}
+
 fn answers(steps: &[RelayStep]) -> Vec<&Answer> {
     let answers = steps.iter().filter_map(|step| match step {
         RelayStep::Answer { answer, .. } => Some(answer),
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -1,10 +1,15 @@
 //! Links between instances: which of many connections a listener keeps.
 #![allow(missing_docs, clippy::unwrap_used)]
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::TcpListener;
+use std::sync::mpsc::channel;
+use std::time::Duration;
 
 use quickcheck_macros::quickcheck;
-use rosemarygauge::link::{Admission, LinkLimits, PeerClass, Refusal};
+use rosemarygauge::link::{
+    Admission, Directory, LinkEvent, LinkLimits, Links, LinksConfig, PeerClass, PeerKey, Refusal,
+};
 use rosemarygauge::model::EntryName;
 
 const LIMITS: LinkLimits = LinkLimits {
@@ -160,3 +165,53 @@
     }
     true
 }
+
+/// Two replicas with a link each way; the second one's sink blocks the thread of its links.
+fn linked(sink: impl Fn(EntryName, u64) -> bool + Send + Sync + 'static) -> [Links<u64>; 2] {
+    let listeners = ["a", "b"].map(|me| (name(me), TcpListener::bind("127.0.0.1:0").unwrap()));
+    let addresses = listeners
+        .iter()
+        .map(|(me, l)| (me.clone(), l.local_addr().unwrap()));
+    let addresses: BTreeMap<_, _> = addresses.collect();
+    let conf = |me: &EntryName| LinksConfig {
+        me: me.clone(),
+        key: PeerKey::from(vec![7; 32]),
+        peers: Directory::Listed(addresses.clone()),
+        class: PeerClass::Replica,
+        limits: LIMITS,
+    };
+    let [(a, at_a), (b, at_b)] = listeners;
+    [
+        Links::start(conf(&a), at_a, |_, _| true).unwrap(),
+        Links::start(conf(&b), at_b, sink).unwrap(),
+    ]
+}
+
+/// Guards against: a link that ends because a busy process finds hundreds of short messages at
+/// once; followers lose their leader in the second in which most is to do.
+#[test]
+fn short_messages_that_pile_up_do_not_end_the_link() {
+    let (seen, messages) = channel();
+    let [a, _b] = linked(move |_, number| {
+        if number == 0 {
+            std::thread::park_timeout(Duration::from_millis(300));
+        }
+        seen.send(number).is_ok()
+    });
+    let to = name("b");
+    let limit = Duration::from_secs(20);
+    while a.stats().counted(LinkEvent::Up) == 0 {
+        std::thread::yield_now();
+    }
+    for number in 0..20_000 {
+        a.send(&to, &number);
+        // Leaves time for a part to leave by itself, as short frames do.
+        if number % 4 == 0 {
+            std::thread::park_timeout(Duration::from_micros(10));
+        }
+        if number % 500 == 499 {
+            assert!(messages.recv_timeout(limit).is_ok(), "{number}");
+        }
+    }
+    assert_eq!(a.stats().counted(LinkEvent::Failed), 0);
+}
