Share the places for connections that no kind needs for itself

With a fixed share for each kind an entry instance beyond the 376th would be refused by a leader whose places for workers stand empty, and calls to the 2,003rd worker did not leave beside empty places for links.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -77,7 +77,7 @@
 pub use configuration::{CONFIGURATION_LIMIT_BYTES, Configuration};
 pub use configuration_fault::ConfigurationFault;
 pub use configuration_parts::{ConfigurationPart, ConfigurationParts};
-pub use connection_budget::{ConnectionBudget, Grant};
+pub use connection_budget::{BudgetedPlaces, ConnectionBudget, Grant};
 pub use decision::Decision;
 pub use demand::{PoolDemand, WorkerUse, demand};
 pub use desk::{Board, Desk, Incoming};
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -15,6 +15,7 @@
 };
 use crate::link::{Directory, LinkError, LinkLimits, Links, LinksConfig, PeerClass, PeerKey};
 use crate::model::EntryName;
+use crate::places::Places;
 use crate::storage::{self, Disk, StorageError};
 use crate::unix_time::unix_ms;
 
@@ -124,6 +125,7 @@
             me: node.me.clone(),
             key: settings.key,
             limits: LinkLimits::for_peers(settings.peers.len()),
+            places: Places::only(settings.peers.len()),
             peers: Directory::Listed(settings.peers),
             class: PeerClass::Replica,
         };
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -22,6 +22,7 @@
 
 use super::Limits;
 use super::reply::{Reply, set, text};
+use crate::places::Places;
 
 /// A whole request.
 #[derive(Debug)]
@@ -65,6 +66,8 @@
     limits: Limits,
     /// What answers.
     handler: Handler,
+    /// Places for connections.
+    places: Places,
     /// Connections that were refused.
     refused: IntCounter,
 }
@@ -77,7 +80,7 @@
 const REFUSAL: Duration = Duration::from_secs(1);
 
 impl HttpServer {
-    /// A server with a name for logs and metrics.
+    /// A server with a name for logs and metrics. It has as many places as its limits say.
     pub fn new(
         name: &'static str,
         listener: TcpListener,
@@ -92,12 +95,18 @@
         Self {
             name,
             listener,
+            places: Places::only(limits.connections),
             limits,
             handler,
             refused: IntCounter::with_opts(refused).expect("a plain name and label"),
         }
     }
 
+    /// The same server with other places.
+    pub fn with_places(self, places: Places) -> Self {
+        Self { places, ..self }
+    }
+
     /// What a registry takes.
     pub fn collectors(&self) -> Vec<Box<dyn Collector>> {
         vec![Box::new(self.refused.clone())]
@@ -114,7 +123,6 @@
             tracing::error!("http: the {} listener cannot be used", self.name);
             return;
         };
-        let room = Arc::new(Semaphore::new(self.limits.connections));
         let refusals = Arc::new(Semaphore::new(REFUSALS_MAX));
         let mut open = tokio::task::JoinSet::new();
         loop {
@@ -123,21 +131,19 @@
                 _ = stop.wait_for(|stop| *stop) => break,
             };
             match accepted {
-                Ok((stream, _)) => match Arc::clone(&room).try_acquire_owned() {
-                    Ok(permit) => {
+                Ok((stream, _)) => match self.places.try_take() {
+                    Some(place) => {
                         let handler = Arc::clone(&self.handler);
                         let served = connection(stream, self.limits, handler, stop.clone());
                         open.spawn(async move {
                             served.await;
-                            drop(permit);
+                            drop(place);
                         });
                     }
-                    Err(_) => {
+                    None => {
                         self.refused.inc();
-                        let (listener, limit) = (self.name, self.limits.connections);
                         tracing::info!(
-                            listener,
-                            limit,
+                            listener = self.name,
                             "http: a connection is refused, all are taken"
                         );
                         if let Ok(permit) = Arc::clone(&refusals).try_acquire_owned() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod logs;
 pub mod maintenance;
 pub mod model;
+pub mod places;
 pub mod platform;
 pub mod proxy;
 pub mod state;
--- a/src/link/admission.rs
+++ b/src/link/admission.rs
@@ -12,8 +12,9 @@
 
 use std::collections::BTreeMap;
 
-use super::{LinkLimits, PeerClass};
+use super::PeerClass;
 use crate::model::EntryName;
+use crate::places::{Place, Places};
 
 /// Why a connection is not kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
@@ -29,7 +30,8 @@
 /// The connections of a listener. Dropping a handle `H` closes its connection.
 #[derive(Debug)]
 pub struct Admission<H> {
-    limits: LinkLimits,
+    unproved_max: usize,
+    places: Places,
     last_id: u64,
     unproved: BTreeMap<u64, H>,
     proved: BTreeMap<EntryName, Proved<H>>,
@@ -40,13 +42,15 @@
     id: u64,
     class: PeerClass,
     handle: H,
+    place: Place,
 }
 
 impl<H> Admission<H> {
-    /// Without any connection.
-    pub fn new(limits: LinkLimits) -> Self {
+    /// Without any connection: at most so many unproved ones, and places for the others.
+    pub fn new(unproved_max: usize, places: Places) -> Self {
         Self {
-            limits,
+            unproved_max,
+            places,
             last_id: 0,
             unproved: BTreeMap::new(),
             proved: BTreeMap::new(),
@@ -61,7 +65,7 @@
     /// A connection arrives: its number, and the one that makes room for it.
     pub fn arrive(&mut self, handle: H) -> (u64, Option<H>) {
         self.last_id += 1;
-        let evicted = match self.unproved.len() >= self.limits.unproved {
+        let evicted = match self.unproved.len() >= self.unproved_max {
             true => self.unproved.pop_first().map(|(_, handle)| handle),
             false => None,
         };
@@ -80,14 +84,28 @@
         class: PeerClass,
     ) -> Result<Option<H>, Refusal> {
         let handle = self.unproved.remove(&id).ok_or(Refusal::Evicted)?;
-        let mut evicted = None;
-        if !self.proved.contains_key(name) && self.proved.len() >= self.limits.incoming {
-            let victim = self.victim(class).ok_or(Refusal::Full)?;
-            evicted = self.proved.remove(&victim).map(|proved| proved.handle);
+        let (place, closed) = self.room(name, class).ok_or(Refusal::Full)?;
+        let proved = Proved {
+            id,
+            class,
+            handle,
+            place,
+        };
+        self.proved.insert(name.clone(), proved);
+        Ok(closed)
+    }
+
+    /// A place for a link of this peer, and the link whose place it was.
+    fn room(&mut self, name: &EntryName, class: PeerClass) -> Option<(Place, Option<H>)> {
+        if let Some(older) = self.proved.remove(name) {
+            return Some((older.place, Some(older.handle)));
+        }
+        if let Some(place) = self.places.try_take() {
+            return Some((place, None));
         }
-        let proved = Proved { id, class, handle };
-        let replaced = self.proved.insert(name.clone(), proved);
-        Ok(evicted.or(replaced.map(|proved| proved.handle)))
+        let victim = self.victim(class)?;
+        let victim = self.proved.remove(&victim)?;
+        Some((victim.place, Some(victim.handle)))
     }
 
     /// A connection has ended.
--- a/src/link/receiver.rs
+++ b/src/link/receiver.rs
@@ -53,7 +53,8 @@
 
 impl<F: DeserializeOwned + Send + 'static> Receiver<F> {
     pub fn new(conf: LinksConfig, sink: Sink<F>, queues: Queues, stats: LinkStats) -> Self {
-        let admission = Mutex::new(Admission::new(conf.limits));
+        let admission = Admission::new(conf.limits.unproved, conf.places.clone());
+        let admission = Mutex::new(admission);
         Self {
             conf,
             sink,
--- a/src/link/runtime.rs
+++ b/src/link/runtime.rs
@@ -13,6 +13,7 @@
 use super::sender::Sender;
 use super::{LinkError, LinkEvent, LinkLimits, LinkStats, PeerClass, PeerKey};
 use crate::model::EntryName;
+use crate::places::Places;
 
 /// Takes proved frames; `false` when it wants no more.
 pub(super) type Sink<F> = Arc<dyn Fn(EntryName, F) -> bool + Send + Sync>;
@@ -50,8 +51,10 @@
     pub peers: Directory,
     /// What this instance takes part in.
     pub class: PeerClass,
-    /// How many links there may be.
+    /// How many connections there may be beside incoming links.
     pub limits: LinkLimits,
+    /// Places for incoming links.
+    pub places: Places,
 }
 
 impl LinksConfig {
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -12,11 +12,12 @@
 use hyper_util::rt::TokioIo;
 use rustix::net::sockopt::set_tcp_user_timeout;
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot};
+use tokio::sync::{Notify, Semaphore, oneshot};
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::control::steady_ms;
+use crate::places::{Place, Places};
 
 /// The largest answer that is read: a listing of 500 ends and as many runs has some
 /// 100 kB.
@@ -61,7 +62,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     /// Its place among all.
-    _place: OwnedSemaphorePermit,
+    _place: Place,
     /// The task that owns the socket ends when this closes.
     _open: oneshot::Sender<()>,
 }
@@ -133,7 +134,7 @@
 pub struct Client {
     connections_max: usize,
     /// Places for connections to all addresses.
-    places: Arc<Semaphore>,
+    places: Places,
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
     room: RefCell<HashMap<SocketAddr, Rc<Semaphore>>>,
     aborted: Arc<Notify>,
@@ -142,15 +143,14 @@
 impl Client {
     /// A client with at most so many connections to one address.
     pub fn new(connections_max: usize) -> Self {
-        Self::bounded(connections_max, Semaphore::MAX_PERMITS)
+        Self::within(connections_max, Places::only(usize::MAX))
     }
 
-    /// A client with at most so many connections to one address and to all together.
-    pub fn bounded(connections_max: usize, all_max: usize) -> Self {
-        let places = all_max.min(Semaphore::MAX_PERMITS);
+    /// A client with at most so many connections to one address, and these places for all.
+    pub fn within(connections_max: usize, places: Places) -> Self {
         Self {
             connections_max,
-            places: Arc::new(Semaphore::new(places)),
+            places,
             idle: RefCell::default(),
             room: RefCell::default(),
             aborted: Arc::default(),
@@ -239,19 +239,15 @@
     }
 
     /// A place for one more connection.
-    async fn place(&self, due: Instant) -> Result<OwnedSemaphorePermit, ClientError> {
-        if let Ok(place) = Arc::clone(&self.places).try_acquire_owned() {
+    async fn place(&self, due: Instant) -> Result<Place, ClientError> {
+        if let Some(place) = self.places.try_take() {
             return Ok(place);
         }
         self.close_idle();
-        let place = timeout_at(due, Arc::clone(&self.places).acquire_owned()).await;
-        match place {
-            Ok(Ok(place)) => Ok(place),
-            Ok(Err(_)) | Err(_) => {
-                tracing::info!("client: a call did not leave, all connections are taken");
-                Err(ClientError::NotSent)
-            }
-        }
+        timeout_at(due, self.places.take()).await.map_err(|_| {
+            tracing::info!("client: a call did not leave, all connections are taken");
+            ClientError::NotSent
+        })
     }
 
     /// Closes one idle connection, if there is one.
@@ -279,10 +275,7 @@
     }
 }
 
-async fn connect(
-    address: SocketAddr,
-    place: OwnedSemaphorePermit,
-) -> Result<Connection, ClientError> {
+async fn connect(address: SocketAddr, place: Place) -> Result<Connection, ClientError> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     stream.set_zero_linger()?;
--- a/src/platform/outside.rs
+++ b/src/platform/outside.rs
@@ -6,6 +6,7 @@
 use crate::control::{Local, Machine, MachineOrder, MachineOutcome, Order, OrderOutcome, Outside};
 use crate::jobs::TaskId;
 use crate::model::InstanceName;
+use crate::places::Places;
 
 /// Connections to one worker: one for the renewal that waits there, the others for
 /// short orders, which take a round trip of some milliseconds each.
@@ -25,10 +26,10 @@
 }
 
 impl Platform {
-    /// The platform that the settings tell of, with at most so many connections to workers.
-    pub fn new(settings: &Settings, worker_connections: usize) -> Self {
+    /// The platform that the settings tell of, with places for connections to workers.
+    pub fn new(settings: &Settings, worker_places: Places) -> Self {
         Self {
-            workers: Rc::new(Client::bounded(WORKER_CONNECTIONS, worker_connections)),
+            workers: Rc::new(Client::within(WORKER_CONNECTIONS, worker_places)),
             services: Rc::new(Client::new(SERVICE_CONNECTIONS)),
             holder: settings.node.clone(),
             keeper: settings.keeper,
--- a/src/platform/serve.rs
+++ b/src/platform/serve.rs
@@ -15,11 +15,11 @@
 use super::settings_fault::list;
 use super::{CaughtSignals, ControlCalls, EntryCalls, Platform, Settings, SettingsFault};
 use crate::control::{
-    self, ConnectionBudget, Desk, Driver, Gateway, Node, NodeSettings, PeerMessage, Policy,
-    PolicyFault, Signal, WallClock, steady_ms,
+    self, BudgetedPlaces, ConnectionBudget, Desk, Driver, Gateway, Node, NodeSettings, PeerMessage,
+    Policy, PolicyFault, Signal, WallClock, steady_ms,
 };
 use crate::http::{Handler, HttpServer, Limits, text};
-use crate::link::{Directory, LinkError, LinkLimits, Links, LinksConfig, PeerClass, PeerKey};
+use crate::link::{Directory, LinkError, Links, LinksConfig, PeerClass, PeerKey};
 use crate::model::EntryName;
 use crate::storage::{self, Disk, StorageError};
 
@@ -100,7 +100,8 @@
     let (signals, signalled) = unbounded_channel();
     let disk = start_disk(disk, signals.clone())?;
     let budget = ConnectionBudget::control(settings.grant);
-    let links = start_links(&settings, PeerClass::Replica, budget, signals.clone())?;
+    let places = budget.places();
+    let links = start_links(&settings, PeerClass::Replica, &places, signals.clone())?;
     let (desk, calls) = Desk::new(rand::random::<u64>() >> 1);
     desk.metrics().register(links.0.stats().collectors());
     let node = NodeSettings {
@@ -115,19 +116,19 @@
     let wall = WallClock::default();
     wall.set_offset_ms(settings.clock_offset_ms);
     let node = Node::new(node, recovered, wall.unix_ms(), steady_ms());
-    let outside = Rc::new(Platform::new(&settings, budget.workers));
+    let outside = Rc::new(Platform::new(&settings, places.workers));
     let handler = ControlCalls::new(Arc::clone(&desk), settings.clone()).handler();
     caught.pass_on(signals, wall.clone())?;
     run(async move {
         let (stop, stopped) = watch::channel(false);
         let limits = Limits {
-            connections: budget.callers,
             body_bytes: CONTROL_BODY_BYTES,
             head_timeout: IDLE,
             ..Limits::default()
         };
         let listener = listen("listen.control", settings.bound(control))?;
         let server = HttpServer::new("control", listener, limits, handler);
+        let server = server.with_places(places.callers);
         desk.metrics().register(server.collectors());
         let server = spawn_local(server.run(stopped.clone()));
         serve_metrics(&settings, &desk, stopped.clone());
@@ -154,7 +155,8 @@
         .ok_or_else(|| missing("listen.ready", wanted))?;
     let (signals, signalled) = unbounded_channel();
     let budget = ConnectionBudget::entry(settings.grant);
-    let links = start_links(&settings, PeerClass::Client, budget, signals.clone())?;
+    let places = budget.places();
+    let links = start_links(&settings, PeerClass::Client, &places, signals.clone())?;
     let (desk, calls) = Desk::new(rand::random::<u64>() >> 1);
     desk.metrics().register(links.0.stats().collectors());
     let gateway = Gateway::new(settings.seed_names(), rand::random::<u16>().into());
@@ -163,7 +165,6 @@
     run(async move {
         let (stop, stopped) = watch::channel(false);
         let limits = Limits {
-            connections: budget.callers,
             head_timeout: IDLE,
             ..Limits::default()
         };
@@ -171,6 +172,7 @@
         let health = health(Arc::clone(&desk));
         let listener = listen("listen.front", settings.bound(front))?;
         let callers = HttpServer::new("callers", listener, limits, callers);
+        let callers = callers.with_places(places.callers);
         desk.metrics().register(callers.collectors());
         let callers = spawn_local(callers.run(stopped.clone()));
         let listener = listen("listen.ready", settings.bound(ready))?;
@@ -250,7 +252,7 @@
 fn start_links(
     settings: &Settings,
     class: PeerClass,
-    budget: ConnectionBudget,
+    places: &BudgetedPlaces,
     signals: UnboundedSender<Signal>,
 ) -> Result<PeerLinks, ServeError> {
     let conf = LinksConfig {
@@ -260,7 +262,8 @@
             port: settings.link_port,
         },
         class,
-        limits: LinkLimits::within(budget.links),
+        limits: places.limits,
+        places: places.incoming.clone(),
     };
     let address = settings.bound((settings.ip, settings.link_port).into());
     let listener = listen("port_range", address)?;
