Give up orders to the keeper before a successor can be elected

The shortest election timeout went from 900 to 450 ms once, and what a suspended process's kernel keeps stayed at 700 ms: an order that a cut held up could reach a machine after those of the next leader, where the keeper checks no fencing tokens. It is 400 ms for orders to the keeper now, and the compiler holds it below the timeout. Calls to workers keep 700 ms: workers refuse the lower token.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -95,7 +95,7 @@
 pub use machine_list::MachineList;
 pub use machine_order::{MachineOrder, MachineOrderKind, MachineOutcome};
 pub use metrics::{Metrics, outcome};
-pub use node::{Node, NodeSettings};
+pub use node::{ELECTION_TIMEOUT_MS, Node, NodeSettings};
 pub use order::{Ended, Order, OrderKind, OrderOutcome, Rejection, Running};
 pub use pace::Throttle;
 pub use peer_message::PeerMessage;
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -77,7 +77,7 @@
 const HEARTBEAT_MS: u64 = 75;
 /// Shortest election timeout. Disks of up to 30 ms a sync and pauses of some 100 ms
 /// must not cost a leader; a lost one is replaced within twice this.
-const ELECTION_TIMEOUT_MS: u64 = 450;
+pub const ELECTION_TIMEOUT_MS: u64 = 450;
 /// How long a leader may answer reads after a quorum was heard: below the time after
 /// which another may be elected.
 const VIEW_LEASE_MS: u64 = 375;
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -22,9 +22,8 @@
 /// The largest answer that is read: a listing of 500 ends and as many runs has some
 /// 100 kB.
 const ANSWER_LIMIT_BYTES: usize = 4 << 20;
-/// How long the kernel keeps what the other side has not acknowledged. Below the
-/// shortest time after which another leader can be elected (0.9 s): a process that is
-/// suspended cannot throw its open calls away, so its kernel has to.
+/// How long the kernel keeps what the other side has not acknowledged, unless told
+/// otherwise: a segment that is lost twice still arrives.
 const UNACKNOWLEDGED_MS: u32 = 700;
 /// Looks at the sockets in a row that find nothing more of an answer whose limit is
 /// over: one for the socket, one each to hand on the head, the body and its end.
@@ -135,6 +134,7 @@
     connections_max: usize,
     /// Places for connections to all addresses.
     places: Places,
+    unacknowledged_ms: u32,
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
     room: RefCell<HashMap<SocketAddr, Rc<Semaphore>>>,
     aborted: Arc<Notify>,
@@ -151,12 +151,21 @@
         Self {
             connections_max,
             places,
+            unacknowledged_ms: UNACKNOWLEDGED_MS,
             idle: RefCell::default(),
             room: RefCell::default(),
             aborted: Arc::default(),
         }
     }
 
+    /// The same client, whose kernel keeps no longer than this what is not acknowledged.
+    pub fn with_unacknowledged_ms(self, unacknowledged_ms: u32) -> Self {
+        Self {
+            unacknowledged_ms,
+            ..self
+        }
+    }
+
     /// Ends all calls that were made so far without an answer and resets their
     /// connections; those that wait for a connection, or did not run yet, never leave.
     pub fn abort(&self) {
@@ -208,7 +217,7 @@
                 Some(connection) => (connection, true),
                 None => {
                     let place = self.place(due).await?;
-                    match timeout_at(due, connect(address, place)).await {
+                    match timeout_at(due, connect(address, place, self.unacknowledged_ms)).await {
                         Ok(opened) => (opened?, false),
                         Err(_) => return Err(ClientError::Silent),
                     }
@@ -275,11 +284,15 @@
     }
 }
 
-async fn connect(address: SocketAddr, place: Place) -> Result<Connection, ClientError> {
+async fn connect(
+    address: SocketAddr,
+    place: Place,
+    unacknowledged_ms: u32,
+) -> Result<Connection, ClientError> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     stream.set_zero_linger()?;
-    set_tcp_user_timeout(&stream, UNACKNOWLEDGED_MS).map_err(std::io::Error::from)?;
+    set_tcp_user_timeout(&stream, unacknowledged_ms).map_err(std::io::Error::from)?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let (open, closed) = oneshot::channel();
     tokio::task::spawn_local(async move {
--- a/src/platform/outside.rs
+++ b/src/platform/outside.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use super::{Client, Settings, advisor, machines, workers};
-use crate::control::{Local, Machine, MachineOrder, MachineOutcome, Order, OrderOutcome, Outside};
+use crate::control::{
+    ELECTION_TIMEOUT_MS, Local, Machine, MachineOrder, MachineOutcome, Order, OrderOutcome, Outside,
+};
 use crate::jobs::TaskId;
 use crate::model::InstanceName;
 use crate::places::Places;
@@ -15,6 +17,13 @@
 /// either may take seconds to answer.
 const SERVICE_CONNECTIONS: usize = 32;
 
+/// How long the kernel keeps an order to the keeper that is not acknowledged. A process that
+/// is suspended cannot throw its open orders away, so its kernel has to, before another
+/// leader can be elected: held up for longer, an order would reach a machine after those of
+/// the successor, and not every keeper checks fencing tokens.
+const ORDER_UNACKNOWLEDGED_MS: u32 = 400;
+const _: () = assert!((ORDER_UNACKNOWLEDGED_MS as u64) < ELECTION_TIMEOUT_MS);
+
 /// The users' platform as the control instances see it.
 #[derive(Debug)]
 pub struct Platform {
@@ -30,7 +39,9 @@
     pub fn new(settings: &Settings, worker_places: Places) -> Self {
         Self {
             workers: Rc::new(Client::within(WORKER_CONNECTIONS, worker_places)),
-            services: Rc::new(Client::new(SERVICE_CONNECTIONS)),
+            services: Rc::new(
+                Client::new(SERVICE_CONNECTIONS).with_unacknowledged_ms(ORDER_UNACKNOWLEDGED_MS),
+            ),
             holder: settings.node.clone(),
             keeper: settings.keeper,
             advisor: settings.advisor,
