Place voters so that the loss of any zone leaves a quorum

Callers saw: on a fleet of 25 control instances in five zones, four zones had no leader for the 6.4 s in which the fifth was cut off. Three of five voters stood in the fifth. Its leader led on, and within 3 s it had replaced the two voters outside by instances of its own zone, so that all copies of what it acknowledged lay there.

Cause: the first voters are the addresses of the settings, others were added in the order of their names, and nothing knew in which zone an instance runs. Deployments with at most two control instances a zone were right by luck.

Ruled out: election timeouts (the four zones held no majority of the voters to elect with), the links between zones (they worked), load (nothing was asked of the leader at that time).

Now an instance says to its peers where it runs. The losses to be borne give the number of voters and how many one zone or region may hold, also while a zone is silent; voters move there one change at a time, and a leader gives way to a voter that reaches more instances. Status page, metrics and log say where the voters are and whether the losses asked for are borne. An instance of an earlier build is greeted as before.

--- a/src/cmd/measure_lead.rs
+++ b/src/cmd/measure_lead.rs
@@ -15,7 +15,8 @@
 
 use crate::consensus::Recovered;
 use crate::control::{
-    Call, Configuration, Event, Node, NodeSettings, OrderOutcome, Place, Policy, Queue, Timing,
+    Call, Configuration, Event, Location, Node, NodeSettings, OrderOutcome, Place, Policy, Queue,
+    Timing, Tolerance,
 };
 use crate::jobs::{JobId, JobSpec, Resources, Step};
 use crate::lab::{Emulator, FakeMachine, Keeper, TaskTruth};
@@ -90,7 +91,11 @@
             me: me.clone(),
             seeds: vec![me],
             first_start: true,
-            losses_borne: 0,
+            location: Location {
+                region: None,
+                zone: "a".into(),
+            },
+            tolerance: Tolerance::default(),
             timing: Timing {
                 lease_max_ms: 10_000,
                 stop_timeout_ms: 400,
--- a/src/consensus/input.rs
+++ b/src/consensus/input.rs
@@ -28,6 +28,12 @@
         /// The requested change.
         change: VoterChange,
     },
+    /// Sets the next change of the voters that the leader's own planner wants, in place of the
+    /// one that it wanted before. Has no effect on other replicas than the leader.
+    PlanVoters {
+        /// The change; `None` if none is wanted any more.
+        change: Option<VoterChange>,
+    },
     /// Announces another entry instance, which becomes a peer.
     AddPeer {
         /// Name of the peer.
@@ -36,6 +42,11 @@
     /// Gives up leadership before a planned stop. Has no effect on other replicas than
     /// the leader.
     Resign,
+    /// Hands leadership to a certain voter. Has no effect on other replicas than the leader.
+    Transfer {
+        /// The successor.
+        to: EntryName,
+    },
     /// The write with this token is synced to disk.
     Persisted {
         /// Token of the [`super::Action::Persist`].
--- a/src/consensus/leadership_transfer.rs
+++ b/src/consensus/leadership_transfer.rs
@@ -1,8 +1,8 @@
-//! Leadership transfer before a planned stop.
+//! Leadership transfer, before a planned stop and to a voter that reaches more instances.
 //!
 //! Without it, the other voters wait an election timeout for a leader that stopped as
-//! planned, and every change and every claim stalls for a second. The leader names the
-//! voter with the most complete log as successor. That one starts an election at once,
+//! planned, and every change and every claim stalls for a second. The leader names a
+//! successor, before a stop the voter with the most complete log. That one starts an election at once,
 //! and the other voters, which know that the leader is gone, may vote for it. The
 //! successor still needs a quorum, so a lost message costs only the usual timeout.
 
@@ -14,9 +14,18 @@
 impl Replica {
     /// Gives up leadership. Does nothing on a replica that is not the leader.
     pub(super) fn resign(&mut self, now_ms: u64) {
-        let Some(successor) = self.pick_successor() else {
+        if let Some(successor) = self.pick_successor() {
+            self.transfer(now_ms, successor);
+        }
+    }
+
+    /// Gives up leadership in favor of a voter. Does nothing on a replica that is not the
+    /// leader, or if the successor is no other voter.
+    pub(super) fn transfer(&mut self, now_ms: u64, successor: EntryName) {
+        let is_voter = self.log.membership().incarnation(&successor).is_some();
+        if !self.is_leader() || !is_voter || successor == self.settings.me {
             return;
-        };
+        }
         let term = self.hard.term;
         for to in self.peers.clone() {
             let successor = successor.clone();
--- a/src/consensus/replica.rs
+++ b/src/consensus/replica.rs
@@ -128,8 +128,10 @@
             Input::Message { from, message } => self.handle_message(now_ms, from, message),
             Input::Propose { command } => self.propose(command),
             Input::ChangeVoters { change } => self.change_voters(change),
+            Input::PlanVoters { change } => self.plan_voters(change),
             Input::AddPeer { name } => self.add_peer(now_ms, name),
             Input::Resign => self.resign(now_ms),
+            Input::Transfer { to } => self.transfer(now_ms, to),
             Input::Persisted { token } => self.handle_persisted(now_ms, token),
             Input::SnapshotTaken { index, data } => self.handle_snapshot_taken(index, data),
         }
@@ -226,6 +228,12 @@
         }
     }
 
+    fn plan_voters(&mut self, change: Option<VoterChange>) {
+        if let RoleState::Leader(leader) = &mut self.role_state {
+            leader.requested_changes = change.into_iter().collect();
+        }
+    }
+
     fn handle_persisted(&mut self, now_ms: u64, token: u64) {
         for deferred in self.journal.synced(token) {
             self.run_deferred(now_ms, deferred);
--- a/src/control/forwarding/gateway.rs
+++ b/src/control/forwarding/gateway.rs
@@ -131,6 +131,7 @@
             PeerMessage::Log(_)
             | PeerMessage::Call { .. }
             | PeerMessage::Hello { .. }
+            | PeerMessage::Presence(_)
             | PeerMessage::Orders { .. }
             | PeerMessage::Outcomes { .. } => Vec::new(),
         };
--- a/src/control/messages/mod.rs
+++ b/src/control/messages/mod.rs
@@ -13,6 +13,8 @@
 mod machine_order;
 mod order;
 mod peer_message;
+mod presence;
+mod quorum_status;
 
 pub use answer::{Answer, Refusal};
 pub use call::{Call, Place};
@@ -23,6 +25,8 @@
 pub use machine_order::{MachineOrder, MachineOrderKind, MachineOutcome};
 pub use order::{Ended, Order, OrderKind, OrderOutcome, Rejection, Running};
 pub use peer_message::PeerMessage;
+pub use presence::Presence;
+pub use quorum_status::{QuorumStatus, VoterStatus};
 
 pub(super) use call::job_from_path;
 pub(super) use peer_message::batches;
--- a/src/control/messages/peer_message.rs
+++ b/src/control/messages/peer_message.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::consensus::{Message, Timestamp};
-use crate::control::{Answer, Call, Order, OrderOutcome};
+use crate::control::{Answer, Call, Order, OrderOutcome, Presence};
 use crate::model::EntryName;
 
 /// Maximum size of the orders or outcomes in one message. It bounds the delay of a
@@ -83,4 +83,6 @@
         /// Whether the sender is about to stop and carries out no more orders.
         closing: bool,
     },
+    /// A hello of a control instance that says where it runs.
+    Presence(Presence),
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -14,6 +14,7 @@
 //! | `replication` | the replicated state and the statistics in it |
 //! | `messages` | calls, answers, events, effects, orders |
 //! | `policy`, `clocks` | parameters and time |
+//! | `voters` | which control instances vote |
 //! | `workers` | the leader's view of its workers |
 //! | `placement` | which tasks start where |
 //! | `capacity` | how many machines each pool has |
@@ -33,6 +34,7 @@
 mod replication;
 mod runtime;
 mod upkeep;
+mod voters;
 mod workers;
 
 pub use capacity::{
@@ -48,8 +50,8 @@
 pub use forwarding::{Gateway, GatewayEffect, Relay, RelayAction};
 pub use messages::{
     Answer, Call, Decision, Effect, Ended, Event, Machine, MachineOrder, MachineOrderKind,
-    MachineOutcome, MachinePhase, Order, OrderKind, OrderOutcome, PeerMessage, Place, Refusal,
-    Rejection, Running,
+    MachineOutcome, MachinePhase, Order, OrderKind, OrderOutcome, PeerMessage, Place, Presence,
+    QuorumStatus, Refusal, Rejection, Running, VoterStatus,
 };
 pub use node::{ELECTION_TIMEOUT_MS, Node, NodeSettings};
 pub use placement::{
@@ -68,6 +70,7 @@
     Incoming, Links, ListenerStatus, LocalFuture, LoopMeter, Metrics, Signal, outcome,
 };
 pub use upkeep::{Upkeep, UpkeepInput, UpkeepStep};
+pub use voters::{Borne, Location, Member, Spread, Tolerance, VoterPlan, next_voter_change};
 pub use workers::{
     Carrier, Carriers, Fleet, Progress, Reports, RunLoad, RunPhase, RunView, Runs, SizeShares,
     Sizes, Throttle, WorkerLink, is_stalled, silent_workers,
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -11,6 +11,7 @@
 mod members;
 mod orders;
 mod pass;
+mod peers;
 mod renewals;
 
 use std::collections::BTreeMap;
@@ -19,13 +20,15 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::{
-    Call, Carrier, Clock, Decision, Effect, Estimates, Event, PeerMessage, Policy, Relay,
-    RelayAction, State, Timing,
+    Borne, Call, Carrier, Clock, Decision, Effect, Estimates, Event, Location, PeerMessage, Policy,
+    Relay, RelayAction, State, Timing, Tolerance,
 };
-use crate::consensus::{Input, Recovered, Replica, ReplicaSettings};
+use crate::consensus::{Input, Recovered, Replica, ReplicaSettings, VoterChange};
 use crate::model::EntryName;
 use leader_state::LeaderState;
 use leaderless::Leaderless;
+use members::BetterLeader;
+use peers::Peers;
 
 /// How long a follower holds a call while it waits for a leader's answer.
 const CALL_TIMEOUT_MS: u64 = 900;
@@ -39,8 +42,10 @@
     pub seeds: Vec<EntryName>,
     /// Whether the whole system starts for the first time, with empty data folders.
     pub first_start: bool,
-    /// The number of lost data folders that the cluster must tolerate.
-    pub losses_borne: usize,
+    /// Where the instance runs.
+    pub location: Location,
+    /// The losses that the control instances must survive.
+    pub tolerance: Tolerance,
     /// Timeouts and intervals of the deployment.
     pub timing: Timing,
     /// Weights and limits of the decisions that it makes while it leads.
@@ -50,11 +55,6 @@
 }
 
 impl NodeSettings {
-    /// Returns the number of voters of which a majority is left after the tolerated losses.
-    fn target_voter_count(&self) -> usize {
-        2 * self.losses_borne + 1
-    }
-
     fn replica(&self) -> ReplicaSettings {
         ReplicaSettings {
             me: self.me.clone(),
@@ -108,16 +108,21 @@
     leader_state: Option<Box<LeaderState>>,
     /// Orders that this instance carries out for its leader while it is a follower.
     carrier: Carrier,
-    /// Time of the last hello of each control instance.
-    peers_heard: BTreeMap<EntryName, u64>,
+    /// The other control instances that greeted this one.
+    peers: Peers,
     /// Time of the last hello of each entry instance.
     entries_heard: BTreeMap<EntryName, u64>,
     /// The leader that the entry instances were last told about.
     announced_leader: Option<EntryName>,
     next_hello_ms: u64,
     leaderless: Leaderless,
-    /// When a leader next checks which voters are unreachable.
+    /// When a leader next checks the voters.
     next_voter_check_ms: u64,
+    /// The change of the voters that a leader planned last.
+    planned_change: Option<VoterChange>,
+    /// Which losses the voters survive, as last logged.
+    logged_borne: Option<Borne>,
+    better_leader: Option<BetterLeader>,
     stopping_since_ms: Option<u64>,
     /// Run time estimates that are used if the policy turns learning off.
     default_estimates: Estimates,
@@ -142,12 +147,15 @@
             relay,
             leader_state: None,
             carrier: Carrier::default(),
-            peers_heard: BTreeMap::new(),
+            peers: Peers::default(),
             entries_heard: BTreeMap::new(),
             announced_leader: None,
             next_hello_ms: now_ms,
             leaderless: Leaderless::default(),
             next_voter_check_ms: now_ms,
+            planned_change: None,
+            logged_borne: None,
+            better_leader: None,
             stopping_since_ms: None,
             default_estimates: Estimates::default(),
             visited: 0,
@@ -249,6 +257,7 @@
                 self.perform_relay_actions(actions);
             }
             PeerMessage::Hello { has_folder } => self.handle_hello(now_ms, from, has_folder),
+            PeerMessage::Presence(presence) => self.handle_presence(now_ms, from, presence),
             PeerMessage::Welcome { members, .. } => {
                 for member in members {
                     self.add_peer(now_ms, &member);
--- a/src/control/node/leader_state.rs
+++ b/src/control/node/leader_state.rs
@@ -109,6 +109,11 @@
         self.scheduler.proposed.len() + sent
     }
 
+    /// Returns for how long this instance has led.
+    pub(super) fn led_for_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.began_ms)
+    }
+
     /// Allocates an id for an order or an advice request.
     pub(super) fn allocate_id(&mut self) -> u64 {
         self.next_id += 1;
--- a/src/control/node/leaderless.rs
+++ b/src/control/node/leaderless.rs
@@ -4,7 +4,6 @@
 //! logs nothing, while no call is answered.
 
 use super::Node;
-use super::members::PEER_TIMEOUT_MS;
 use crate::model::EntryName;
 
 /// Time without a leader after which it is logged. An election takes less.
@@ -87,10 +86,8 @@
 
     /// Returns the voters that have not been heard recently.
     fn missing_voters(&self, now_ms: u64) -> Vec<EntryName> {
-        let is_present = |name: &EntryName| {
-            let heard = self.peers_heard.get(name);
-            *name == self.settings.me || heard.is_some_and(|at| now_ms < at + PEER_TIMEOUT_MS)
-        };
+        let is_present =
+            |name: &EntryName| *name == self.settings.me || self.peers.is_present(now_ms, name);
         let mut missing = self.expected_voters();
         missing.retain(|name| !is_present(name));
         missing
--- a/src/control/runtime/call_bridge.rs
+++ b/src/control/runtime/call_bridge.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::{mpsc, oneshot};
 
-use crate::control::{Answer, Call, Metrics};
+use crate::control::{Answer, Call, Metrics, QuorumStatus};
 use crate::model::EntryName;
 
 /// Connects an instance's listeners with its event loop: listeners submit calls and await
@@ -16,6 +16,7 @@
     calls: mpsc::UnboundedSender<Incoming>,
     open: Mutex<OpenCalls>,
     listener_status: Mutex<ListenerStatus>,
+    quorum_status: Mutex<Option<QuorumStatus>>,
     metrics: Metrics,
 }
 
@@ -59,6 +60,7 @@
             calls: tx,
             open: Mutex::new(open),
             listener_status: Mutex::default(),
+            quorum_status: Mutex::default(),
             metrics: Metrics::default(),
         };
         (Arc::new(bridge), rx)
@@ -132,6 +134,18 @@
         lock(&self.listener_status).clone()
     }
 
+    /// Returns what a control instance last published about the voters; `None` on an entry
+    /// instance.
+    pub fn quorum_status(&self) -> Option<QuorumStatus> {
+        lock(&self.quorum_status).clone()
+    }
+
+    /// Publishes what a control instance knows about the voters.
+    pub fn show_quorum(&self, status: QuorumStatus) {
+        self.metrics.set_quorum(&status);
+        *lock(&self.quorum_status) = Some(status);
+    }
+
     /// Publishes a status to the listeners.
     pub fn show(&self, listener_status: ListenerStatus) {
         *lock(&self.listener_status) = listener_status;
--- a/src/control/runtime/driver.rs
+++ b/src/control/runtime/driver.rs
@@ -36,7 +36,8 @@
 /// A larger gap between two reads of the clock means that the process was paused. A tick is
 /// then handled before any queued event, so that the decision logic notices the time.
 const STALL_THRESHOLD_MS: u64 = 200;
-/// Interval at which the monotonic clock is compared with the wall clock.
+/// Interval at which the monotonic clock is compared with the wall clock, and the status of
+/// the voters is published.
 const CLOCK_CHECK_INTERVAL_MS: u64 = 1_000;
 /// Part of the grace period of a planned stop that is left when open calls are given up.
 const STOP_RESERVE_MS: u64 = 700;
@@ -195,6 +196,7 @@
             if now_ms >= next_clock_check_ms {
                 next_clock_check_ms = now_ms + CLOCK_CHECK_INTERVAL_MS;
                 node.compare_clock(now_ms, wall.unix_ms());
+                self.bridge.show_quorum(node.quorum_status(now_ms));
             }
             let leads = node.leads(now_ms);
             let leaderless = Duration::from_millis(node.leaderless_ms(now_ms));
--- a/src/control/runtime/metrics.rs
+++ b/src/control/runtime/metrics.rs
@@ -1,10 +1,10 @@
 use prometheus::core::Collector;
 use prometheus::{
-    CounterVec, Gauge, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder, exponential_buckets,
+    CounterVec, Gauge, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder, exponential_buckets,
 };
 
-use crate::control::{Answer, Decision, EventKind, Refusal};
+use crate::control::{Answer, Decision, EventKind, QuorumStatus, Refusal};
 
 /// Buckets of the latency histogram: the smallest upper bound in seconds, the factor
 /// between bounds, and their number. They range from 1 ms to 8 s.
@@ -23,6 +23,8 @@
     loop_waiting: IntGauge,
     loop_late: Gauge,
     leaderless: Gauge,
+    voters: IntGaugeVec,
+    losses_borne: IntGaugeVec,
 }
 
 impl Default for Metrics {
@@ -44,6 +46,14 @@
             "rosemarygauge_loop_events_total",
             "What the loop handled, by its kind",
         );
+        let voters = Opts::new(
+            "rosemarygauge_voters",
+            "Voters by availability zone, as far as this instance knows",
+        );
+        let losses_borne = Opts::new(
+            "rosemarygauge_losses_borne",
+            "1 if the voters survive the losses of a kind that are to be borne, else 0",
+        );
         let metrics = Self {
             registry: Registry::new(),
             calls: IntCounterVec::new(calls, &["outcome"])
@@ -73,6 +83,10 @@
                 "How long no leader has been known here",
             )
             .expect("the name is valid and the help is not empty"),
+            voters: IntGaugeVec::new(voters, &["zone"])
+                .expect("the name and label are valid and the help is not empty"),
+            losses_borne: IntGaugeVec::new(losses_borne, &["kind"])
+                .expect("the name and label are valid and the help is not empty"),
         };
         let registered = [
             metrics.registry.register(Box::new(metrics.calls.clone())),
@@ -96,6 +110,10 @@
             metrics
                 .registry
                 .register(Box::new(metrics.leaderless.clone())),
+            metrics.registry.register(Box::new(metrics.voters.clone())),
+            metrics
+                .registry
+                .register(Box::new(metrics.losses_borne.clone())),
         ];
         for result in registered {
             result.expect("each name is registered once");
@@ -146,6 +164,27 @@
         self.leaderless.set(seconds);
     }
 
+    /// Sets where the voters are, and which losses they survive.
+    pub fn set_quorum(&self, status: &QuorumStatus) {
+        self.voters.reset();
+        for voter in &status.voters {
+            let zone = voter
+                .location
+                .as_ref()
+                .map_or("unknown", |l| l.zone.as_str());
+            self.voters.with_label_values(&[zone]).inc();
+        }
+        let borne = status.borne;
+        for (kind, survives) in [
+            ("instances", borne.instances),
+            ("zones", borne.zones),
+            ("regions", borne.regions),
+        ] {
+            let gauge = self.losses_borne.with_label_values(&[kind]);
+            gauge.set(i64::from(survives));
+        }
+    }
+
     /// Returns all metrics as text. `open_calls` is the number of calls that are open now.
     pub fn text(&self, open_calls: usize) -> String {
         self.open.set(open_calls as i64);
--- a/src/lab/play.rs
+++ b/src/lab/play.rs
@@ -10,7 +10,8 @@
     troubles,
 };
 use crate::control::{
-    Answer, Call, Effect, Event, Node, NodeSettings, Place, Policy, Timing, Wave,
+    Answer, Call, Effect, Event, Location, Node, NodeSettings, Place, Policy, Timing, Tolerance,
+    Wave,
 };
 use crate::jobs::{JobId, JobState};
 use crate::model::EntryName;
@@ -83,7 +84,11 @@
             me: me.clone(),
             seeds: vec![me],
             first_start: true,
-            losses_borne: 0,
+            location: Location {
+                region: None,
+                zone: "lab".into(),
+            },
+            tolerance: Tolerance::default(),
             timing: Timing {
                 report_interval_ms: 1_500,
                 lease_max_ms: 10_000,
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -25,8 +25,8 @@
 pub use duty::{Absence, DesiredState};
 pub use instance::Instance;
 pub use names::{
-    ChangeId, EntryName, InstanceName, PoolName, RackName, RequestKey, ServiceName, WaveName,
-    WorkspaceName, ZoneName,
+    ChangeId, EntryName, InstanceName, PoolName, RackName, RegionName, RequestKey, ServiceName,
+    WaveName, WorkspaceName, ZoneName,
 };
 pub use outcome::Outcome;
 pub use pool::Pool;
--- a/src/model/names.rs
+++ b/src/model/names.rs
@@ -41,6 +41,10 @@
     /// Name of an availability zone.
     ZoneName
 );
+name!(
+    /// Name of a region, which has one or more availability zones.
+    RegionName
+);
 name!(
     /// Name of a rack in an availability zone, whose instances fail together.
     RackName
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -19,6 +19,7 @@
 mod serve;
 mod settings;
 mod settings_fault;
+mod status_page;
 mod workers;
 
 pub use caught_signals::CaughtSignals;
--- a/src/platform/serve.rs
+++ b/src/platform/serve.rs
@@ -13,6 +13,7 @@
 use tokio::task::spawn_local;
 
 use super::settings_fault::join_lines;
+use super::status_page::status_page;
 use super::{CaughtSignals, ControlCalls, EntryCalls, Platform, Settings, SettingsFault};
 use crate::control::{
     self, CallBridge, ConnectionBudget, ConnectionPermits, Driver, Gateway, Node, NodeSettings,
@@ -31,6 +32,8 @@
 const MAX_CONTROL_BODY_BYTES: usize = 4 << 20;
 /// Port of the metrics endpoint. It has to match the deploy file.
 const METRICS_PORT: u16 = 9_464;
+/// Path beside the metrics at which a control instance tells where the voters are.
+const STATUS_PATH: &str = "/status";
 /// Time for which an idle connection is kept open, as agreed with the callers.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time at the end of a planned stop in which answers in flight are sent.
@@ -108,7 +111,8 @@
         me: settings.me(),
         seeds: settings.seed_names(),
         first_start: settings.first_start,
-        losses_borne: settings.losses_borne,
+        location: settings.location.clone(),
+        tolerance: settings.tolerance,
         timing: settings.timing,
         policy,
         seed: rand::random(),
@@ -241,9 +245,12 @@
         }
     };
     let bridge = Arc::clone(bridge);
-    let handler: Handler = Arc::new(move |_| {
-        let text = bridge.metrics().text(bridge.waiting());
-        Box::pin(async move { crate::http::text(StatusCode::OK, text) })
+    let handler: Handler = Arc::new(move |incoming| {
+        let reply = match incoming.head.uri.path() {
+            STATUS_PATH => status_page(&bridge),
+            _ => text(StatusCode::OK, bridge.metrics().text(bridge.waiting())),
+        };
+        Box::pin(async move { reply })
     });
     let server = HttpServer::new("metrics", listener, Limits::default(), handler);
     spawn_local(server.run(stopped));
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -6,7 +6,7 @@
 
 use super::SettingsFault;
 use super::reader::SettingsReader;
-use crate::control::{Grant, Timing};
+use crate::control::{Grant, Location, Timing, Tolerance};
 use crate::model::EntryName;
 
 /// Environment variable with the path of the settings file.
@@ -40,8 +40,10 @@
     pub ready: Option<SocketAddr>,
     /// Listener for workers and operators.
     pub control: Option<SocketAddr>,
-    /// Number of control instances that may fail at once without an outage.
-    pub losses_borne: usize,
+    /// Where the instance runs.
+    pub location: Location,
+    /// The losses that the control instances must survive.
+    pub tolerance: Tolerance,
     /// Resources that the instance may use.
     pub grant: Grant,
     /// Address of the machine manager, if there is one.
@@ -140,7 +142,19 @@
     let front = rdr.optional("listen.front", "an address IP:PORT", address);
     let ready = rdr.optional("listen.ready", "an address IP:PORT", address);
     let control = rdr.optional("listen.control", "an address IP:PORT", address);
-    let losses = rdr.optional("fault_tolerance.machines", "a whole number", Value::as_u64);
+    let region = rdr.optional("region", "the name of a region", text);
+    let machines = rdr.optional("fault_tolerance.machines", "a whole number", Value::as_u64);
+    let zones = rdr.optional("fault_tolerance.zones", "a whole number", Value::as_u64);
+    let zone = match zones {
+        // Without its zone, no instance can be placed so that the loss of a zone is survived.
+        Some(1..) => rdr.required("zone", "the name of the machine's availability zone", text),
+        _ => rdr.optional("zone", "the name of an availability zone", text),
+    };
+    let regions = rdr.optional(
+        "fault_tolerance.region_count",
+        "a whole number",
+        Value::as_u64,
+    );
     let machine_manager = rdr.optional("cloud.address", "an address IP:PORT", address);
     let advisor = rdr.optional("advice", "an address IP:PORT", address);
     let open_files = rdr.optional("limits.max_fds", "a whole number", Value::as_u64);
@@ -158,7 +172,15 @@
         front,
         ready,
         control,
-        losses_borne: usize::try_from(losses.unwrap_or(1)).ok()?,
+        location: Location {
+            region: region.filter(|name| !name.is_empty()).map(Into::into),
+            zone: zone.unwrap_or_default().into(),
+        },
+        tolerance: Tolerance {
+            instances: saturating_usize(machines.unwrap_or(1)),
+            zones: saturating_usize(zones.unwrap_or(0)),
+            regions: saturating_usize(regions.unwrap_or(0)),
+        },
         grant: Grant {
             open_files: open_files.map_or_else(open_files_limit, saturating_usize),
             memory_bytes: memory_mb.map(|mb| saturating_usize(mb).saturating_mul(1 << 20)),
--- a/tests/control/driver.rs
+++ b/tests/control/driver.rs
@@ -62,7 +62,14 @@
         me: me.into(),
         seeds: vec![me.into()],
         first_start: false,
-        losses_borne: 1,
+        location: rosemarygauge::control::Location {
+            region: None,
+            zone: "a".into(),
+        },
+        tolerance: rosemarygauge::control::Tolerance {
+            instances: 1,
+            ..Default::default()
+        },
         timing: TIMING,
         policy: Policy::default(),
         seed: 1,
--- a/tests/control/world/instances.rs
+++ b/tests/control/world/instances.rs
@@ -38,7 +38,14 @@
             me: me.clone(),
             seeds: (1..=3).map(name).collect(),
             first_start,
-            losses_borne: 1,
+            location: rosemarygauge::control::Location {
+                region: None,
+                zone: "a".into(),
+            },
+            tolerance: rosemarygauge::control::Tolerance {
+                instances: 1,
+                ..Default::default()
+            },
             timing: TIMING,
             policy: self.policy.clone(),
             seed: self.rng.random(),
