Begin anew with a worker that starts again under its name

Callers would see tasks run again after they were done, and jobs that do not end: a worker that came back under its name was taken for the process that it was before. Its ends, whose numbers begin anew, counted as acknowledged and were forgotten; its reports counted as late ones; its clock was thought to be ahead, so that its leases never ended; and orders meant for the earlier process had effect in the new one, which has seen no fencing token.

Now reports, departures and listings carry the time of the process's start. On a later one the leader treats the worker as a new leader would: a higher fencing token, no work until the worker has listed its runs under it, no acknowledgement of numbers of before. Terms of successive leaders are 64 apart, so that a leader can raise the token for one worker and stay below its successors. After a renewal without an answer no end is acknowledged, as the worker may be a new process. Instances of earlier builds get calls and outcomes without start times.

The test of mixed faults expected jobs to complete whose cancellation had no answer within 60 ms. Such a call may take effect; now only a refused one must have none, which was not checked before. The tests of elections and replicas count terms by their distance.

--- a/src/consensus/election.rs
+++ b/src/consensus/election.rs
@@ -13,6 +13,11 @@
 use super::replica::RoleState;
 use super::{Message, Record, Replica, VoteRequest};
 
+/// Distance between the terms of successive leaders. A leader can so derive further tokens from
+/// its term, in ascending order, that are below those of every successor: `term + 1` to
+/// `term + TERM_STRIDE - 1`. Replicas of earlier builds count terms one by one.
+pub const TERM_STRIDE: u64 = 64;
+
 impl Replica {
     pub(super) fn tick_election(&mut self, now_ms: u64) {
         if now_ms < self.election_due_ms || self.has_recent_leader(now_ms) {
@@ -44,7 +49,7 @@
     /// a leader, so its term does not change.
     pub(super) fn campaign(&mut self, now_ms: u64, pre: bool) {
         if !pre {
-            self.enter_term(now_ms, self.hard.term.saturating_add(1));
+            self.enter_term(now_ms, self.next_term());
             self.hard.voted_for = Some(self.settings.me.clone());
             self.journal.write(Record::Hard(self.hard.clone()));
         }
@@ -54,7 +59,10 @@
             granted: BTreeSet::new(),
             refused: BTreeSet::new(),
         };
-        let term = self.hard.term.saturating_add(u64::from(pre));
+        let term = match pre {
+            true => self.next_term(),
+            false => self.hard.term,
+        };
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
         let voters = self.log.membership().without_voter(&self.settings.me);
         for (name, counted_as) in voters.iter() {
@@ -78,6 +86,12 @@
         }
     }
 
+    /// Returns the term in which this replica would lead next.
+    fn next_term(&self) -> u64 {
+        let term = self.hard.term;
+        (term - term % TERM_STRIDE).saturating_add(TERM_STRIDE)
+    }
+
     /// Counts the candidate's vote for itself once that vote is synced.
     pub(super) fn count_own_vote(&mut self, now_ms: u64, term: u64) {
         if self.is_voter() {
@@ -202,13 +216,14 @@
     }
 
     fn count_pre_vote(&mut self, now_ms: u64, from: EntryName, term: u64) {
+        let next_term = self.next_term();
         let RoleState::Candidate {
             pre: true, granted, ..
         } = &mut self.role_state
         else {
             return;
         };
-        if term != self.hard.term.saturating_add(1) {
+        if term != next_term {
             return;
         }
         granted.insert(from);
--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -32,6 +32,7 @@
 mod voter_change;
 
 pub use action::Action;
+pub use election::TERM_STRIDE;
 pub use entry::Entry;
 pub use input::Input;
 pub use leader::COMMAND_LIMIT_BYTES;
--- a/src/control/messages/call.rs
+++ b/src/control/messages/call.rs
@@ -64,9 +64,28 @@
     /// An operator replaces the configuration; holds the parts of its encoded form. Only
     /// [`Call::for_peer`] makes it.
     ConfigureParts(Vec<ConfigurationPart>),
+    /// A worker's call with the time at which the worker's process started. It tells apart
+    /// what a worker said before and after it started again under its name.
+    Since {
+        /// Time of the start in milliseconds since 1970, by the worker's clock.
+        started_unix_ms: u64,
+        /// The call.
+        call: Box<Call>,
+    },
 }
 
 impl Call {
+    /// Splits off the time at which the calling worker's process started, if it said it.
+    pub fn split_start(self) -> (Option<u64>, Self) {
+        match self {
+            Self::Since {
+                started_unix_ms,
+                call,
+            } => (Some(started_unix_ms), *call),
+            call => (None, call),
+        }
+    }
+
     /// Returns the call in the form in which it is sent to a peer. A configuration with
     /// workspaces is sent encoded, as [`Configuration`] alone has no place for them.
     pub fn for_peer(self) -> Self {
--- a/src/control/messages/order.rs
+++ b/src/control/messages/order.rs
@@ -115,13 +115,38 @@
     /// The order was not sent and will not be: it timed out while it waited for a connection
     /// to the worker, or its carrier did not accept it. This says nothing about the worker.
     NotSent,
+    /// An outcome with the time at which the worker's process started.
+    ///
+    /// A worker may start again under its name. It then holds nothing of what it held, and
+    /// its clock and the numbers of its ends begin anew.
+    Since {
+        /// Time of the start in milliseconds since 1970, by the worker's clock.
+        started_unix_ms: u64,
+        /// The outcome.
+        outcome: Box<OrderOutcome>,
+    },
 }
 
 impl OrderOutcome {
+    /// Splits off the time at which the worker's process started, if the worker said it.
+    pub fn split_start(self) -> (Option<u64>, Self) {
+        match self {
+            Self::Since {
+                started_unix_ms,
+                outcome,
+            } => (Some(started_unix_ms), *outcome),
+            outcome => (None, outcome),
+        }
+    }
+
     /// Returns the approximate size of the outcome in a message.
     pub fn size_bytes(&self) -> usize {
-        let Self::Listed { running, ended, .. } = self else {
-            return BASE_SIZE_BYTES;
+        let (running, ended) = match self {
+            Self::Listed { running, ended, .. } => (running, ended),
+            Self::Since { outcome, .. } => return outcome.size_bytes(),
+            Self::Done { .. } | Self::Rejected { .. } | Self::Unanswered | Self::NotSent => {
+                return BASE_SIZE_BYTES;
+            }
         };
         let running = running
             .iter()
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -73,5 +73,5 @@
 pub use voters::{Borne, Location, Member, Spread, Tolerance, VoterPlan, next_voter_change};
 pub use workers::{
     Carrier, Carriers, Fleet, Progress, Reports, RunLoad, RunPhase, RunView, Runs, SizeShares,
-    Sizes, Throttle, WorkerLink, is_stalled, silent_workers,
+    Sizes, Throttle, WorkerLink, WorkerStart, is_stalled, silent_workers,
 };
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -24,7 +24,7 @@
     Relay, RelayAction, State, Timing, Tolerance,
 };
 use crate::consensus::{Input, Recovered, Replica, ReplicaSettings, VoterChange};
-use crate::model::EntryName;
+use crate::model::{EntryName, InstanceName};
 use leader_state::LeaderState;
 use leaderless::Leaderless;
 use members::BetterLeader;
@@ -112,6 +112,8 @@
     peers: Peers,
     /// Time of the last hello of each entry instance.
     entries_heard: BTreeMap<EntryName, u64>,
+    /// Start times of the workers that report to this instance, as last reported.
+    worker_starts: BTreeMap<InstanceName, u64>,
     /// The leader that the entry instances were last told about.
     announced_leader: Option<EntryName>,
     next_hello_ms: u64,
@@ -149,6 +151,7 @@
             carrier: Carrier::default(),
             peers: Peers::default(),
             entries_heard: BTreeMap::new(),
+            worker_starts: BTreeMap::new(),
             announced_leader: None,
             next_hello_ms: now_ms,
             leaderless: Leaderless::default(),
@@ -285,7 +288,8 @@
         match caller {
             CallOrigin::Here(id) => {
                 let leader = self.leader();
-                if leader.is_some() && self.is_known_report(&call) {
+                let is_known = self.is_known_report(&call) && !self.is_new_start(&call);
+                if leader.is_some() && is_known {
                     return self.answer(&caller, super::Answer::Done);
                 }
                 let actions = self.relay.set_leader(now_ms, leader);
@@ -309,7 +313,33 @@
     /// hundreds of reports a second only those that change something reach the leader.
     /// Forwarding all of them took a tenth of the leader's processor time with 350 workers.
     fn is_known_report(&self, call: &Call) -> bool {
-        matches!(call, Call::Report(report) if self.state.knows(report))
+        match call {
+            Call::Report(report) => self.state.knows(report),
+            Call::Since { call, .. } => self.is_known_report(call),
+            _ => false,
+        }
+    }
+
+    /// Returns whether a report shows that its worker has started again since its last report
+    /// here, and remembers the start.
+    fn is_new_start(&mut self, call: &Call) -> bool {
+        let Call::Since {
+            started_unix_ms,
+            call,
+        } = call
+        else {
+            return false;
+        };
+        let Call::Report(report) = &**call else {
+            return false;
+        };
+        let known = self
+            .worker_starts
+            .entry(report.worker.clone())
+            .or_insert(*started_unix_ms);
+        let is_new = *known < *started_unix_ms;
+        *known = (*known).max(*started_unix_ms);
+        is_new
     }
 
     fn answer(&mut self, caller: &CallOrigin, answer: super::Answer) {
@@ -329,6 +359,11 @@
         for action in actions {
             match action {
                 RelayAction::Send { to, id, call } => {
+                    let call = match self.peers.understands_presence(&to) {
+                        true => call,
+                        // An instance of an earlier build knows no start times.
+                        false => call.split_start().1,
+                    };
                     self.send(to, PeerMessage::Call { id, call });
                 }
                 RelayAction::Answer { id, answer } => self.out.push(Effect::Answer { id, answer }),
--- a/src/control/node/calls.rs
+++ b/src/control/node/calls.rs
@@ -8,7 +8,7 @@
 use crate::control::{
     Answer, Call, Change, Configuration, ConfigurationFault, ConfigurationPart, ConfigurationParts,
     Credentials, Decision, Effect, Phase, Place, Queue, Refusal, Report, ResourceTotals, Wave,
-    Workspace,
+    WorkerStart, Workspace,
 };
 use crate::jobs::{Job, JobId, JobSpec, JobState};
 
@@ -29,6 +29,7 @@
         credentials: Credentials,
         call: Call,
     ) {
+        let (started_unix_ms, call) = call.split_start();
         match call {
             Call::Submit { place, spec } => self.submit(caller, credentials, &place, spec),
             Call::Look { place } => {
@@ -36,14 +37,16 @@
                 self.answer(&caller, answer);
             }
             Call::Cancel { place } => self.cancel(caller, credentials, &place),
-            Call::Authorized { call, .. } => {
-                tracing::warn!(?call, "call: credentials are nested");
-                let why = "credentials are nested: send them once".to_owned();
+            Call::Since { call, .. } | Call::Authorized { call, .. } => {
+                tracing::warn!(?call, "call: it is nested");
+                let why = "the call is nested in itself: send it once".to_owned();
                 self.answer(&caller, Answer::Refused(Refusal::Wrong(why)));
             }
-            Call::Report(report) => self.accept_report(now_ms, caller, report),
+            Call::Report(report) => self.accept_report(now_ms, caller, started_unix_ms, report),
             Call::Leave { worker } => {
-                if self.state.worker(&worker).is_none_or(|w| w.leaving) {
+                let start = self.check_worker_start(now_ms, &worker, started_unix_ms);
+                let is_left = self.state.worker(&worker).is_none_or(|w| w.leaving);
+                if is_left || start == WorkerStart::Earlier {
                     return self.answer(&caller, Answer::Done);
                 }
                 self.propose(Change::Leave { worker }, Some(Waiter::Call(caller)));
@@ -195,11 +198,21 @@
         }
     }
 
-    fn accept_report(&mut self, now_ms: u64, caller: CallOrigin, report: Arc<Report>) {
+    fn accept_report(
+        &mut self,
+        now_ms: u64,
+        caller: CallOrigin,
+        started_unix_ms: Option<u64>,
+        report: Arc<Report>,
+    ) {
+        let start = self.check_worker_start(now_ms, &report.worker, started_unix_ms);
         let Some(lead) = &mut self.leader_state else {
             return;
         };
-        if !lead.reports.record_if_current(now_ms, &report) {
+        let is_current = lead
+            .reports
+            .record_if_current(now_ms, started_unix_ms, &report);
+        if start == WorkerStart::Earlier || !is_current {
             return self.answer(&caller, Answer::Done);
         }
         if self.state.knows(&report) {
--- a/src/control/node/carried_orders.rs
+++ b/src/control/node/carried_orders.rs
@@ -152,6 +152,12 @@
         if !Carrier::is_carried(id) {
             return self.finish_order(now_ms, id, outcome);
         }
+        let leader = self.carrier.leader();
+        let outcome = match leader.is_some_and(|(to, _)| self.peers.understands_presence(to)) {
+            true => outcome,
+            // An instance of an earlier build knows no start times.
+            false => outcome.split_start().1,
+        };
         if !self.carrier.record_outcome(now_ms, id, outcome) {
             tracing::debug!(
                 id,
--- a/src/control/node/members.rs
+++ b/src/control/node/members.rs
@@ -57,6 +57,9 @@
         self.next_hello_ms = now_ms + HELLO_INTERVAL_MS;
         self.entries_heard
             .retain(|_, at| now_ms < *at + PEER_TIMEOUT_MS);
+        let state = &self.state;
+        self.worker_starts
+            .retain(|worker, _| state.worker(worker).is_some());
         let presence = Presence {
             location: self.settings.location.clone(),
             heard: u16::try_from(self.peers.present(now_ms).count()).unwrap_or(u16::MAX),
--- a/src/control/node/orders.rs
+++ b/src/control/node/orders.rs
@@ -117,11 +117,12 @@
             return false;
         };
         let id = lead.allocate_id();
+        let link = lead.fleet.link(sent.worker());
         let order = Order {
             id,
             address: worker.report.address,
             worker: sent.worker().clone(),
-            fence: lead.term,
+            fence: link.map_or(lead.term, |link| link.fence(lead.term)),
             timeout_ms,
             kind,
         };
@@ -222,6 +223,7 @@
 
     /// Handles the outcome of an order.
     pub(super) fn finish_order(&mut self, now_ms: u64, id: u64, outcome: OrderOutcome) {
+        let (started_unix_ms, outcome) = outcome.split_start();
         let Some(lead) = &mut self.leader_state else {
             return;
         };
@@ -237,7 +239,10 @@
         }
         let clock_ms = match &outcome {
             OrderOutcome::Done { clock_ms } | OrderOutcome::Rejected { clock_ms, .. } => *clock_ms,
-            OrderOutcome::Listed { .. } | OrderOutcome::Unanswered | OrderOutcome::NotSent => None,
+            OrderOutcome::Listed { .. }
+            | OrderOutcome::Unanswered
+            | OrderOutcome::NotSent
+            | OrderOutcome::Since { .. } => None,
         };
         if outcome == OrderOutcome::NotSent {
             self.out.push(Effect::Count(Decision::OrderNotSent));
@@ -251,7 +256,7 @@
             SentOrder::Start(start) => self.finish_start(now_ms, &start, &outcome),
             SentOrder::Stop(stop) => self.finish_stop(now_ms, &stop, &outcome),
             SentOrder::Renew { worker, sent_ms } => {
-                self.finish_renewal(now_ms, &worker, sent_ms, outcome)
+                self.finish_renewal(now_ms, &worker, sent_ms, started_unix_ms, outcome)
             }
             SentOrder::Throttle(run) => self.finish_throttle(&run, &outcome),
         }
@@ -287,7 +292,7 @@
                 self.withdraw_placement(start);
             }
             // An earlier copy of the same start may still arrive.
-            OrderOutcome::Unanswered | OrderOutcome::NotSent => {
+            OrderOutcome::Unanswered | OrderOutcome::NotSent | OrderOutcome::Since { .. } => {
                 tracing::info!(
                     task = %start.task, attempt = start.attempt, worker = %start.worker,
                     unanswered = unanswered + 1, "task: a start was not answered"
@@ -364,7 +369,9 @@
                 ordered: false,
                 again_ms: now_ms,
             },
-            OrderOutcome::Rejected { .. } | OrderOutcome::Unanswered => RunPhase::Stopping {
+            OrderOutcome::Rejected { .. }
+            | OrderOutcome::Unanswered
+            | OrderOutcome::Since { .. } => RunPhase::Stopping {
                 ordered: false,
                 again_ms: now_ms + STOP_RETRY_DELAY_MS,
             },
--- a/src/control/node/renewals.rs
+++ b/src/control/node/renewals.rs
@@ -7,7 +7,7 @@
 use super::pass::request_stop;
 use crate::control::{
     Change, Decision, Effect, Ended, OrderKind, OrderOutcome, Placement, Rejection, RunPhase,
-    Running, Throttle, is_stalled,
+    Running, Throttle, WorkerStart, is_stalled,
 };
 use crate::jobs::RunResult;
 use crate::model::InstanceName;
@@ -54,7 +54,7 @@
             link.renewal_wait_ms = wait_ms;
             let kind = OrderKind::Renew {
                 lease_end_ms: link.renewal_end(now_ms),
-                acknowledged: link.acknowledged,
+                acknowledged: link.acknowledgement(),
                 wait_ms,
             };
             due.push((name.clone(), kind, wait_ms + RENEWAL_SLACK_MS));
@@ -73,6 +73,7 @@
         now_ms: u64,
         worker: &InstanceName,
         sent_ms: u64,
+        started_unix_ms: Option<u64>,
         outcome: OrderOutcome,
     ) {
         let OrderOutcome::Listed {
@@ -83,12 +84,20 @@
         else {
             return self.handle_failed_renewal(now_ms, worker, &outcome);
         };
+        let start = self.check_worker_start(now_ms, worker, started_unix_ms);
         let Some(lead) = &mut self.leader_state else {
             return;
         };
         let Some(link) = lead.fleet.link_mut(worker) else {
             return;
         };
+        match start {
+            WorkerStart::Known => {}
+            // The worker is asked again under the numbers of its new process.
+            WorkerStart::Later => return,
+            WorkerStart::Earlier => return link.renewal_not_sent(now_ms),
+        }
+        link.note_start(started_unix_ms);
         if !link.is_heard(now_ms) || !link.is_confirmed() {
             lead.dirty = true;
             tracing::info!(
@@ -129,6 +138,35 @@
         self.adjust_best_effort_shares(now_ms, worker);
     }
 
+    /// Compares the start time that a worker said with the one that is known, and begins anew
+    /// with a worker that has started again under its name.
+    pub(super) fn check_worker_start(
+        &mut self,
+        now_ms: u64,
+        worker: &InstanceName,
+        started_unix_ms: Option<u64>,
+    ) -> WorkerStart {
+        let Some(lead) = &mut self.leader_state else {
+            return WorkerStart::Known;
+        };
+        let Some(link) = lead.fleet.link_mut(worker) else {
+            return WorkerStart::Known;
+        };
+        let start = link.compare_start(started_unix_ms);
+        let (WorkerStart::Later, Some(started_unix_ms)) = (start, started_unix_ms) else {
+            return start;
+        };
+        tracing::info!(
+            %worker, started_unix_ms, runs = link.runs.len(),
+            "worker: it has started again under its name"
+        );
+        link.start_again(now_ms, started_unix_ms);
+        lead.dirty = true;
+        // What is still open was meant for the earlier process, and so is its answer.
+        lead.orders.retain(|_, sent| sent.worker() != worker);
+        start
+    }
+
     fn handle_failed_renewal(
         &mut self,
         now_ms: u64,
--- a/src/control/runtime/loop_meter.rs
+++ b/src/control/runtime/loop_meter.rs
@@ -71,11 +71,7 @@
             },
             Event::Persisted { .. } | Event::DiskFull => Self::Persisted,
             Event::Call { .. } => Self::Call,
-            Event::Ordered { outcome, .. } => match outcome {
-                OrderOutcome::Listed { .. } => Self::Listing,
-                OrderOutcome::Done { .. } | OrderOutcome::Rejected { .. } => Self::Order,
-                OrderOutcome::Unanswered | OrderOutcome::NotSent => Self::Unanswered,
-            },
+            Event::Ordered { outcome, .. } => Self::from(outcome),
             Event::MachineOrdered { .. }
             | Event::MachinesListed { .. }
             | Event::Advised { .. }
@@ -85,6 +81,17 @@
     }
 }
 
+impl From<&OrderOutcome> for EventKind {
+    fn from(outcome: &OrderOutcome) -> Self {
+        match outcome {
+            OrderOutcome::Listed { .. } => Self::Listing,
+            OrderOutcome::Done { .. } | OrderOutcome::Rejected { .. } => Self::Order,
+            OrderOutcome::Unanswered | OrderOutcome::NotSent => Self::Unanswered,
+            OrderOutcome::Since { outcome, .. } => Self::from(&**outcome),
+        }
+    }
+}
+
 /// The work of one kind since the last report.
 #[derive(Clone, Copy, Debug, Default)]
 struct KindTotals {
--- a/src/control/workers/mod.rs
+++ b/src/control/workers/mod.rs
@@ -24,7 +24,7 @@
 pub use sizes::{SizeShares, Sizes};
 pub use stall::is_stalled;
 pub use throttle::Throttle;
-pub use worker_link::{Progress, RunPhase, RunView, WorkerLink};
+pub use worker_link::{Progress, RunPhase, RunView, WorkerLink, WorkerStart};
 
 pub(super) use carrier::ORDER_MAX_AGE_MS;
 pub(super) use carriers::Losses;
--- a/src/control/workers/reports.rs
+++ b/src/control/workers/reports.rs
@@ -11,28 +11,36 @@
 
 #[derive(Debug)]
 struct LastReport {
-    sequence: u64,
+    /// Start time of the worker's process, if it said so, and the number of the report.
+    order: (Option<u64>, u64),
     at_ms: u64,
 }
 
 impl Reports {
     /// Records a report unless a newer one of the worker was recorded before; returns
-    /// whether it did.
+    /// whether it did. `started_unix_ms` is the start time of the worker's process, if it
+    /// said so; the numbers of its reports begin anew with it.
     ///
     /// A report that was delayed on its way may say that a worker is ready which has since
     /// reported that it is draining.
-    pub fn record_if_current(&mut self, now_ms: u64, report: &Report) -> bool {
+    pub fn record_if_current(
+        &mut self,
+        now_ms: u64,
+        started_unix_ms: Option<u64>,
+        report: &Report,
+    ) -> bool {
+        let order = (started_unix_ms, report.sequence);
         let latest = self
             .latest
             .entry(report.worker.clone())
             .or_insert(LastReport {
-                sequence: report.sequence,
+                order,
                 at_ms: now_ms,
             });
-        if report.sequence < latest.sequence {
+        if order < latest.order {
             return false;
         }
-        latest.sequence = report.sequence;
+        latest.order = order;
         latest.at_ms = now_ms;
         true
     }
--- a/src/control/workers/worker_link.rs
+++ b/src/control/workers/worker_link.rs
@@ -1,3 +1,6 @@
+use std::cmp::Ordering;
+
+use crate::consensus::TERM_STRIDE;
 use crate::control::{Ended, RunLoad, Running, Runs, RunsPolicy};
 use crate::jobs::{Step, TaskId};
 
@@ -8,8 +11,10 @@
 /// which no order of an earlier leader can start anything there.
 #[derive(Debug)]
 pub struct WorkerLink {
-    /// Time at which this leader created the link.
+    /// Time at which this leader created the link, or found that the worker had started again.
     since_ms: u64,
+    /// When the worker's process started, in milliseconds since 1970, if it said so.
+    started_unix_ms: Option<u64>,
     /// The worker's clock as it was last read, and the leader's time of that reading.
     clock: Option<(u64, u64)>,
     /// The latest lease end that the worker may hold, on the worker's clock.
@@ -42,6 +47,19 @@
     failures_at_ms: u64,
     /// The runs that the replicated state has on the worker.
     pub(in crate::control) runs: Runs,
+    /// How often the worker has started again under this leader.
+    restarts: u64,
+}
+
+/// What the start time in a message of a worker says about its process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkerStart {
+    /// The message is from the process that is known, or does not say.
+    Known,
+    /// It is from an earlier process, which has ended.
+    Earlier,
+    /// The worker has started again.
+    Later,
 }
 
 /// The leader's view of one run.
@@ -179,6 +197,7 @@
         Self {
             inherited_lease_ms,
             since_ms: now_ms,
+            started_unix_ms: None,
             clock: None,
             lease_end_ms: 0,
             lease_ms,
@@ -194,6 +213,73 @@
             failures: 0.0,
             failures_at_ms: now_ms,
             runs: Runs::default(),
+            restarts: 0,
+        }
+    }
+
+    /// Compares the start time in a message of the worker with the one that is known.
+    pub fn compare_start(&self, started_unix_ms: Option<u64>) -> WorkerStart {
+        let (Some(said), Some(known)) = (started_unix_ms, self.started_unix_ms) else {
+            return WorkerStart::Known;
+        };
+        match said.cmp(&known) {
+            Ordering::Less => WorkerStart::Earlier,
+            Ordering::Equal => WorkerStart::Known,
+            Ordering::Greater => WorkerStart::Later,
+        }
+    }
+
+    /// Remembers the start time that the first listing names. A report does not count: one of
+    /// an earlier process may arrive late.
+    pub fn note_start(&mut self, started_unix_ms: Option<u64>) {
+        self.started_unix_ms = self.started_unix_ms.or(started_unix_ms);
+    }
+
+    /// Begins anew with a worker whose process has started again.
+    ///
+    /// Nothing of before holds for the new process: it has no runs and no lease, has seen no
+    /// fencing token, and its clock and the numbers of its ends begin anew. Orders to the
+    /// earlier process may still be under way. So the worker is treated as by a new leader:
+    /// it gets a higher token, and no work until it has listed its runs under it. From then
+    /// on no earlier order has any effect there.
+    pub fn start_again(&mut self, now_ms: u64, started_unix_ms: u64) {
+        let mut runs = std::mem::take(&mut self.runs);
+        for (_, view) in runs.iter_mut() {
+            let phase = match view.is_stopping() {
+                true => RunPhase::Stopping {
+                    ordered: false,
+                    again_ms: now_ms,
+                },
+                false => RunPhase::Inherited,
+            };
+            *view = RunView {
+                expected: view.expected,
+                ..RunView::new(phase, view.load)
+            };
+        }
+        *self = Self {
+            started_unix_ms: Some(started_unix_ms),
+            cooldown_until_ms: self.cooldown_until_ms,
+            restarts: self.restarts + 1,
+            runs,
+            ..Self::with_inherited_lease(now_ms, self.lease_ms, self.inherited_lease_ms)
+        };
+    }
+
+    /// Returns the fencing token of orders to the worker from the leader of `term`. It rises
+    /// when the worker starts again, and is below those of all later terms.
+    pub fn fence(&self, term: u64) -> u64 {
+        term + self.restarts.min(TERM_STRIDE - 1)
+    }
+
+    /// Returns the number up to which ends are acknowledged with the next renewal.
+    ///
+    /// After a renewal without an answer the worker may have started again, and would forget
+    /// ends of its new process that carry the numbers of earlier ones.
+    pub fn acknowledgement(&self) -> u64 {
+        match self.unanswered_renewals > 0 || self.last_renewal_unsent {
+            true => 0,
+            false => self.acknowledged,
         }
     }
 
--- a/src/platform/control_calls.rs
+++ b/src/platform/control_calls.rs
@@ -7,6 +7,7 @@
 use serde_json::json;
 
 use super::replies::{refused, success, unknown_outcome};
+use super::reports::read_leave;
 use super::{Settings, read_configuration, read_report};
 use crate::control::{Answer, Call, CallBridge, Refusal, Wave};
 use crate::http::{Handler, Incoming, Reply, handler, text, with_type};
@@ -53,10 +54,7 @@
                 return refused(&Refusal::Wrong(why), StatusCode::NOT_FOUND);
             }
         };
-        let reporter = match &call {
-            Call::Report(report) => Some(report.worker.clone()),
-            _ => None,
-        };
+        let reporter = reporter(&call);
         match self.bridge.call(call, CALL_TIMEOUT_MS).await {
             Answer::Done => reporter.map_or_else(|| success(&json!({})), |w| self.report_reply(&w)),
             Answer::Configuration(document) => with_type(
@@ -88,14 +86,36 @@
     }
 }
 
+/// Returns the worker whose report a call is.
+fn reporter(call: &Call) -> Option<InstanceName> {
+    match call {
+        Call::Report(report) => Some(report.worker.clone()),
+        Call::Since { call, .. } => reporter(call),
+        _ => None,
+    }
+}
+
+/// Adds the start time of the calling worker's process, if it is known.
+fn since(started_unix_ms: Option<u64>, call: Call) -> Call {
+    match started_unix_ms {
+        Some(started_unix_ms) => Call::Since {
+            started_unix_ms,
+            call: Box::new(call),
+        },
+        None => call,
+    }
+}
+
 fn parse_call(method: &Method, path: &str, body: &[u8]) -> Result<Option<Call>, String> {
     if let Some(worker) = path.strip_prefix("/Instances.Heartbeat/") {
-        return Ok(Some(Call::Report(Arc::new(read_report(worker, body)?))));
+        let (started_unix_ms, report) = read_report(worker, body)?;
+        return Ok(Some(since(started_unix_ms, Call::Report(Arc::new(report)))));
     }
     if let Some(worker) = path.strip_prefix("/Instances.Deregister/") {
-        return Ok(Some(Call::Leave {
+        let call = Call::Leave {
             worker: InstanceName::from(worker),
-        }));
+        };
+        return Ok(Some(since(read_leave(body), call)));
     }
     if let Some(wave) = path.strip_prefix("/wave-get/") {
         let wave = wave.parse().map_err(|_| "a wave has a number".to_owned())?;
--- a/src/platform/reports.rs
+++ b/src/platform/reports.rs
@@ -19,6 +19,13 @@
     #[serde(default)]
     labels: Vec<String>,
     machine: Option<String>,
+    /// Start of the worker's process, in milliseconds since 1970.
+    born: Option<u64>,
+}
+
+#[derive(Default, Deserialize)]
+struct WireLeave {
+    born: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -32,13 +39,13 @@
 /// Index of the rack among the labels.
 const RACK_LABEL_INDEX: usize = 1;
 
-/// Decodes the report of the worker that is named in the request path. A report with missing
-/// fields, other types or an unknown state is rejected, because it does not describe a usable
-/// worker.
+/// Decodes the report of the worker that is named in the request path, and the start time of
+/// its process, if it says so. A report with missing fields, other types or an unknown state
+/// is rejected, because it does not describe a usable worker.
 ///
 /// # Errors
 /// Returns the reason why the report is rejected.
-pub fn read_report(worker: &str, body: &[u8]) -> Result<Report, String> {
+pub fn read_report(worker: &str, body: &[u8]) -> Result<(Option<u64>, Report), String> {
     let wire: WireReport = serde_json::from_slice(body).map_err(|err| err.to_string())?;
     let phase = match wire.state.as_str() {
         "ready" => Phase::Ready,
@@ -49,7 +56,7 @@
         return Err("the path names no worker".to_owned());
     }
     let rack = wire.labels.get(RACK_LABEL_INDEX).cloned();
-    Ok(Report {
+    let report = Report {
         worker: InstanceName::from(worker),
         machine: wire.machine,
         pool: wire.service.into(),
@@ -64,5 +71,13 @@
         },
         phase,
         sequence: wire.seq,
-    })
+    };
+    Ok((wire.born, report))
+}
+
+/// Returns the start time of a worker's process that a departure says, if it says one.
+pub(super) fn read_leave(body: &[u8]) -> Option<u64> {
+    serde_json::from_slice::<WireLeave>(body)
+        .unwrap_or_default()
+        .born
 }
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -63,6 +63,8 @@
 #[derive(Deserialize)]
 struct Listing<'a> {
     clock_ms: u64,
+    /// Start of the worker's process, in milliseconds since 1970.
+    born: Option<u64>,
     #[serde(default, borrow)]
     running: Vec<Cell<'a>>,
     #[serde(default, borrow)]
@@ -198,11 +200,20 @@
 /// Decodes the answer to a lease renewal. Rows that cannot be decoded are skipped.
 pub fn read_listing(body: &[u8]) -> OrderOutcome {
     match serde_json::from_slice::<Listing<'_>>(body) {
-        Ok(listing) => OrderOutcome::Listed {
-            clock_ms: listing.clock_ms,
-            running: read_rows(&listing.running, read_running),
-            ended: read_rows(&listing.finished, read_ended),
-        },
+        Ok(listing) => {
+            let outcome = OrderOutcome::Listed {
+                clock_ms: listing.clock_ms,
+                running: read_rows(&listing.running, read_running),
+                ended: read_rows(&listing.finished, read_ended),
+            };
+            match listing.born {
+                Some(started_unix_ms) => OrderOutcome::Since {
+                    started_unix_ms,
+                    outcome: Box::new(outcome),
+                },
+                None => outcome,
+            }
+        }
         Err(err) => {
             tracing::warn!(%err, "worker: cannot decode a listing");
             OrderOutcome::Unanswered
--- a/tests/consensus_elections/mod.rs
+++ b/tests/consensus_elections/mod.rs
@@ -2,6 +2,7 @@
 
 use crate::consensus_world::{ELECTION_MS, Network, World};
 use hdrhistogram::Histogram;
+use rosemarygauge::consensus::TERM_STRIDE;
 
 /// Number of simulated elections per setting.
 const ELECTIONS: u64 = 200;
@@ -40,7 +41,7 @@
         });
         let next = world.leader().unwrap();
         stats.duration_ms.record(duration_ms).unwrap();
-        stats.extra_terms += u64::from(world.status(&next).term > term + 1);
+        stats.extra_terms += u64::from(world.status(&next).term > term + TERM_STRIDE);
     }
     stats
 }
--- a/tests/consensus_replica.rs
+++ b/tests/consensus_replica.rs
@@ -6,7 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 use rosemarygauge::consensus::{
     Action, Entry, HardState, Heartbeat, Input, Membership, Message, Record, Recovered, Replica,
-    ReplicaSettings, Reply, ReplyOutcome, Role, Timestamp, VoteRequest, VoterChange,
+    ReplicaSettings, Reply, ReplyOutcome, Role, TERM_STRIDE, Timestamp, VoteRequest, VoterChange,
 };
 use rosemarygauge::model::EntryName;
 
@@ -49,6 +49,9 @@
     Membership::new(["a", "b", "c"].map(|n| (n.into(), INCARNATION)).into())
 }
 
+/// The first term that a replica which was in term 2 leads.
+const LED_TERM: u64 = TERM_STRIDE;
+
 /// Entries of term 1, the first of which sets the membership.
 fn entries(count: u64) -> Vec<Entry> {
     let entry = |index| Entry {
@@ -96,7 +99,7 @@
 
 fn granted(pre: bool, incarnation: u64) -> Message {
     Message::VoteReply {
-        term: 3,
+        term: LED_TERM,
         pre,
         granted: true,
         incarnation,
@@ -121,7 +124,7 @@
 
 fn reply_with(echo_ms: u64, incarnation: Option<u64>, outcome: ReplyOutcome) -> Message {
     Message::Reply(Reply {
-        term: 3,
+        term: LED_TERM,
         echo_ms,
         stamp: Timestamp { start: 1, at_ms: 5 },
         incarnation,
@@ -153,7 +156,7 @@
     records.unwrap_or_default()
 }
 
-/// Lets b campaign and a grant its votes, so that b leads in term 3. Nothing after the last
+/// Lets b campaign and a grant its votes, so that b leads in [`LED_TERM`]. Nothing after the last
 /// vote is synced.
 fn elect(replica: &mut Replica) -> u64 {
     let at_ms = 2 * ELECTION_MS + 1;
@@ -178,7 +181,7 @@
     at_ms
 }
 
-/// Creates replica b as the leader of term 3, with two uncommitted entries of term 1 and the
+/// Creates replica b as the leader of [`LED_TERM`], with two uncommitted entries of term 1 and the
 /// first entry of its own term, all synced.
 fn leader() -> (Replica, u64) {
     let mut replica = replica("b", entries(2));
@@ -451,7 +454,7 @@
         message_from("a", granted(false, INCARNATION)),
     );
     assert_eq!(replica.status(later_ms).role, Role::Leader);
-    assert_eq!(replica.status(later_ms).term, 3);
+    assert_eq!(replica.status(later_ms).term, LED_TERM);
 }
 
 /// A peer of another version, or corruption that no checksum detects, can produce any message.
@@ -461,14 +464,14 @@
     let config = bincode::config::standard().with_limit::<{ 1 << 20 }>();
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let mut samples = vec![
-        vote(4, true),
-        vote(4, false),
+        vote(LED_TERM + 1, true),
+        vote(LED_TERM + 1, false),
         granted(true, INCARNATION),
         chunk(),
     ];
     samples.push(reply(600, Some(INCARNATION), 3));
     samples.push(append(
-        beat(3, Some(Timestamp { start: 1, at_ms: 5 }), 1),
+        beat(LED_TERM, Some(Timestamp { start: 1, at_ms: 5 }), 1),
         entries(3),
     ));
     let mut decoded = 0;
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -26,6 +26,7 @@
 mod pool;
 mod random;
 mod relay;
+mod restarts;
 mod scheduler;
 mod sizes;
 mod slow_days;
--- a/tests/control/random.rs
+++ b/tests/control/random.rs
@@ -2,6 +2,7 @@
 //! runs twice and that no task of a cancelled job starts. At the end every accepted job must
 //! be in its expected state.
 
+use std::collections::BTreeMap;
 use std::ops::Range;
 
 use rand::Rng;
@@ -14,7 +15,8 @@
 struct Scenario {
     world: World,
     accepted: Vec<u64>,
-    cancelled: Vec<u64>,
+    /// Cancelled jobs, each with the call that cancelled it.
+    cancels: BTreeMap<u64, u64>,
     next: u64,
     /// Number of kinds of faults that may occur.
     faults: u32,
@@ -32,7 +34,7 @@
         Self {
             world,
             accepted: Vec::new(),
-            cancelled: Vec::new(),
+            cancels: BTreeMap::new(),
             next: 1,
             faults,
             injected: Vec::new(),
@@ -59,11 +61,11 @@
         }
         if id.is_multiple_of(13) && self.accepted.contains(&id) {
             let call = self.world.cancel(1, "quick", id);
+            self.cancels.insert(id, call);
             self.world.run_ms(60);
             if self.world.answers.get(&call) == Some(&Answer::Done) {
                 let now_ms = self.world.now_ms;
                 self.world.cancelled_ms.insert(JobId::from(id), now_ms);
-                self.cancelled.push(id);
             }
         }
     }
@@ -150,10 +152,17 @@
         for id in self.accepted {
             let job = self.world.state(&leader).job(JobId::from(id));
             let state = job.map(|job| job.state());
-            let expected: &[JobState] = match (self.cancelled.contains(&id), id % 10) {
-                (true, _) => &[JobState::Cancelled, JobState::Completed],
-                (false, 0) if id < 60 => &[JobState::Running],
-                (false, _) => &[JobState::Completed],
+            // A cancellation that was refused has no effect. Any other may have one, also if
+            // its answer is late or lost.
+            let cancel = self.cancels.get(&id);
+            let cancel = cancel.filter(|call| {
+                let answer = self.world.answers.get(call);
+                !matches!(answer, Some(Answer::Refused(_)))
+            });
+            let expected: &[JobState] = match (cancel, id % 10) {
+                (Some(_), _) => &[JobState::Cancelled, JobState::Completed],
+                (None, 0) if id < 60 => &[JobState::Running],
+                (None, _) => &[JobState::Completed],
             };
             let is_expected = state.is_some_and(|state| expected.contains(&state));
             assert!(
--- /dev/null
+++ b/tests/control/restarts.rs
@@ -0,0 +1,114 @@
+//! Workers that start again under the name that they had.
+
+use rand::Rng;
+use rosemarygauge::control::{Answer, Phase};
+use rosemarygauge::jobs::JobState;
+
+use crate::world::{World, address, job, step};
+
+/// Time in which everything that was lost has started again and ended.
+const RECOVERY_MS: u64 = 9_000;
+
+fn submit_all(world: &mut World, ids: std::ops::Range<u64>) {
+    for id in ids {
+        let call = world.submit(1, "quick", id, job(vec![step(4)]));
+        assert!(world.until(1_000, |w| w.answers.get(&call) == Some(&Answer::Done)));
+    }
+}
+
+/// Guards against ends that are taken for acknowledged: the numbers of a worker's ends begin
+/// anew, and an acknowledgement up to a number of before would make it forget them.
+#[test]
+fn the_ends_of_a_worker_that_started_again_are_recorded() {
+    for mut world in World::both(401, 1, 1) {
+        world.tell_starts();
+        submit_all(&mut world, 1..6);
+        world.run_ms(3_000);
+        world.worker(1_000).run_ms = 1_500;
+        submit_all(&mut world, 10..12);
+        world.run_ms(600);
+        world.start_worker_again(1_000);
+        world.run_ms(RECOVERY_MS);
+        for id in (1..6).chain(10..12) {
+            assert_eq!(
+                world.look(1, "quick", id),
+                Some(JobState::Completed),
+                "{id}"
+            );
+        }
+    }
+}
+
+/// Guards against reports that are taken for late ones because their numbers begin anew: a
+/// worker that drains would get work.
+#[test]
+fn a_worker_that_started_again_drains_when_it_says_so() {
+    for mut world in World::both(402, 2, 1) {
+        world.tell_starts();
+        world.run_ms(5_000);
+        world.start_worker_again(1_000);
+        world.run_ms(2_000);
+        world.worker(1_000).phase = Phase::Draining;
+        world.run_ms(1_500);
+        let before = world.runs.len();
+        submit_all(&mut world, 1..4);
+        world.run_ms(2_000);
+        let drained = world.workers[&address(1_000)].name.clone();
+        let started: Vec<_> = world.runs[before..].iter().map(|r| &r.worker).collect();
+        assert!(!started.is_empty() && started.iter().all(|w| **w != drained));
+    }
+}
+
+/// Guards against leases that are reckoned by the clock of before, which was ahead: a run that
+/// is placed after the start would never lapse.
+#[test]
+fn the_lease_of_a_worker_that_started_again_ends_by_its_new_clock() {
+    let mut world = World::without_moves(403, 2, 0);
+    world.tell_starts();
+    world.worker(1_000).clock_base_ms = 900_000;
+    world.run_ms(3_000);
+    world.start_worker_again(1_000);
+    world.run_ms(2_000);
+    world.worker(1_000).run_ms = 4_000;
+    world.worker(1_001).run_ms = 4_000;
+    submit_all(&mut world, 1..5);
+    world.run_ms(500);
+    world.cut_worker(1_000);
+    world.run_ms(12_000);
+    for id in 1..5 {
+        assert_eq!(
+            world.look(1, "quick", id),
+            Some(JobState::Completed),
+            "{id}"
+        );
+    }
+}
+
+/// Orders that arrive seconds late, and workers that start again, at random times: no task
+/// runs twice and none starts after its end (the world checks every start), and all jobs end.
+#[test]
+fn late_orders_to_workers_that_started_again_run_nothing_twice() {
+    for seed in 0..24 {
+        let mut world = World::without_moves(450 + seed, 4, 1);
+        world.tell_starts();
+        world.late_per_mille = 60;
+        for id in 1..13 {
+            let port = 1_000 + world.rng.random_range(0..4);
+            submit_all(&mut world, id..id + 1);
+            let after_ms = world.rng.random_range(0..1_200);
+            world.run_ms(after_ms);
+            if world.rng.random_bool(0.5) {
+                world.start_worker_again(port);
+            }
+        }
+        world.late_per_mille = 0;
+        world.run_ms(15_000);
+        for id in 1..13 {
+            assert_eq!(
+                world.look(1, "quick", id),
+                Some(JobState::Completed),
+                "seed {seed}, job {id}"
+            );
+        }
+    }
+}
--- a/tests/control/worker.rs
+++ b/tests/control/worker.rs
@@ -45,6 +45,10 @@
     pub clock_rate: u64,
     pub clock_base_ms: u64,
     pub born_ms: u64,
+    /// When it last started again under its name, 0 if it never did.
+    pub started_again_ms: u64,
+    /// Whether it says when it started.
+    pub tells_start: bool,
     pub lasting_jobs: std::collections::BTreeSet<rosemarygauge::jobs::JobId>,
     /// Number of times its lease has expired.
     lapses: u64,
@@ -78,6 +82,8 @@
             clock_rate: 1_000,
             clock_base_ms: 77_000,
             born_ms: now_ms,
+            started_again_ms: 0,
+            tells_start: false,
             lasting_jobs: std::collections::BTreeSet::new(),
             lapses: 0,
             lapsed: false,
@@ -153,7 +159,37 @@
         self.next_end += 1;
     }
 
+    /// When it started, in milliseconds since 1970, if it says it.
+    pub fn started_unix_ms(&self) -> Option<u64> {
+        self.tells_start.then_some(1_700_000_000_000 + self.born_ms)
+    }
+
+    /// Starts again under its name: it holds and knows nothing of before.
+    pub fn start_again(&mut self, now_ms: u64) {
+        let fresh = Self::new(&self.name, self.address, &self.pool, now_ms);
+        *self = Self {
+            clock_base_ms: 1_000,
+            started_again_ms: now_ms,
+            run_ms: self.run_ms,
+            tells_start: self.tells_start,
+            lasting_jobs: std::mem::take(&mut self.lasting_jobs),
+            noted: std::mem::take(&mut self.noted),
+            ..fresh
+        };
+    }
+
     pub fn order(&mut self, now_ms: u64, fence: u64, kind: &OrderKind) -> OrderOutcome {
+        let outcome = self.carry_out(now_ms, fence, kind);
+        match (self.started_unix_ms(), &outcome) {
+            (Some(started_unix_ms), OrderOutcome::Listed { .. }) => OrderOutcome::Since {
+                started_unix_ms,
+                outcome: Box::new(outcome),
+            },
+            _ => outcome,
+        }
+    }
+
+    fn carry_out(&mut self, now_ms: u64, fence: u64, kind: &OrderKind) -> OrderOutcome {
         let clock_ms = self.clock_ms(now_ms);
         let rejected = |reason| OrderOutcome::Rejected {
             reason,
--- a/tests/control/world/deliveries.rs
+++ b/tests/control/world/deliveries.rs
@@ -14,6 +14,8 @@
 
 /// Orders that were on their way between instances for so long are not carried out.
 const HELD_LONG_MS: u64 = 700;
+/// Time in which the leader hears of a worker that started again: a renewal or two reports.
+const UNHEARD_MS: u64 = 1_800;
 
 impl World {
     pub(super) fn fly(&mut self, after_ms: u64, flying: Flying) {
@@ -133,6 +135,14 @@
         let there = order.address.to_string();
         let (to, id) = (from.clone(), order.id);
         let short = !matches!(order.kind, OrderKind::Renew { .. });
+        // Nobody can prevent what arrives before the worker's new process was heard.
+        let unheard_ms = self.workers.get(&order.address).map_or(0, |worker| {
+            (worker.started_again_ms + UNHEARD_MS).saturating_sub(self.now_ms)
+        });
+        if start == 0 && unheard_ms > 0 {
+            let from = from.clone();
+            return self.fly(unheard_ms, Flying::Order { from, start, order });
+        }
         // Only what has just been sent waits for its turn.
         if start > 0 && short && self.crowded.contains(&order.address) {
             let outcome = OrderOutcome::NotSent;
--- a/tests/control/world/machines.rs
+++ b/tests/control/world/machines.rs
@@ -31,6 +31,19 @@
         self.returning.push((back, worker.address, worker.pool));
     }
 
+    /// All workers say when they started.
+    pub fn tell_starts(&mut self) {
+        let workers = self.workers.values_mut();
+        workers.for_each(|worker| worker.tells_start = true);
+        self.run_ms(2_500);
+    }
+
+    /// A worker starts again at once, under its name.
+    pub fn start_worker_again(&mut self, port: u16) {
+        let now_ms = self.now_ms;
+        self.worker(port).start_again(now_ms);
+    }
+
     /// A new machine comes after a while.
     pub fn come_later(&mut self, port: u16, pool: &str, after_ms: u64) {
         let at_ms = self.now_ms + after_ms;
@@ -56,9 +69,9 @@
     pub(super) fn report_all(&mut self) {
         let mut reports = Vec::new();
         for worker in self.workers.values_mut() {
-            reports.push((worker.address, worker.report()));
+            reports.push((worker.address, worker.started_unix_ms(), worker.report()));
         }
-        for (address, report) in reports {
+        for (address, started_unix_ms, report) in reports {
             let to = (1..=3).map(name).find(|to| {
                 let up = self
                     .controls
@@ -70,6 +83,13 @@
                 self.next_call += 1;
                 let id = self.next_call;
                 let call = Call::Report(Arc::new(report));
+                let call = match started_unix_ms {
+                    Some(started_unix_ms) => Call::Since {
+                        started_unix_ms,
+                        call: Box::new(call),
+                    },
+                    None => call,
+                };
                 self.feed(&to, Event::Call { id, call });
             }
         }
--- a/tests/control/world/processor.rs
+++ b/tests/control/world/processor.rs
@@ -153,7 +153,7 @@
     match event {
         Event::Tick => TICK_US,
         Event::Ordered { outcome, .. } => match outcome {
-            OrderOutcome::Listed { .. } => LISTING_US,
+            OrderOutcome::Listed { .. } | OrderOutcome::Since { .. } => LISTING_US,
             OrderOutcome::Done { .. } | OrderOutcome::Rejected { .. } => ANSWER_US,
             OrderOutcome::Unanswered | OrderOutcome::NotSent => OTHER_US,
         },
--- a/tests/platform/formats.rs
+++ b/tests/platform/formats.rs
@@ -19,7 +19,8 @@
 
 #[test]
 fn a_report_is_read() {
-    let read = read_report("i-7f3a91c2", report().to_string().as_bytes()).unwrap();
+    let (started, read) = read_report("i-7f3a91c2", report().to_string().as_bytes()).unwrap();
+    assert_eq!(started, None);
     assert_eq!(read.worker.as_str(), "i-7f3a91c2");
     assert_eq!(read.rack.unwrap().as_str(), "r1-3");
     assert_eq!(read.capacity.cpu_milli, 16_000);
@@ -45,6 +46,12 @@
             "{field}"
         );
     }
+    for wrong in [json!("1764788400123"), json!(1.5), json!(-3), json!([7])] {
+        let mut value = report();
+        value["born"] = wrong.clone();
+        let read = read_report("i-1", value.to_string().as_bytes());
+        assert!(read.is_err(), "{wrong}");
+    }
     let mut value = report();
     value["state"] = json!("sleeping");
     assert!(read_report("i-1", value.to_string().as_bytes()).is_err());
@@ -113,6 +120,19 @@
     assert!(read_configuration(&text.as_bytes()[..text.len() / 2]).is_err());
 }
 
+/// A worker may start again under its name: its reports and listings say when it started.
+#[test]
+fn the_start_time_of_a_worker_is_read() {
+    let mut value = report();
+    value["born"] = json!(1_764_788_400_123_u64);
+    let (started, _) = read_report("i-1", value.to_string().as_bytes()).unwrap();
+    assert_eq!(started, Some(1_764_788_400_123));
+    let listing = json!({"clock_ms": 77, "born": 1_764_788_400_123_u64, "running": []});
+    let (started, listing) = read_listing(listing.to_string().as_bytes()).split_start();
+    assert_eq!(started, Some(1_764_788_400_123));
+    assert!(matches!(listing, OrderOutcome::Listed { clock_ms: 77, .. }));
+}
+
 #[test]
 fn a_listing_is_read() {
     let body = json!({
