Drop the acknowledgement of an end that a worker listed before it started again

A change that records an end may become durable after its worker has started again. The number was then acknowledged to the new process, which forgot ends that nobody had recorded: their tasks ran a second time.

--- a/src/control/node/applied.rs
+++ b/src/control/node/applied.rs
@@ -189,10 +189,15 @@
                 machine,
                 worker,
             } => self.begin_upkeep(wave, machine, worker),
-            Waiter::Ended { worker, number } => {
+            Waiter::Ended {
+                worker,
+                restarts,
+                number,
+            } => {
                 if let Some(lead) = &mut self.leader_state
                     && let Some(link) = lead.fleet.link_mut(&worker)
                 {
+                    && link.restarts() == restarts
                     link.acknowledged = link.acknowledged.max(number);
                     link.renew_ms = link.renew_ms.min(now_ms);
                 }
--- a/src/control/node/leader_state.rs
+++ b/src/control/node/leader_state.rs
@@ -50,6 +50,9 @@
         worker: InstanceName,
         /// The worker's sequence number of the end.
         number: u64,
+        /// How often the worker had started again when it listed the end. The numbers of ends
+        /// begin anew with each start.
+        restarts: u64,
     },
 }
 
--- a/src/control/node/renewals.rs
+++ b/src/control/node/renewals.rs
@@ -203,9 +203,11 @@
         let Some(lead) = &mut self.leader_state else {
             return;
         };
-        if let Some(link) = lead.fleet.link_mut(worker)
-            && link.runs.contains_key(&(end.task, end.attempt))
-        {
+        let Some(link) = lead.fleet.link_mut(worker) else {
+            return;
+        };
+        let restarts = link.restarts();
+        if link.runs.contains_key(&(end.task, end.attempt)) {
             match end.ending {
                 RunResult::Done => link.run_done(now_ms),
                 RunResult::Failed => link.run_failed(now_ms, &self.settings.policy.runs),
@@ -241,6 +243,7 @@
         };
         let mut stalled = 0;
         for ((task, attempt), view) in link.runs.iter_mut() {
+            restarts,
             let Some(job) = self.state.job(task.job) else {
                 continue;
             };
--- a/src/control/workers/worker_link.rs
+++ b/src/control/workers/worker_link.rs
@@ -274,6 +274,11 @@
 
     /// Returns the number up to which ends are acknowledged with the next renewal.
     ///
+    /// Returns how often the worker has started again under this leader.
+    pub fn restarts(&self) -> u64 {
+        self.restarts
+    }
+
     /// After a renewal without an answer the worker may have started again, and would forget
     /// ends of its new process that carry the numbers of earlier ones.
     pub fn acknowledgement(&self) -> u64 {
