Order as many moves as the platform takes, the most needed first

At 1 s the leader had ordered 4,500 machines off at once, by the need of then.

Now a pace allows nine tenths of the rate that the settings name, a quarter of a second of it open at a time. What is left is decided anew by the needs of then. Among pools that give machines away each gets its part. Machines in a zone from which nobody is heard are not fetched, and a new leader moves nothing before it has heard four fifths of the workers that are not in such a zone.

--- a/src/cmd/measure_lead.rs
+++ b/src/cmd/measure_lead.rs
@@ -22,8 +22,8 @@
 use crate::lab::{Emulator, FakeMachine, Keeper, TaskTruth};
 use crate::model::EntryName;
 
-/// Sizes of the fleet: today's, the grown one, and a step towards the aim.
-const SIZES: [u16; 3] = [49, 350, 1_000];
+/// Sizes of the fleet: small and grown deployments, the whole fleet, twice as many, and the aim.
+const SIZES: [u16; 6] = [49, 350, 1_000, 6_000, 12_000, 21_000];
 /// Pools that get work; one more is in standby.
 const POOLS: u16 = 4;
 /// Simulated time before counting starts, and of counting: two rounds of turns.
@@ -96,6 +96,7 @@
                 zone: "a".into(),
             },
             tolerance: Tolerance::default(),
+            machine_orders_per_s: 600.0,
             timing: Timing {
                 lease_max_ms: 10_000,
                 stop_timeout_ms: 400,
--- a/src/control/capacity/demand.rs
+++ b/src/control/capacity/demand.rs
@@ -13,7 +13,7 @@
 
 /// The workers of a pool and the resources that its work needs.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct PoolDemand {
+pub struct PoolDemand<'a> {
     /// Resources that complete the present work in time, without lasting tasks.
     pub work: Load,
     /// Resources that lasting tasks reserve.
@@ -24,18 +24,18 @@
     /// per worker.
     pub min_workers: usize,
     /// Workers that report and take work.
-    pub workers: Vec<WorkerUse>,
+    pub workers: Vec<WorkerUse<'a>>,
     /// Total capacity of those workers.
     pub room: Load,
 }
 
 /// The runs on a worker.
 #[derive(Clone, Debug, PartialEq)]
-pub struct WorkerUse {
+pub struct WorkerUse<'a> {
     /// The worker's incarnation.
-    pub worker: InstanceName,
+    pub worker: &'a InstanceName,
     /// The machine that it runs on, if it reports one.
-    pub machine: Option<String>,
+    pub machine: Option<&'a str>,
     /// Number of runs of lasting tasks.
     pub lasting: usize,
     /// Number of other runs, which end by themselves.
@@ -44,7 +44,7 @@
     pub idle_in_ms: f64,
 }
 
-impl PoolDemand {
+impl PoolDemand<'_> {
     /// Returns the number of workers on which nothing runs.
     pub fn idle(&self) -> usize {
         let idle = self.workers.iter().filter(|w| w.lasting + w.passing == 0);
@@ -77,15 +77,15 @@
 }
 
 /// Computes the demand of all pools.
-pub fn demand(
+pub fn demand<'a>(
     now_ms: u64,
     now_unix_ms: u64,
-    state: &State,
-    fleet: &Fleet,
+    state: &'a State,
+    fleet: &'a Fleet,
     estimates: &Estimates,
     shares: &WorkspaceShares,
     policy: &NeedsPolicy,
-) -> BTreeMap<PoolName, PoolDemand> {
+) -> BTreeMap<PoolName, PoolDemand<'a>> {
     let mut pools: BTreeMap<PoolName, PoolDemand> = BTreeMap::new();
     let queues = state.queues_by_name();
     for job in state.active().filter(|job| job.verdict.is_none()) {
@@ -111,14 +111,17 @@
         if !link.is_heard(now_ms) || !worker.takes_work() {
             continue;
         }
-        let pool = pools.entry(worker.report.pool.clone()).or_default();
+        let pool = match pools.get_mut(&worker.report.pool) {
+            Some(pool) => pool,
+            None => pools.entry(worker.report.pool.clone()).or_default(),
+        };
         let used = link.runs.used();
         let lasting = used.lasting as usize;
         pool.held = pool.held.plus(&Load::from(&used.passing));
         pool.room = pool.room.plus(&Load::from(&worker.report.capacity));
         pool.workers.push(WorkerUse {
-            worker: name.clone(),
-            machine: worker.report.machine.clone(),
+            worker: name,
+            machine: worker.report.machine.as_deref(),
             lasting,
             passing: link.runs.len().saturating_sub(lasting),
             idle_in_ms: idle_in_ms(now_unix_ms, &link.runs),
@@ -144,7 +147,7 @@
     takes_ms: &[u64],
     beyond_share: bool,
     policy: &NeedsPolicy,
-    pool: &mut PoolDemand,
+    pool: &mut PoolDemand<'_>,
 ) {
     let chains_ms = job.spec.critical_paths_ms(takes_ms);
     let chain_ms = chains_ms.iter().copied().max().unwrap_or(0);
@@ -182,7 +185,7 @@
     }
 }
 
-fn add_lasting(spec: &Step, step: usize, occurrence: &Occurrence, pool: &mut PoolDemand) {
+fn add_lasting(spec: &Step, step: usize, occurrence: &Occurrence, pool: &mut PoolDemand<'_>) {
     let tasks = occurrence.step(step).iter().filter(|t| !t.done).count();
     if tasks == 0 {
         return;
--- a/src/control/capacity/mod.rs
+++ b/src/control/capacity/mod.rs
@@ -7,9 +7,11 @@
 mod demand;
 mod forecast;
 mod machine_list;
+mod order_pace;
 mod planner;
 
 pub use demand::{PoolDemand, WorkerUse, demand};
 pub use forecast::{Forecast, OfferedLoad};
 pub use machine_list::MachineList;
+pub use order_pace::OrderPace;
 pub use planner::{Capacity, CapacityInput, Move};
--- a/src/control/capacity/planner.rs
+++ b/src/control/capacity/planner.rs
@@ -15,7 +15,7 @@
 
 use super::demand::{PoolDemand, WorkerUse};
 use crate::control::{Load, Machine, MachinePhase, OfferedLoad, Policy, State};
-use crate::model::{InstanceName, PoolName};
+use crate::model::{InstanceName, PoolName, ZoneName};
 use balance::Balance;
 use peaks::Peaks;
 use transit::Transit;
@@ -29,6 +29,8 @@
 pub struct Move {
     /// The machine.
     pub machine: String,
+    /// The worker that the move ends; `None` if the machine is off.
+    pub worker: Option<InstanceName>,
     /// The pool that it moves to.
     pub pool: PoolName,
 }
@@ -39,7 +41,7 @@
     /// The replicated state.
     pub state: &'a State,
     /// The workers and the work of each pool.
-    pub demand: &'a BTreeMap<PoolName, PoolDemand>,
+    pub demand: &'a BTreeMap<PoolName, PoolDemand<'a>>,
     /// The load that arrives at each pool now, and the load that is forecast.
     pub offers: &'a BTreeMap<PoolName, OfferedLoad>,
     /// Workers that must not be moved now: a start is proposed on them, or they are being
@@ -49,8 +51,12 @@
     pub in_upkeep: &'a BTreeSet<String>,
     /// Machines whose upkeep is due.
     pub due: &'a BTreeSet<String>,
+    /// Zones from which no worker is heard.
+    pub silent_zones: &'a BTreeSet<ZoneName>,
     /// Duration of a round of turns, if there were any.
     pub round_ms: Option<u64>,
+    /// How many moves may be ordered now.
+    pub moves_max: usize,
     /// The operator's policy.
     pub policy: &'a Policy,
 }
@@ -58,14 +64,23 @@
 /// The leader's planner for moves of machines.
 #[derive(Debug, Default)]
 pub struct Capacity {
-    /// Machines that are off, each with its standby pool.
-    standby: BTreeMap<String, PoolName>,
+    /// Machines that are off.
+    standby: BTreeMap<String, Off>,
+    /// The zones of all machines, as far as the platform's list names them.
+    zones: BTreeMap<String, ZoneName>,
     transit: Transit,
     /// The recent needs of each pool.
     peaks: BTreeMap<PoolName, Peaks>,
     logged_ms: u64,
 }
 
+/// A machine that is off.
+#[derive(Debug, Default)]
+struct Off {
+    /// Its zone, if the platform's list named it.
+    zone: Option<ZoneName>,
+}
+
 impl Capacity {
     /// Updates the standby and moving machines from the platform's list of machines.
     pub fn update_machines(&mut self, now_ms: u64, state: &State, machines: &[Machine]) {
@@ -73,11 +88,18 @@
             return;
         };
         let standby = configuration.standby();
+        let zones = machines.iter();
+        self.zones = zones
+            .filter_map(|m| Some((m.name.clone(), m.zone.clone()?)))
+            .collect();
         self.standby = machines
             .iter()
             .filter(|m| m.phase == MachinePhase::Up && standby.contains(&m.pool))
             .filter(|m| !self.transit.is_moving(&m.name))
-            .map(|m| (m.name.clone(), m.pool.clone()))
+            .map(|m| {
+                let zone = m.zone.clone();
+                (m.name.clone(), Off { zone })
+            })
             .collect();
         self.transit.update_moving(now_ms, machines);
     }
@@ -106,7 +128,8 @@
             .configuration()
             .is_some_and(|c| c.standby().contains(pool));
         if to_standby {
-            self.standby.insert(machine.to_owned(), pool.clone());
+            let zone = self.zones.get(machine).cloned();
+            self.standby.insert(machine.to_owned(), Off { zone });
         }
         self.transit.record_move(now_ms, machine, pool, to_standby);
     }
@@ -131,18 +154,22 @@
             .collect();
         self.log_balances(now_ms, &pools, world);
         let policy = world.policy;
+        // These are empty and closed to work already, so they come before the others.
         let mut moves = self
             .transit
             .take_drained(now_ms, world.demand, world.busy, &policy.moves);
+        let left = |moves: &[Move]| world.moves_max.saturating_sub(moves.len());
         if policy.moves.enabled {
-            self.fill_deficits(now_ms, &mut pools, world, &mut moves);
+            let moves_max = left(&moves);
+            moves.extend(self.fill_deficits(now_ms, &mut pools, world, moves_max));
         }
         if let Some(pool) = standby_pools
             .iter()
             .next()
             .filter(|_| policy.standby.enabled)
         {
-            self.move_to_standby(now_ms, &pools, world, pool, &mut moves);
+            let moves_max = left(&moves);
+            moves.extend(self.move_to_standby(now_ms, &pools, world, pool, moves_max));
         }
         moves
     }
@@ -197,33 +224,41 @@
     }
 
     /// Sends machines to the pools with a deficit, the one with the largest relative deficit
-    /// first.
+    /// first, until as many moves are to be ordered as are allowed. The rest is decided anew in
+    /// the next tick, by the needs of then.
     fn fill_deficits(
         &mut self,
         now_ms: u64,
         pools: &mut [Balance],
         world: &CapacityInput,
-        moves: &mut Vec<Move>,
-    ) {
+        moves_max: usize,
+    ) -> Vec<Move> {
+        let mut moves = Vec::new();
+        if largest_deficit(pools).is_none() {
+            return moves;
+        }
         let mut spare: Vec<Vec<&WorkerUse>> = pools
             .iter()
-            .map(
-                |pool| match largest_deficit(pools).is_some() && pool.surplus() > 0 {
-                    true => self.spare(now_ms, &pool.name, world, false),
-                    false => Vec::new(),
-                },
-            )
+            .map(|pool| match pool.surplus() > 0 {
+                true => self.spare(now_ms, &pool.name, world, false),
+                false => Vec::new(),
+            })
             .collect();
+        let mut off = self.available_standby(world);
         while let Some(needy) = largest_deficit(pools) {
+            if moves.len() >= moves_max {
+                break;
+            }
             let to = pools[needy].name.clone();
-            let sent = self.move_from_surplus(now_ms, pools, &mut spare, &to, true, moves)
-                || self.move_from_standby(now_ms, world, &to, moves)
-                || self.move_from_surplus(now_ms, pools, &mut spare, &to, false, moves);
+            let sent = self.move_from_surplus(now_ms, pools, &mut spare, &to, true, &mut moves)
+                || self.move_from_standby(now_ms, &mut off, &to, &mut moves)
+                || self.move_from_surplus(now_ms, pools, &mut spare, &to, false, &mut moves);
             if !sent {
-                return;
+                break;
             }
             pools[needy].incoming += 1;
         }
+        moves
     }
 
     /// Moves a machine out of the pool with the largest surplus. With `idle` only a machine on
@@ -251,7 +286,7 @@
         let Some((donor, worker)) = donor.and_then(|p| Some((p, spare[p].pop()?))) else {
             return false;
         };
-        let Some(machine) = worker.machine.clone() else {
+        let Some(machine) = worker.machine else {
             return false;
         };
         pools[donor].has -= 1;
@@ -260,50 +295,73 @@
         true
     }
 
-    /// Moves a machine out of standby. Machines whose upkeep is due come last: they are better
-    /// serviced while they are off.
+    /// Returns the machines in standby that can be fetched, the best one last. Machines whose
+    /// upkeep is due come last: they are better serviced while they are off. A machine in a
+    /// zone from which nobody is heard would run where no work reaches it.
+    fn available_standby(&self, world: &CapacityInput) -> Vec<String> {
+        let is_reachable = |off: &Off| {
+            let zone = off.zone.as_ref();
+            zone.is_none_or(|zone| !world.silent_zones.contains(zone))
+        };
+        let free = self.standby.iter().filter(|(machine, off)| {
+            is_reachable(off)
+                && !self.transit.is_in_retry_delay(machine)
+                && !world.in_upkeep.contains(*machine)
+        });
+        let (due, mut free): (Vec<String>, Vec<String>) = free
+            .map(|(machine, _)| machine.clone())
+            .partition(|machine| world.due.contains(machine));
+        free.reverse();
+        due.into_iter().rev().chain(free).collect()
+    }
+
+    /// Moves a machine out of standby.
     fn move_from_standby(
         &mut self,
         now_ms: u64,
-        world: &CapacityInput,
+        off: &mut Vec<String>,
         to: &PoolName,
         moves: &mut Vec<Move>,
     ) -> bool {
-        let free = self
-            .standby
-            .keys()
-            .filter(|m| !self.transit.is_in_retry_delay(m) && !world.in_upkeep.contains(*m));
-        let machine = free.min_by_key(|m| world.due.contains(*m)).cloned();
-        let Some(machine) = machine else {
+        let Some(machine) = off.pop() else {
             return false;
         };
         self.standby.remove(&machine);
-        moves.push(self.transit.depart(now_ms, machine, to.clone()));
+        moves.push(self.transit.depart(now_ms, machine, None, to.clone()));
         true
     }
 
-    /// Moves machines that no pool needs to standby, those whose upkeep is due first.
+    /// Moves machines that no pool needs to standby, those whose upkeep is due first. Each pool
+    /// gets a part of the allowed moves by how many machines it does not need.
     fn move_to_standby(
         &mut self,
         now_ms: u64,
         pools: &[Balance],
         world: &CapacityInput,
         standby: &PoolName,
-        moves: &mut Vec<Move>,
-    ) {
+        moves_max: usize,
+    ) -> Vec<Move> {
+        let mut moves = Vec::new();
+        let unneeded: usize = pools.iter().map(Balance::unneeded).sum();
         for pool in pools.iter().filter(|pool| pool.unneeded() > 0) {
+            let share = (pool.unneeded() * moves_max).div_ceil(unneeded);
+            let share = share.min(pool.unneeded()).min(moves_max - moves.len());
+            if share == 0 {
+                continue;
+            }
             let mut spare = self.spare(now_ms, &pool.name, world, true);
-            for _ in 0..pool.unneeded() {
+            for _ in 0..share {
                 let Some(worker) = spare.pop().filter(|w| w.passing == 0) else {
                     break;
                 };
-                let Some(machine) = worker.machine.clone() else {
+                let Some(machine) = worker.machine else {
                     break;
                 };
                 let sent = self.transit.send(now_ms, worker, machine, standby.clone());
                 moves.extend(sent);
             }
         }
+        moves
     }
 
     /// Returns the workers of a pool whose machines may be moved, the one that is free soonest
@@ -314,16 +372,16 @@
         pool: &PoolName,
         world: &CapacityInput<'a>,
         due: bool,
-    ) -> Vec<&'a WorkerUse> {
-        let is_kept = |machine: &String| {
+    ) -> Vec<&'a WorkerUse<'a>> {
+        let is_kept = |machine: &str| {
             let policy = &world.policy.moves;
             self.transit.is_pinned(now_ms, machine, policy) || world.in_upkeep.contains(machine)
         };
-        let is_due = |w: &WorkerUse| w.machine.as_ref().is_some_and(|m| world.due.contains(m));
+        let is_due = |w: &WorkerUse| w.machine.is_some_and(|m| world.due.contains(m));
         let workers = world.demand.get(pool).into_iter().flat_map(|d| &d.workers);
         let mut spare: Vec<&WorkerUse> = workers
-            .filter(|w| w.lasting == 0 && !world.busy.contains(&w.worker))
-            .filter(|w| w.machine.as_ref().is_some_and(|m| !is_kept(m)))
+            .filter(|w| w.lasting == 0 && !world.busy.contains(w.worker))
+            .filter(|w| w.machine.is_some_and(|m| !is_kept(m)))
             .collect();
         spare.sort_by(|a, b| {
             let is_unfavored = |w: &WorkerUse| is_due(w) != due;
@@ -343,7 +401,10 @@
 /// disruption budgets of their steps blocked further stops, and neither the tasks nor the
 /// wave made progress.
 fn draining_for_upkeep(workers: &[WorkerUse], in_upkeep: &BTreeSet<String>) -> usize {
-    let is_in_upkeep = |w: &&WorkerUse| w.machine.as_ref().is_some_and(|m| in_upkeep.contains(m));
+    if in_upkeep.is_empty() {
+        return 0;
+    }
+    let is_in_upkeep = |w: &&WorkerUse| w.machine.is_some_and(|m| in_upkeep.contains(m));
     let lasting = workers.iter().filter(|w| w.lasting > 0);
     lasting.filter(is_in_upkeep).count()
 }
@@ -356,7 +417,7 @@
 }
 
 /// Returns the average capacity of a machine.
-fn average_size(demand: &BTreeMap<PoolName, PoolDemand>) -> Load {
+fn average_size(demand: &BTreeMap<PoolName, PoolDemand<'_>>) -> Load {
     let workers: usize = demand.values().map(|d| d.workers.len()).sum();
     let rooms = demand.values().map(|d| d.room);
     let room = rooms.fold(Load::default(), |sum, room| sum.plus(&room));
--- a/src/control/capacity/planner/transit.rs
+++ b/src/control/capacity/planner/transit.rs
@@ -79,10 +79,12 @@
 
     /// Counts the workers whose machines are being drained for a move.
     pub(super) fn count_draining(&self, workers: &[WorkerUse]) -> usize {
+        if self.draining.is_empty() {
+            return 0;
+        }
         let is_draining = |w: &&WorkerUse| {
-            let machine = w.machine.as_ref();
-            let draining = machine.and_then(|machine| self.draining.get(machine));
-            draining.is_some_and(|e| e.worker == w.worker)
+            let draining = w.machine.and_then(|machine| self.draining.get(machine));
+            draining.is_some_and(|e| e.worker == *w.worker)
         };
         workers.iter().filter(is_draining).count()
     }
@@ -93,9 +95,10 @@
         &mut self,
         now_ms: u64,
         worker: &WorkerUse,
-        machine: String,
+        machine: &str,
         to: PoolName,
     ) -> Option<Move> {
+        let machine = machine.to_owned();
         if worker.passing > 0 {
             let draining = Draining {
                 worker: worker.worker.clone(),
@@ -105,14 +108,27 @@
             self.draining.insert(machine, draining);
             return None;
         }
-        self.ordered.insert(machine.clone(), worker.worker.clone());
-        Some(self.depart(now_ms, machine, to))
+        Some(self.depart(now_ms, machine, Some(worker.worker.clone()), to))
     }
 
-    /// Starts the move of a machine on which nothing can run.
-    pub(super) fn depart(&mut self, now_ms: u64, machine: String, pool: PoolName) -> Move {
+    /// Starts the move of a machine on which nothing can run. `worker` is the one that the move
+    /// ends, `None` if the machine is off.
+    pub(super) fn depart(
+        &mut self,
+        now_ms: u64,
+        machine: String,
+        worker: Option<InstanceName>,
+        pool: PoolName,
+    ) -> Move {
+        if let Some(worker) = &worker {
+            self.ordered.insert(machine.clone(), worker.clone());
+        }
         self.moving.insert(machine.clone(), (pool.clone(), now_ms));
-        Move { machine, pool }
+        Move {
+            machine,
+            worker,
+            pool,
+        }
     }
 
     /// Records that the platform accepted a move: the machine is moving or, with `to_standby`, in
@@ -152,12 +168,14 @@
         demand: &BTreeMap<PoolName, PoolDemand>,
     ) {
         for (pool, demand) in demand {
-            let machines = demand.workers.iter().filter_map(|w| w.machine.as_ref());
-            for machine in machines {
+            if self.moving.is_empty() {
+                break;
+            }
+            for machine in demand.workers.iter().filter_map(|w| w.machine) {
                 let has_arrived = self.moving.get(machine).is_some_and(|(to, _)| to == pool);
                 if has_arrived {
                     self.moving.remove(machine);
-                    self.arrived_ms.insert(machine.clone(), now_ms);
+                    self.arrived_ms.insert(machine.to_owned(), now_ms);
                 }
             }
         }
@@ -177,11 +195,15 @@
         busy: &BTreeSet<InstanceName>,
         policy: &MovesPolicy,
     ) -> Vec<Move> {
+        if self.draining.is_empty() {
+            return Vec::new();
+        }
         let mut runs: BTreeMap<&InstanceName, usize> = BTreeMap::new();
         for w in demand.values().flat_map(|d| &d.workers) {
-            let machine = w.machine.as_ref();
-            if machine.is_some_and(|machine| self.draining.contains_key(machine)) {
-                runs.insert(&w.worker, w.lasting + w.passing);
+            if w.machine
+                .is_some_and(|machine| self.draining.contains_key(machine))
+            {
+                runs.insert(w.worker, w.lasting + w.passing);
             }
         }
         let mut drained = Vec::new();
@@ -196,10 +218,7 @@
             });
         let drained = drained.into_iter();
         drained
-            .map(|(machine, worker, to)| {
-                self.ordered.insert(machine.clone(), worker);
-                self.depart(now_ms, machine, to)
-            })
+            .map(|(machine, worker, to)| self.depart(now_ms, machine, Some(worker), to))
             .collect()
     }
 }
--- a/src/control/messages/machine.rs
+++ b/src/control/messages/machine.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use crate::model::{InstanceName, PoolName};
+use crate::model::{InstanceName, PoolName, ZoneName};
 
 /// A machine as the platform lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -11,6 +11,8 @@
     pub pool: PoolName,
     /// Its present phase.
     pub phase: MachinePhase,
+    /// Its availability zone, if the list names it.
+    pub zone: Option<ZoneName>,
     /// The worker incarnation that runs on it, if any.
     pub worker: Option<InstanceName>,
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -38,8 +38,8 @@
 mod workers;
 
 pub use capacity::{
-    Capacity, CapacityInput, Forecast, MachineList, Move, OfferedLoad, PoolDemand, WorkerUse,
-    demand,
+    Capacity, CapacityInput, Forecast, MachineList, Move, OfferedLoad, OrderPace, PoolDemand,
+    WorkerUse, demand,
 };
 pub use clocks::{Clock, WallClock, boottime_ms};
 pub use configurations::{
@@ -73,5 +73,5 @@
 pub use voters::{Borne, Location, Member, Spread, Tolerance, VoterPlan, next_voter_change};
 pub use workers::{
     Carrier, Carriers, Fleet, Progress, Reports, RunLoad, RunPhase, RunView, Runs, SizeShares,
-    Sizes, Throttle, WorkerLink, WorkerStart, is_stalled, silent_workers,
+    Sizes, Throttle, WorkerLink, WorkerStart, is_stalled,
 };
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -46,6 +46,8 @@
     pub location: Location,
     /// The losses that the control instances must survive.
     pub tolerance: Tolerance,
+    /// Orders that the machine manager accepts in a second.
+    pub machine_orders_per_s: f64,
     /// Timeouts and intervals of the deployment.
     pub timing: Timing,
     /// Weights and limits of the decisions that it makes while it leads.
--- a/src/control/node/machines.rs
+++ b/src/control/node/machines.rs
@@ -1,19 +1,28 @@
 //! Machine orders of the leader: upkeep during waves, and moves of machines between pools.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::Node;
 use super::leader_state::Waiter;
 use super::pass::request_stop;
 use crate::control::{
     CapacityInput, Change, Decision, Effect, Machine, MachineOrder, MachineOrderKind,
-    MachineOutcome, Upkeep, UpkeepInput, UpkeepStep, WorkspaceShares, demand,
+    MachineOutcome, PoolDemand, State, Upkeep, UpkeepInput, UpkeepStep, WorkspaceShares, demand,
 };
-use crate::model::InstanceName;
+use crate::model::{InstanceName, PoolName, ZoneName};
 
 /// Interval at which waves and pools are checked. It is a fraction of the time that a
 /// machine takes for an upkeep or a move.
 const MACHINE_CHECK_INTERVAL_MS: u64 = 100;
+/// Workers for which that interval grows by 1 ms, for the same reason.
+const DEMAND_WORKERS_PER_MS: u64 = 60;
+/// Part of the workers outside of silent zones that a new leader must hear before it moves
+/// machines. It would otherwise take those that it has not heard yet for lost, and fetch
+/// machines in their place.
+const MIN_HEARD_PART: f64 = 0.8;
+/// Time after which a new leader moves machines in any case: those that it has not heard by
+/// then are lost.
+const FIRST_CONTACTS_MS: u64 = 5_000;
 /// Active jobs for which the interval between two computations of the pools' demand grows
 /// by 1 ms. Each computation visits every active job. At a fixed interval its share of the
 /// leader's time would grow with the backlog, and slow the leader so that the backlog grows
@@ -31,7 +40,8 @@
             return;
         }
         lead.last_machine_check_ms = now_ms;
-        let demand_interval_ms = self.state.active_count() as u64 / DEMAND_JOBS_PER_MS;
+        let demand_interval_ms = self.state.active_count() as u64 / DEMAND_JOBS_PER_MS
+            + self.state.workers().len() as u64 / DEMAND_WORKERS_PER_MS;
         let demand_due = now_ms >= lead.last_demand_ms + demand_interval_ms;
         if demand_due {
             lead.last_demand_ms = now_ms;
@@ -159,6 +169,14 @@
         let mut busy: BTreeSet<InstanceName> = lead.upkeep.closed_workers().cloned().collect();
         busy.extend(lead.workers_ending.iter().cloned());
         busy.extend(lead.scheduler.proposed.values().map(|p| p.worker.clone()));
+        let silent_zones = lead.fleet.silent_zones(now_ms);
+        let is_settled = lead.led_for_ms(now_ms) >= FIRST_CONTACTS_MS
+            || is_mostly_heard(&self.state, &demand, &silent_zones);
+        let open = lead.machine_orders.len();
+        let moves_max = match is_settled {
+            true => lead.order_pace.allowance(now_ms, open),
+            false => 0,
+        };
         let world = CapacityInput {
             state: &self.state,
             demand: &demand,
@@ -166,11 +184,14 @@
             busy: &busy,
             in_upkeep: &lead.upkeep.machines_in_upkeep().cloned().collect(),
             due: &Upkeep::due_machines(&self.state),
+            silent_zones: &silent_zones,
             round_ms: lead.forecast.round_ms(),
+            moves_max,
             policy,
         };
         let moves = lead.capacity.tick(now_ms, &world);
-        for moved in moves {
+        lead.order_pace.record_sent(moves.len());
+        for moved in &moves {
             let pool = demand.get(&moved.pool);
             let offer = offers.get(&moved.pool).copied().unwrap_or_default();
             tracing::info!(
@@ -183,9 +204,10 @@
                 foreseen = offer.foreseen.cores,
                 "capacity: a machine moves"
             );
-            let worker = Upkeep::worker_on(&self.state, &moved.machine).cloned();
+        }
+        for moved in moves {
             let kind = MachineOrderKind::Move { pool: moved.pool };
-            self.send_machine_order(moved.machine, worker, kind);
+            self.send_machine_order(moved.machine, moved.worker, kind);
         }
     }
 
@@ -315,3 +337,17 @@
         self.send_machine_order(machine, worker, MachineOrderKind::Upkeep { wave });
     }
 }
+
+/// Returns whether most of the workers that take work are heard, silent zones aside.
+fn is_mostly_heard(
+    state: &State,
+    demand: &BTreeMap<PoolName, PoolDemand>,
+    silent_zones: &BTreeSet<ZoneName>,
+) -> bool {
+    let heard: usize = demand.values().map(|pool| pool.workers.len()).sum();
+    let known = state
+        .workers()
+        .values()
+        .filter(|worker| worker.takes_work() && !silent_zones.contains(&worker.report.zone));
+    heard as f64 >= MIN_HEARD_PART * known.count() as f64
+}
--- a/src/control/upkeep/planner.rs
+++ b/src/control/upkeep/planner.rs
@@ -147,13 +147,6 @@
         machines(state).collect()
     }
 
-    /// Returns the worker on a machine.
-    pub fn worker_on<'a>(state: &'a State, machine: &str) -> Option<&'a InstanceName> {
-        let mut all = machines(state);
-        all.find(|(name, _)| *name == machine)
-            .map(|(_, worker)| worker)
-    }
-
     /// Returns the machines that are being drained or are down for upkeep.
     pub fn machines_in_upkeep(&self) -> impl Iterator<Item = &String> {
         self.draining.keys().chain(self.down.keys())
@@ -210,6 +203,10 @@
     /// Returns the actions to take now.
     pub fn tick(&mut self, now_ms: u64, now_unix_ms: u64, world: &UpkeepInput) -> Vec<UpkeepStep> {
         let (state, timing) = (world.state, world.timing);
+        let is_idle = state.waves().values().all(Wave::is_completed);
+        if is_idle && self.down.is_empty() && self.draining.is_empty() {
+            return Vec::new();
+        }
         let known = Self::machines(state);
         let return_ms = timing.upkeep_ms + RETURN_GRACE_MS;
         self.down.retain(|machine, down| {
--- a/src/lab/machine.rs
+++ b/src/lab/machine.rs
@@ -124,6 +124,7 @@
             MachineState::Away(phase) => *phase,
         };
         Machine {
+            zone: None,
             name: self.name(),
             pool: self.pool.clone(),
             phase,
--- a/src/lab/play.rs
+++ b/src/lab/play.rs
@@ -89,6 +89,7 @@
                 zone: "lab".into(),
             },
             tolerance: Tolerance::default(),
+            machine_orders_per_s: 600.0,
             timing: Timing {
                 report_interval_ms: 1_500,
                 lease_max_ms: 10_000,
--- a/src/platform/machines.rs
+++ b/src/platform/machines.rs
@@ -86,6 +86,7 @@
     machine: String,
     pool: String,
     state: String,
+    zone: Option<String>,
     /// Incarnation of the worker that runs on the machine.
     id: Option<String>,
 }
@@ -144,6 +145,7 @@
         name: wire.machine,
         pool: wire.pool.into(),
         phase,
+        zone: wire.zone.map(Into::into),
         worker: worker.map(Into::into),
     })
 }
--- a/src/platform/serve.rs
+++ b/src/platform/serve.rs
@@ -113,6 +113,7 @@
         first_start: settings.first_start,
         location: settings.location.clone(),
         tolerance: settings.tolerance,
+        machine_orders_per_s: settings.machine_orders_per_s,
         timing: settings.timing,
         policy,
         seed: rand::random(),
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -12,6 +12,9 @@
 /// Environment variable with the path of the settings file.
 pub const SETTINGS_VARIABLE: &str = "ROSEMARYGAUGE_CONFIG";
 
+/// Orders to the machine manager in a second, if the settings name no rate.
+const DEFAULT_MACHINE_ORDERS_PER_S: f64 = 64.0;
+
 /// Validated settings of an instance. The platform writes them as JSON from a template with all
 /// fields.
 #[derive(Clone, Debug)]
@@ -48,6 +51,8 @@
     pub grant: Grant,
     /// Address of the machine manager, if there is one.
     pub machine_manager: Option<SocketAddr>,
+    /// Orders that the machine manager accepts in a second, from all instances together.
+    pub machine_orders_per_s: f64,
     /// Address of the placement advisor, if there is one.
     pub advisor: Option<SocketAddr>,
     /// Timeouts and intervals of the deployment.
@@ -156,6 +161,9 @@
         Value::as_u64,
     );
     let machine_manager = rdr.optional("cloud.address", "an address IP:PORT", address);
+    let orders = rdr.optional("cloud.duty_per_s", "a number above 0", |v| {
+        v.as_f64().filter(|per_s| *per_s > 0.0)
+    });
     let advisor = rdr.optional("advice", "an address IP:PORT", address);
     let open_files = rdr.optional("limits.max_fds", "a whole number", Value::as_u64);
     let memory_mb = rdr.optional("limits.memory_mb", "a whole number", Value::as_u64);
@@ -186,6 +194,7 @@
             memory_bytes: memory_mb.map(|mb| saturating_usize(mb).saturating_mul(1 << 20)),
         },
         machine_manager,
+        machine_orders_per_s: orders.unwrap_or(DEFAULT_MACHINE_ORDERS_PER_S),
         advisor,
         timing: timing?,
     })
--- a/tests/control/driver.rs
+++ b/tests/control/driver.rs
@@ -70,6 +70,7 @@
             instances: 1,
             ..Default::default()
         },
+        machine_orders_per_s: 600.0,
         timing: TIMING,
         policy: Policy::default(),
         seed: 1,
--- a/tests/control/world/deliveries.rs
+++ b/tests/control/world/deliveries.rs
@@ -480,12 +480,14 @@
         let workers = self.workers.values();
         workers
             .map(|w| Machine {
+                zone: None,
                 name: w.machine.clone(),
                 pool: w.pool.as_str().into(),
                 phase: MachinePhase::Up,
                 worker: Some(w.name.as_str().into()),
             })
             .chain(self.returning.iter().map(|(_, address, pool)| Machine {
+                zone: None,
                 name: format!("m-{}", address.port()),
                 pool: pool.as_str().into(),
                 phase: MachinePhase::Down,
--- a/tests/control/world/instances.rs
+++ b/tests/control/world/instances.rs
@@ -46,6 +46,7 @@
                 instances: 1,
                 ..Default::default()
             },
+            machine_orders_per_s: 600.0,
             timing: TIMING,
             policy: self.policy.clone(),
             seed: self.rng.random(),
--- a/tests/control/zoned/mod.rs
+++ b/tests/control/zoned/mod.rs
@@ -126,6 +126,7 @@
             first_start,
             location: instance.location.clone(),
             tolerance: self.tolerance,
+            machine_orders_per_s: 600.0,
             timing: TIMING,
             policy: Policy::default(),
             seed,
