Count a step once in the averages of its queue, not each of its tasks

Cause: the averages were counted in runs. A queue of steps that are twenty tasks wide filled its window of twenty runs with one step, and one wide step of 300 tasks replaced it fifteen times over. What grows faster than the fleet is the width of a step; the windows did not.

A step's tasks now share the weight of one. Averages cover 5 and 50 steps, arrivals a hundred jobs, whatever the width.

--- a/src/control/replication/arrivals.rs
+++ b/src/control/replication/arrivals.rs
@@ -10,8 +10,9 @@
 /// Buckets that are kept: one minute. A new leader does not see a whole round of the pools'
 /// turns if the round takes longer.
 const BUCKET_COUNT: usize = 600;
-/// Weight of a new job in a queue's moving means, which then cover some thirty jobs.
-const MEAN_WEIGHT: f64 = 1.0 / 30.0;
+/// Weight of a new job in a queue's moving means, which then cover some hundred jobs. Sizes
+/// differ by a multiple, and so would the mean of fewer.
+const MEAN_WEIGHT: f64 = 1.0 / 100.0;
 
 /// Size of one job by its caller's estimates.
 ///
--- a/src/control/replication/estimates.rs
+++ b/src/control/replication/estimates.rs
@@ -15,16 +15,18 @@
 
 use crate::jobs::{Job, JobId};
 
-/// Weight of a new run in its queue's factors, which average over about twenty runs.
-const QUEUE_WEIGHT: f64 = 0.05;
+/// Weight of a step in its queue's factor for single jobs, which averages over some five steps.
+const QUEUE_WEIGHT: f64 = 0.2;
+/// Weight of a step in the sums of its queue, which cover some fifty steps.
+const SUM_WEIGHT: f64 = 0.02;
 /// Weight of a new run in its step's factor. Tasks of one step are alike, so a few runs
 /// suffice.
 const STEP_WEIGHT: f64 = 0.4;
 /// Range to which a measured factor is clamped; outside of it the measurement is wrong.
 const FACTOR_RANGE: (f64, f64) = (0.05, 20.0);
-/// Number of runs with exact estimates that a queue is assumed to have had before the
+/// Number of steps with exact estimates that a queue is assumed to have had before the
 /// first one.
-const PRIOR_RUNS: f64 = 5.0;
+const PRIOR_STEPS: f64 = 2.0;
 
 /// Learned factors by which callers' estimates are corrected.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -78,15 +80,19 @@
             return;
         };
         let cores = spec.demand.cores();
+        let tasks = f64::from(spec.tasks.max(1));
         let estimated = spec.estimate_ms as f64 * cores;
         let queue = self.queues.entry(job.queue.clone());
         let factors = queue.or_insert_with(|| QueueFactors {
             log: 0.0,
-            took: estimated * PRIOR_RUNS,
-            estimated: estimated * PRIOR_RUNS,
+            took: estimated * tasks * PRIOR_STEPS,
+            estimated: estimated * tasks * PRIOR_STEPS,
         });
-        factors.log += QUEUE_WEIGHT * (factor.ln() - factors.log);
-        let kept = 1.0 - QUEUE_WEIGHT;
+        // The tasks of a step share its estimate, so together they tell as much as one. If
+        // each counted as much, the averages of a queue of wide steps would cover two or
+        // three jobs, and the machines that it seems to need would change severalfold.
+        factors.log += QUEUE_WEIGHT / tasks * (factor.ln() - factors.log);
+        let kept = 1.0 - SUM_WEIGHT / tasks;
         factors.took = factors.took * kept + factor * estimated;
         factors.estimated = factors.estimated * kept + estimated;
         let step_factor = self.steps.entry((job.id, step)).or_insert(factor);
