Pace machine orders over the window in which the platform counts them

The platform counts over one second, so the pace does the same: what a quiet second left over may be ordered at once.

--- a/src/control/node/applied.rs
+++ b/src/control/node/applied.rs
@@ -64,6 +64,9 @@
             return;
         };
         lead.dirty = true;
+        if !matches!(change, Change::Forget { .. }) {
+            lead.changed_ms = now_ms;
+        }
         if let Some(job) = change.job() {
             lead.scheduler.touch(job);
         }
--- a/src/control/node/leader_state.rs
+++ b/src/control/node/leader_state.rs
@@ -100,6 +100,8 @@
     pub(super) last_machine_check_ms: u64,
     /// When the demand of the pools was last computed.
     pub(super) last_demand_ms: u64,
+    /// When a job, a worker or a machine last changed.
+    pub(super) changed_ms: u64,
     next_forget_ms: u64,
     began_ms: u64,
 }
@@ -175,7 +177,7 @@
             upkeep: Upkeep::new(now_ms, &self.state),
             machine_orders: BTreeMap::new(),
             capacity: Capacity::default(),
-            order_pace: OrderPace::new(now_ms, self.settings.machine_orders_per_s),
+            order_pace: OrderPace::new(self.settings.machine_orders_per_s),
             machines: MachineList::new(now_ms),
             recurring: BTreeSet::new(),
             proposed_occurrences: BTreeSet::new(),
@@ -187,6 +189,7 @@
             last_pass_ms: now_ms,
             last_machine_check_ms: now_ms,
             last_demand_ms: now_ms,
+            changed_ms: now_ms,
             next_forget_ms: now_ms + FORGET_INTERVAL_MS,
             began_ms: now_ms,
         }));
--- a/src/control/node/machines.rs
+++ b/src/control/node/machines.rs
@@ -16,6 +16,11 @@
 const MACHINE_CHECK_INTERVAL_MS: u64 = 100;
 /// Workers for which that interval grows by 1 ms, for the same reason.
 const DEMAND_WORKERS_PER_MS: u64 = 60;
+/// Time after the last change of a job, a worker or a machine after which no need changes any
+/// more: the longest window over which arrivals are counted has passed.
+const SETTLED_MS: u64 = 5_000;
+/// Interval between two computations from then on.
+const SETTLED_INTERVAL_MS: u64 = 1_000;
 /// Part of the workers outside of silent zones that a new leader must hear before it moves
 /// machines. It would otherwise take those that it has not heard yet for lost, and fetch
 /// machines in their place.
@@ -40,8 +45,13 @@
             return;
         }
         lead.last_machine_check_ms = now_ms;
-        let demand_interval_ms = self.state.active_count() as u64 / DEMAND_JOBS_PER_MS
-            + self.state.workers().len() as u64 / DEMAND_WORKERS_PER_MS;
+        let demand_interval_ms = match now_ms < lead.changed_ms + SETTLED_MS {
+            true => {
+                self.state.active_count() as u64 / DEMAND_JOBS_PER_MS
+                    + self.state.workers().len() as u64 / DEMAND_WORKERS_PER_MS
+            }
+            false => SETTLED_INTERVAL_MS,
+        };
         let demand_due = now_ms >= lead.last_demand_ms + demand_interval_ms;
         if demand_due {
             lead.last_demand_ms = now_ms;
@@ -190,7 +200,7 @@
             policy,
         };
         let moves = lead.capacity.tick(now_ms, &world);
-        lead.order_pace.record_sent(moves.len());
+        lead.order_pace.record_sent(now_ms, moves.len());
         for moved in &moves {
             let pool = demand.get(&moved.pool);
             let offer = offers.get(&moved.pool).copied().unwrap_or_default();
@@ -268,6 +278,7 @@
                 self.finish_upkeep_order(now_ms, *wave, order.machine, worker, outcome);
             }
             MachineOrderKind::Move { pool } => match outcome {
+        lead.changed_ms = now_ms;
                 MachineOutcome::Done => {
                     lead.capacity
                         .record_move(now_ms, &self.state, &order.machine, pool);
--- a/tests/control/capacity.rs
+++ b/tests/control/capacity.rs
@@ -70,3 +70,37 @@
             .all(|(_, machine, _)| !lasting_machines.contains(machine))
     );
 }
+
+/// Guards against orders that wait: a leader that ordered thousands of machines off at once could
+/// fetch none back for seconds, and the platform refused what was beyond its rate.
+#[test]
+fn no_more_machines_are_ordered_than_the_platform_takes() {
+    let orders_per_s = 10;
+    let mut world = World::with_slow_keeper(44, 30, 30, f64::from(orders_per_s));
+    world.run_ms(3_000);
+    let off = |w: &World| {
+        w.moves
+            .iter()
+            .filter(|(_, _, pool)| pool == "spare")
+            .count()
+    };
+    assert!(off(&world) > 5, "{:?}", world.moves);
+    for id in 0..80 {
+        world.submit(1, "quick", id, job(vec![step(32)]));
+        world.run_ms(50);
+    }
+    for (at_ms, ..) in &world.moves {
+        let window = *at_ms..*at_ms + 1_000;
+        let ordered = world.moves.iter().filter(|(at, ..)| window.contains(at));
+        assert!(
+            ordered.count() <= orders_per_s as usize,
+            "{:?}",
+            world.moves
+        );
+    }
+    let began_ms = world.now_ms - 80 * 50;
+    let needless = world.moves.iter().filter(|(at_ms, machine, pool)| {
+        *at_ms > began_ms + 1_000 && pool == "spare" && machine.starts_with("m-1")
+    });
+    assert_eq!(needless.count(), 0, "{:?}", world.moves);
+}
--- a/tests/control/world.rs
+++ b/tests/control/world.rs
@@ -96,6 +96,8 @@
     /// How long the instance that is at work still works on what it now sends.
     work_left_ms: u64,
     policy: Policy,
+    /// Orders that the keeper of machines accepts in a second.
+    machine_orders_per_s: f64,
 }
 
 /// The keeper of machines as an end of a cut.
@@ -160,6 +162,15 @@
         world.set_up(east, west)
     }
 
+    /// The same, but that machines go off soon and the keeper of machines accepts few orders.
+    pub fn with_slow_keeper(seed: u64, east: u16, west: u16, orders_per_s: f64) -> Self {
+        let mut world = Self::bare(seed);
+        world.policy.standby.watch_ms = 1_000;
+        world.policy.standby.surplus_ms = 1_000;
+        world.machine_orders_per_s = orders_per_s;
+        world.set_up(east, west)
+    }
+
     fn set_up(mut self, east: u16, west: u16) -> Self {
         for place in 1..=3 {
             self.found(place);
@@ -213,6 +224,7 @@
             look_us: None,
             work_left_ms: 0,
             policy: Policy::default(),
+            machine_orders_per_s: 600.0,
         }
     }
 
--- a/tests/control/world/instances.rs
+++ b/tests/control/world/instances.rs
@@ -46,7 +46,7 @@
                 instances: 1,
                 ..Default::default()
             },
-            machine_orders_per_s: 600.0,
+            machine_orders_per_s: self.machine_orders_per_s,
             timing: TIMING,
             policy: self.policy.clone(),
             seed: self.rng.random(),
