Prepare a turn that began for the load of the last one, after what is needed for certain

Callers of a pool whose turn begins lost the jobs of its first seconds: the load of a turn is known from few jobs then, and machines ordered as it rises arrive 1.5 s later each time.

A turn is now expected to be like the last one of its pool, or like those of other pools, and a pool that had no turn yet keeps that many machines powered on.

Machines in a zone from which nobody is heard are not fetched, and a choice of machines is one look at them, not one for each.

--- a/src/control/capacity/forecast.rs
+++ b/src/control/capacity/forecast.rs
@@ -88,6 +88,10 @@
     mean: f64,
     /// Peak of the offered load in the current or last turn, in cores.
     peak: f64,
+    /// Peak of the turn before that, in cores; 0 if there was none.
+    peak_before: f64,
+    /// Start of the current or last turn, in milliseconds since 1970.
+    began_unix_ms: u64,
     is_active: bool,
 }
 
@@ -142,7 +146,9 @@
             turn.is_active = cores >= MIN_PEAK_FRACTION * turn.peak;
         } else if is_peak {
             turn.is_active = true;
+            turn.peak_before = turn.peak;
             turn.peak = peak_cores;
+            turn.began_unix_ms = at_unix_ms;
             // A lull within a turn does not start another turn.
             if self.turn_starts.back().is_none_or(|(last, _)| last != pool) {
                 self.turn_starts.push_back((pool.clone(), after_unix_ms));
@@ -165,14 +171,17 @@
             .iter()
             .map(|(pool, queues)| (pool.clone(), offer(now_unix_ms, queues, &policy.needs)))
             .collect();
-        for (pool, cores) in self.next_turns(now_unix_ms, &policy.turns) {
+        let next = self.next_turns(now_unix_ms, &policy.turns);
+        let begun = self.begun_turns(now_unix_ms, &policy.turns);
+        for (pool, cores) in next.into_iter().chain(begun) {
             let mean_work = queues.get(pool).map(|queues| mean_job_work(queues));
             let mean_work = mean_work.filter(|load| load.cores > 0.0);
             let foreseen = match mean_work {
                 Some(load) => load.times(cores / load.cores),
                 None => Load::of_cores(cores),
             };
-            offers.entry(pool.clone()).or_default().foreseen = foreseen;
+            let offer = offers.entry(pool.clone()).or_default();
+            offer.foreseen = offer.foreseen.max(&foreseen);
         }
         offers
     }
@@ -207,6 +216,38 @@
         prepared.collect()
     }
 
+    /// Returns the pools whose turn began a moment ago, with the cores to prepare for each.
+    ///
+    /// The load of the first seconds is known from few jobs, and machines that are ordered as
+    /// it rises come too late for those that follow. A turn is expected to be like the last one
+    /// of its pool or, if it had none, like those of the other pools.
+    fn begun_turns(&self, now_unix_ms: u64, policy: &TurnsPolicy) -> Vec<(&PoolName, f64)> {
+        if !policy.foresee {
+            return Vec::new();
+        }
+        let is_new =
+            |turn: &Turn| turn.is_active && now_unix_ms < turn.began_unix_ms + PEAK_WINDOW_MS;
+        let begun = self.pools.iter().filter(|(_, turn)| is_new(turn));
+        let expected = begun.map(|(pool, turn)| {
+            let peak = match turn.peak_before > 0.0 {
+                true => turn.peak_before,
+                false => self.mean_peak_of_others(pool),
+            };
+            (pool, peak * policy.begun_part)
+        });
+        expected.filter(|(_, cores)| *cores > 0.0).collect()
+    }
+
+    /// Returns the cores to keep for the first turn of a pool that had none, while other pools
+    /// had theirs; 0 for a pool that had one.
+    pub fn awaited_cores(&self, pool: &PoolName, policy: &TurnsPolicy) -> f64 {
+        let had_turn = self.pools.get(pool).is_some_and(|turn| turn.peak > 0.0);
+        match policy.foresee && !had_turn {
+            true => self.mean_peak() * policy.awaited_part,
+            false => 0.0,
+        }
+    }
+
     /// Returns the longest time that a round of turns takes, in which each pool has its turn
     /// once, by the last intervals between turns; `None` before the second turn.
     pub fn round_ms(&self) -> Option<u64> {
@@ -255,12 +296,21 @@
     }
 
     fn mean_peak(&self) -> f64 {
-        let peaks = self.pools.values().map(|turn| turn.peak);
-        let peaks: Vec<f64> = peaks.filter(|peak| *peak > 0.0).collect();
-        peaks.iter().sum::<f64>() / peaks.len().max(1) as f64
+        mean_positive(self.pools.values().map(|turn| turn.peak))
+    }
+
+    fn mean_peak_of_others(&self, pool: &PoolName) -> f64 {
+        let others = self.pools.iter().filter(|(other, _)| *other != pool);
+        mean_positive(others.map(|(_, turn)| turn.peak))
     }
 }
 
+/// Returns the mean of the values above 0, 0 if there are none.
+fn mean_positive(values: impl Iterator<Item = f64>) -> f64 {
+    let values: Vec<f64> = values.filter(|value| *value > 0.0).collect();
+    values.iter().sum::<f64>() / values.len().max(1) as f64
+}
+
 fn by_pool<'a>(
     history: &'a History,
     estimates: &Estimates,
--- a/src/control/capacity/planner.rs
+++ b/src/control/capacity/planner.rs
@@ -16,7 +16,7 @@
 use super::demand::{PoolDemand, WorkerUse};
 use crate::control::{Load, Machine, MachinePhase, OfferedLoad, Policy, State};
 use crate::model::{InstanceName, PoolName, ZoneName};
-use balance::Balance;
+use balance::{Balance, Purpose};
 use peaks::Peaks;
 use transit::Transit;
 
@@ -44,6 +44,8 @@
     pub demand: &'a BTreeMap<PoolName, PoolDemand<'a>>,
     /// The load that arrives at each pool now, and the load that is forecast.
     pub offers: &'a BTreeMap<PoolName, OfferedLoad>,
+    /// Cores to keep for the first turn of each pool that had none yet.
+    pub awaited: &'a BTreeMap<PoolName, f64>,
     /// Workers that must not be moved now: a start is proposed on them, or they are being
     /// drained for upkeep, or they are ending.
     pub busy: &'a BTreeSet<InstanceName>,
@@ -69,9 +71,12 @@
     /// The zones of all machines, as far as the platform's list names them.
     zones: BTreeMap<String, ZoneName>,
     transit: Transit,
-    /// The recent needs of each pool.
+    /// The recent needs of each pool, and what it was expected to need.
     peaks: BTreeMap<PoolName, Peaks>,
+    expected_peaks: BTreeMap<PoolName, Peaks>,
     logged_ms: u64,
+    /// Number of machines that the choices of machines have looked at.
+    visited: u64,
 }
 
 /// A machine that is off.
@@ -104,6 +109,11 @@
         self.transit.update_moving(now_ms, machines);
     }
 
+    /// Returns how many machines the choices of machines to move have looked at since the start.
+    pub fn visited(&self) -> u64 {
+        self.visited
+    }
+
     /// Returns whether a machine is off.
     pub fn is_off(&self, machine: &str) -> bool {
         self.standby.contains_key(machine)
@@ -181,19 +191,33 @@
         let offer = world.offers.get(pool).copied().unwrap_or_default();
         let leaving = self.transit.count_draining(&demand.workers)
             + draining_for_upkeep(&demand.workers, world.in_upkeep);
-        let needs = demand.needed_machines(&size, &offer, &world.policy.needs);
+        let expects = demand.needed_machines(&size, &offer, &world.policy.needs);
+        let certain = OfferedLoad {
+            foreseen: Load::default(),
+            ..offer
+        };
+        let needs = demand.needed_machines(&size, &certain, &world.policy.needs);
         let (moves, standby) = (&world.policy.moves, &world.policy.standby);
         let peaks = self.peaks.entry(pool.clone()).or_default();
+        peaks.record(now_ms, needs, moves.surplus_ms);
+        let keep = peaks.peak(now_ms, moves.surplus_ms).max(moves.fewest);
+        let peaks = self.expected_peaks.entry(pool.clone()).or_default();
+        let awaited = world.awaited.get(pool).copied().unwrap_or(0.0);
+        let awaited = Load::of_cores(awaited).count(&size).ceil() as usize;
         let standby_surplus_ms = standby.surplus_over_ms(world.round_ms);
-        peaks.record(now_ms, needs, moves.surplus_ms.max(standby_surplus_ms));
+        peaks.record(now_ms, expects, standby_surplus_ms);
         Balance {
             name: pool.clone(),
             has: demand.workers.len() - leaving.min(demand.workers.len()),
             incoming: self.transit.count_incoming(pool),
             needs,
-            keep: peaks.peak(now_ms, moves.surplus_ms).max(moves.fewest),
+            expects,
+            keep,
             keep_powered: match peaks.covers(now_ms, standby.watch_ms) {
-                true => peaks.peak(now_ms, standby_surplus_ms).max(standby.fewest),
+                true => {
+                    let peak = peaks.peak(now_ms, standby_surplus_ms);
+                    peak.max(awaited).max(standby.fewest)
+                }
                 false => usize::MAX,
             },
         }
@@ -210,6 +234,7 @@
             let demand = world.demand.get(&pool.name);
             tracing::info!(
                 pool = %pool.name, has = pool.has, coming = pool.incoming, needs = pool.needs,
+                expects = pool.expects,
                 off = self.standby.len(),
                 idle = demand.map_or(0, PoolDemand::idle),
                 lasting = demand.map_or(0.0, |d| d.lasting.cores),
@@ -232,73 +257,63 @@
         pools: &mut [Balance],
         world: &CapacityInput,
         moves_max: usize,
+    ) -> Vec<Move> {
+        let needs = self.fill(now_ms, pools, world, Purpose::Need, moves_max);
+        let moves_max = moves_max - needs.len();
+        let expectations = self.fill(now_ms, pools, world, Purpose::Expectation, moves_max);
+        needs.into_iter().chain(expectations).collect()
+    }
+
+    fn fill(
+        &mut self,
+        now_ms: u64,
+        pools: &mut [Balance],
+        world: &CapacityInput,
+        purpose: Purpose,
+        moves_max: usize,
     ) -> Vec<Move> {
         let mut moves = Vec::new();
-        if largest_deficit(pools).is_none() {
+        if largest_deficit(pools, purpose).is_none() {
             return moves;
         }
         let mut spare: Vec<Vec<&WorkerUse>> = pools
             .iter()
-            .map(|pool| match pool.surplus() > 0 {
+            .map(|pool| match pool.surplus(purpose) > 0 {
                 true => self.spare(now_ms, &pool.name, world, false),
                 false => Vec::new(),
             })
             .collect();
         let mut off = self.available_standby(world);
-        while let Some(needy) = largest_deficit(pools) {
+        while let Some(needy) = largest_deficit(pools, purpose) {
             if moves.len() >= moves_max {
                 break;
             }
             let to = pools[needy].name.clone();
-            let sent = self.move_from_surplus(now_ms, pools, &mut spare, &to, true, &mut moves)
-                || self.move_from_standby(now_ms, &mut off, &to, &mut moves)
-                || self.move_from_surplus(now_ms, pools, &mut spare, &to, false, &mut moves);
-            if !sent {
-                break;
+            let idle = take_surplus(pools, &mut spare, purpose, true);
+            let from_standby = match idle {
+                Some(_) => None,
+                None => off.pop(),
+            };
+            if let Some(machine) = from_standby {
+                self.standby.remove(&machine);
+                moves.push(self.transit.depart(now_ms, machine, None, to));
+            } else {
+                let busy = || take_surplus(pools, &mut spare, purpose, false);
+                let Some((worker, machine)) = idle.or_else(busy) else {
+                    break;
+                };
+                moves.extend(self.transit.send(now_ms, worker, machine, to));
             }
             pools[needy].incoming += 1;
         }
         moves
     }
 
-    /// Moves a machine out of the pool with the largest surplus. With `idle` only a machine on
-    /// which nothing runs qualifies; it arrives a second earlier than one that must be drained.
-    fn move_from_surplus(
-        &mut self,
-        now_ms: u64,
-        pools: &mut [Balance],
-        spare: &mut [Vec<&WorkerUse>],
-        to: &PoolName,
-        idle: bool,
-        moves: &mut Vec<Move>,
-    ) -> bool {
-        // A machine whose drain was given up in this tick is already spare, but its pool counts
-        // it only from the next tick on. Without the first condition a pool with incoming
-        // machines could give more than it counts, and `has` would underflow (a panic in builds
-        // with overflow checks).
-        let has_surplus = |p: &usize| pools[*p].has > 0 && pools[*p].surplus() > 0;
-        let donors = (0..pools.len()).filter(has_surplus);
-        let fits = |p: &usize| {
-            let soonest = spare[*p].last();
-            soonest.is_some_and(|worker| !idle || worker.passing == 0)
-        };
-        let donor = donors.filter(fits).max_by_key(|p| pools[*p].surplus());
-        let Some((donor, worker)) = donor.and_then(|p| Some((p, spare[p].pop()?))) else {
-            return false;
-        };
-        let Some(machine) = worker.machine else {
-            return false;
-        };
-        pools[donor].has -= 1;
-        let sent = self.transit.send(now_ms, worker, machine, to.clone());
-        moves.extend(sent);
-        true
-    }
-
     /// Returns the machines in standby that can be fetched, the best one last. Machines whose
     /// upkeep is due come last: they are better serviced while they are off. A machine in a
     /// zone from which nobody is heard would run where no work reaches it.
-    fn available_standby(&self, world: &CapacityInput) -> Vec<String> {
+    fn available_standby(&mut self, world: &CapacityInput) -> Vec<String> {
+        self.visited += self.standby.len() as u64;
         let is_reachable = |off: &Off| {
             let zone = off.zone.as_ref();
             zone.is_none_or(|zone| !world.silent_zones.contains(zone))
@@ -315,22 +330,6 @@
         due.into_iter().rev().chain(free).collect()
     }
 
-    /// Moves a machine out of standby.
-    fn move_from_standby(
-        &mut self,
-        now_ms: u64,
-        off: &mut Vec<String>,
-        to: &PoolName,
-        moves: &mut Vec<Move>,
-    ) -> bool {
-        let Some(machine) = off.pop() else {
-            return false;
-        };
-        self.standby.remove(&machine);
-        moves.push(self.transit.depart(now_ms, machine, None, to.clone()));
-        true
-    }
-
     /// Moves machines that no pool needs to standby, those whose upkeep is due first. Each pool
     /// gets a part of the allowed moves by how many machines it does not need.
     fn move_to_standby(
@@ -343,6 +342,7 @@
     ) -> Vec<Move> {
         let mut moves = Vec::new();
         let unneeded: usize = pools.iter().map(Balance::unneeded).sum();
+        let moves_max = moves_max.min(unneeded);
         for pool in pools.iter().filter(|pool| pool.unneeded() > 0) {
             let share = (pool.unneeded() * moves_max).div_ceil(unneeded);
             let share = share.min(pool.unneeded()).min(moves_max - moves.len());
@@ -367,7 +367,7 @@
     /// Returns the workers of a pool whose machines may be moved, the one that is free soonest
     /// last. Among equals, machines whose upkeep is due are preferred if `due`, others if not.
     fn spare<'a>(
-        &self,
+        &mut self,
         now_ms: u64,
         pool: &PoolName,
         world: &CapacityInput<'a>,
@@ -378,8 +378,10 @@
             self.transit.is_pinned(now_ms, machine, policy) || world.in_upkeep.contains(machine)
         };
         let is_due = |w: &WorkerUse| w.machine.is_some_and(|m| world.due.contains(m));
-        let workers = world.demand.get(pool).into_iter().flat_map(|d| &d.workers);
+        let workers = world.demand.get(pool).map_or(&[][..], |d| &d.workers);
+        self.visited += workers.len() as u64;
         let mut spare: Vec<&WorkerUse> = workers
+            .iter()
             .filter(|w| w.lasting == 0 && !world.busy.contains(w.worker))
             .filter(|w| w.machine.is_some_and(|m| !is_kept(m)))
             .collect();
@@ -409,11 +411,38 @@
     lasting.filter(is_in_upkeep).count()
 }
 
-/// Returns the pool with the largest deficit relative to its need.
-fn largest_deficit(pools: &[Balance]) -> Option<usize> {
+/// Takes a machine out of the pool with the largest surplus. With `idle` only a machine on which
+/// nothing runs qualifies; it arrives a second earlier than one that must be drained.
+fn take_surplus<'a>(
+    pools: &mut [Balance],
+    spare: &mut [Vec<&'a WorkerUse<'a>>],
+    purpose: Purpose,
+    idle: bool,
+) -> Option<(&'a WorkerUse<'a>, &'a str)> {
+    // A machine whose drain was given up in this tick is already spare, but its pool counts
+    // it only from the next tick on. Without the first condition a pool with incoming
+    // machines could give more than it counts, and `has` would underflow (a panic in builds
+    // with overflow checks).
+    let has_surplus = |p: &usize| pools[*p].has > 0 && pools[*p].surplus(purpose) > 0;
+    let donors = (0..pools.len()).filter(has_surplus);
+    let fits = |p: &usize| {
+        let soonest = spare[*p].last();
+        soonest.is_some_and(|worker| !idle || worker.passing == 0)
+    };
+    let donor = donors
+        .filter(fits)
+        .max_by_key(|p| pools[*p].surplus(purpose))?;
+    let worker = spare[donor].pop()?;
+    let machine = worker.machine?;
+    pools[donor].has -= 1;
+    Some((worker, machine))
+}
+
+/// Returns the pool with the largest deficit relative to what it wants.
+fn largest_deficit(pools: &[Balance], purpose: Purpose) -> Option<usize> {
     (0..pools.len())
-        .filter(|p| pools[*p].deficit() > 0)
-        .max_by_key(|p| pools[*p].deficit_per_mille())
+        .filter(|p| pools[*p].deficit(purpose) > 0)
+        .max_by_key(|p| pools[*p].deficit_per_mille(purpose))
 }
 
 /// Returns the average capacity of a machine.
--- a/src/control/capacity/planner/balance.rs
+++ b/src/control/capacity/planner/balance.rs
@@ -8,18 +8,32 @@
     pub(super) has: usize,
     /// Machines that are moving to the pool or are being drained for that.
     pub(super) incoming: usize,
-    /// Machines that the pool's current and forecast work needs.
+    /// Machines that the pool's accepted and arriving work needs.
     pub(super) needs: usize,
-    /// Machines that the pool does not release to another pool.
+    /// Machines that it needs if its turn is as it is expected to be; at least `needs`.
+    pub(super) expects: usize,
+    /// Machines that the pool does not release to the needs of another pool.
     pub(super) keep: usize,
     /// Machines that the pool does not release to standby.
     pub(super) keep_powered: usize,
 }
 
+/// What a machine is moved for. What pools need goes before what they are expected to need:
+/// where machines are scarce, an expectation would otherwise take them from work that waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Purpose {
+    Need,
+    Expectation,
+}
+
 impl Balance {
     /// Returns how many machines may move to other pools.
-    pub(super) fn surplus(&self) -> usize {
-        (self.has + self.incoming).saturating_sub(self.keep)
+    pub(super) fn surplus(&self, purpose: Purpose) -> usize {
+        let keep = match purpose {
+            Purpose::Need => self.keep,
+            Purpose::Expectation => self.keep.max(self.expects),
+        };
+        (self.has + self.incoming).saturating_sub(keep)
     }
 
     /// Returns how many machines may go to standby.
@@ -27,13 +41,21 @@
         (self.has + self.incoming).saturating_sub(self.keep_powered)
     }
 
-    /// Returns how many machines are missing to cover the need.
-    pub(super) fn deficit(&self) -> usize {
-        self.needs.saturating_sub(self.has + self.incoming)
+    /// Returns how many machines are missing.
+    pub(super) fn deficit(&self, purpose: Purpose) -> usize {
+        self.wanted(purpose)
+            .saturating_sub(self.has + self.incoming)
+    }
+
+    /// Returns the deficit as a part of the machines that are wanted, in thousandths.
+    pub(super) fn deficit_per_mille(&self, purpose: Purpose) -> usize {
+        self.deficit(purpose) * 1_000 / self.wanted(purpose).max(1)
     }
 
-    /// Returns the deficit as a part of the need, in thousandths.
-    pub(super) fn deficit_per_mille(&self) -> usize {
-        self.deficit() * 1_000 / self.needs.max(1)
+    fn wanted(&self, purpose: Purpose) -> usize {
+        match purpose {
+            Purpose::Need => self.needs,
+            Purpose::Expectation => self.expects,
+        }
     }
 }
--- a/src/control/node/machines.rs
+++ b/src/control/node/machines.rs
@@ -179,6 +179,11 @@
         let mut busy: BTreeSet<InstanceName> = lead.upkeep.closed_workers().cloned().collect();
         busy.extend(lead.workers_ending.iter().cloned());
         busy.extend(lead.scheduler.proposed.values().map(|p| p.worker.clone()));
+        let queues = configuration.queues.iter();
+        let awaited = queues.map(|queue| {
+            let cores = lead.forecast.awaited_cores(&queue.pool, &policy.turns);
+            (queue.pool.clone(), cores)
+        });
         let silent_zones = lead.fleet.silent_zones(now_ms);
         let is_settled = lead.led_for_ms(now_ms) >= FIRST_CONTACTS_MS
             || is_mostly_heard(&self.state, &demand, &silent_zones);
@@ -191,6 +196,7 @@
             state: &self.state,
             demand: &demand,
             offers: &offers,
+            awaited: &awaited.collect(),
             busy: &busy,
             in_upkeep: &lead.upkeep.machines_in_upkeep().cloned().collect(),
             due: &Upkeep::due_machines(&self.state),
@@ -272,13 +278,13 @@
         let Some((order, worker)) = lead.machine_orders.remove(&id) else {
             return;
         };
+        lead.changed_ms = now_ms;
         tracing::info!(machine = order.machine, order = ?order.kind, %outcome, "machine: ordered");
         match &order.kind {
             MachineOrderKind::Upkeep { wave } => {
                 self.finish_upkeep_order(now_ms, *wave, order.machine, worker, outcome);
             }
             MachineOrderKind::Move { pool } => match outcome {
-        lead.changed_ms = now_ms;
                 MachineOutcome::Done => {
                     lead.capacity
                         .record_move(now_ms, &self.state, &order.machine, pool);
--- a/src/control/policy/settings.rs
+++ b/src/control/policy/settings.rs
@@ -100,6 +100,12 @@
     pub late_ms: u64,
     /// Fraction of the usual peak that is provided before a turn begins.
     pub peak_part: f64,
+    /// Fraction of the usual peak that is provided in the first seconds of a turn, before its
+    /// own load is known.
+    pub begun_part: f64,
+    /// Fraction of the usual peak of other pools for which a pool that had no turn yet keeps
+    /// machines powered on.
+    pub awaited_part: f64,
     /// Most pools to prepare when several are candidates for the next turn; with more
     /// candidates none is prepared.
     pub pools: usize,
@@ -114,6 +120,8 @@
             ahead_ms: 1_900,
             late_ms: 800,
             peak_part: 1.0,
+            begun_part: 1.0,
+            awaited_part: 1.0,
             pools: 1,
         }
     }
@@ -413,6 +421,8 @@
             ("needs.rise_most", part(self.needs.rise_most, 100.0)),
             ("needs.deviations", part(self.needs.deviations, 10.0)),
             ("turns.gaps", count(self.turns.gaps, 1.0)),
+            ("turns.begun_part", part(self.turns.begun_part, 4.0)),
+            ("turns.awaited_part", part(self.turns.awaited_part, 4.0)),
             ("turns.even_part", part(self.turns.even_part, 1.0)),
             ("turns.ahead_ms", time(self.turns.ahead_ms)),
             ("turns.late_ms", time(self.turns.late_ms)),
