Find room for a task among workers in order of their free cores

The leader's passes had grown with workers times starts: each start looked at all workers of its pool. In the first seconds of a turn at 6,000 workers the leader used 640 to 860 ms of each second, 600 being its limit, and up to 1,935 calls waited for it.

Candidates of a pass are kept in order of free cores: a search begins at the first with room and ends at the first that cannot be beaten. Choices are the same as before (the tests of placement stand unchanged).

--- a/src/control/placement/candidate.rs
+++ b/src/control/placement/candidate.rs
@@ -33,9 +33,6 @@
 const SAME_STEP_COST: f64 = 60.0;
 /// Cost per recent failure on the worker.
 const FAILURE_COST: f64 = 200.0;
-/// Fewest workers with room in a zone that keeps the tasks of a step. In a smaller zone a few
-/// steps fill single workers, and the load is spread unevenly.
-const MIN_ZONE_WORKERS: usize = 8;
 /// Cost of a zone other than the one that is preferred for the step; larger than any
 /// difference in load.
 const OTHER_ZONE_COST: f64 = 150.0;
@@ -134,37 +131,6 @@
     best.map(|(rack, _)| rack.to_owned())
 }
 
-/// Returns the zone that is best for the waiting tasks of a step: one with room for most of
-/// them, preferably the one where its other tasks run, then the one with the most free cores.
-///
-/// When a zone is cut off, every job with a task there waits until the leases in it have
-/// expired. With tasks spread over all zones these are nearly all jobs; with the tasks of a
-/// step in one zone, a third of them.
-pub(super) fn best_zone<'a>(
-    pool: &[Candidate<'a>],
-    step: &Step,
-    tasks: usize,
-    runs: &BTreeMap<&str, usize>,
-    may_run: impl Fn(&Candidate) -> bool,
-) -> Option<&'a str> {
-    let mut zones: BTreeMap<&'a str, (usize, u64, usize)> = BTreeMap::new();
-    for candidate in pool.iter().filter(|c| may_run(c)) {
-        let fitting = candidate.tasks_that_fit(step);
-        if fitting > 0 {
-            let (all, free, workers) = zones.entry(candidate.zone).or_default();
-            *all = all.saturating_add(fitting).min(tasks);
-            *free += u64::from(candidate.free.cpu_milli);
-            *workers += 1;
-        }
-    }
-    let runs_in = |zone: &str| runs.get(zone).copied().unwrap_or(0);
-    let best = zones
-        .into_iter()
-        .filter(|(_, (_, _, workers))| *workers >= MIN_ZONE_WORKERS)
-        .max_by_key(|(zone, (fitting, free, _))| (*fitting, runs_in(zone), *free));
-    best.map(|(zone, _)| zone)
-}
-
 /// Returns whether the workers of any rack could hold `tasks` tasks of a step once all
 /// their runs that are not lasting have ended.
 pub(super) fn any_rack_could_hold(
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -6,6 +6,7 @@
 
 mod backlog;
 mod candidate;
+mod candidates;
 mod pending_step;
 mod pool_pass;
 mod quota_room;
--- a/src/control/placement/pool_pass.rs
+++ b/src/control/placement/pool_pass.rs
@@ -1,5 +1,6 @@
 use super::backlog::{Entry, PoolBacklog, RankedSteps};
 use super::candidate::Candidate;
+use super::candidates::Candidates;
 use crate::control::{Policy, SizeShares};
 use crate::jobs::Resources;
 use crate::model::PoolName;
@@ -15,9 +16,11 @@
     backlog: &'a PoolBacklog,
     running: SizeShares,
     pub(super) steps: RankedSteps<'a>,
-    pub(super) candidates: Vec<Candidate<'a>>,
-    /// The largest free amount of each resource among the candidates.
+    pub(super) candidates: Candidates<'a>,
+    /// At least the largest free amount of each resource among the candidates.
     pub(super) largest: Resources,
+    /// Whether room was taken since `largest` was computed.
+    is_largest_stale: bool,
     /// Consecutive steps that found no room.
     pub(super) misses: usize,
     pub(super) stage: Stage,
@@ -43,33 +46,33 @@
         (candidates, running): (Vec<Candidate<'a>>, SizeShares),
         policy: &Policy,
     ) -> Self {
-        let mut pass = Self {
+        let candidates = Candidates::new(candidates);
+        Self {
             pool,
             backlog,
             running,
             steps: RankedSteps::new(backlog, running, &policy.order),
+            largest: candidates.largest(),
+            is_largest_stale: false,
             candidates,
-            largest: Resources::default(),
             misses: 0,
             stage: Stage::FromStart,
-        };
-        pass.update_largest();
-        pass
+        }
     }
 
-    /// Recomputes `largest` from the free room of the candidates.
-    pub(super) fn update_largest(&mut self) {
-        let rooms = self.candidates.iter().map(|c| c.free);
-        self.largest = rooms.fold(Resources::default(), |most, free| Resources {
-            cpu_milli: most.cpu_milli.max(free.cpu_milli),
-            memory_mb: most.memory_mb.max(free.memory_mb),
-            accelerators: most.accelerators.max(free.accelerators),
-        });
+    /// Records that a step was placed.
+    pub(super) fn record_placed(&mut self) {
+        self.misses = 0;
+        self.is_largest_stale = true;
     }
 
     /// Records that a step found no room, and moves to the next stage after
     /// [`MISSES_IN_A_ROW_MAX`] of them.
     pub(super) fn record_miss(&mut self, policy: &Policy) {
+        // Room is only taken during a pass, so the old values are an upper bound.
+        if std::mem::take(&mut self.is_largest_stale) {
+            self.largest = self.candidates.largest();
+        }
         self.misses += 1;
         if self.misses < MISSES_IN_A_ROW_MAX {
             return;
--- a/src/control/placement/scheduler.rs
+++ b/src/control/placement/scheduler.rs
@@ -14,7 +14,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::backlog::{Backlog, BacklogWorld};
-use super::candidate::{Candidate, any_rack_could_hold, best_rack, best_zone};
+use super::candidate::{Candidate, any_rack_could_hold, best_rack};
+use super::candidates::{Candidates, Preferences};
 use super::pending_step::PendingStep;
 use super::pool_pass::{PoolPass, Stage};
 use super::quota_room::QuotaRoom;
@@ -79,6 +80,8 @@
     /// Number of items visited by passes (jobs, waiting steps and searches for a worker),
     /// as a measure of the processor time spent.
     pub(in crate::control) visited: u64,
+    /// Number of workers that searches for room have looked at.
+    candidates_visited: u64,
 }
 
 /// The advisor's decision about a worker for a step.
@@ -125,6 +128,11 @@
         visited
     }
 
+    /// Returns how many workers the searches for room have looked at since the start.
+    pub fn candidates_visited(&self) -> u64 {
+        self.candidates_visited
+    }
+
     /// Runs a scheduling pass and returns the starts to order: about `starts_max` at most,
     /// exceeded only by a gang, which starts whole. Changes since the last
     /// [`Self::refresh`] are not taken into account.
@@ -156,6 +164,8 @@
                 Stage::FromStart | Stage::Resumed => None,
             })
             .collect();
+        let visited = pools.iter().map(|pass| pass.candidates.visited());
+        self.candidates_visited += visited.sum::<u64>();
         drop(pools);
         for (pool, reached) in resume {
             backlog.resume_after(&pool, reached);
@@ -243,8 +253,7 @@
                 continue;
             }
             quotas.record_starts(job, step, starts.len());
-            pass.misses = 0;
-            pass.update_largest();
+            pass.record_placed();
             // Recorded at once, because a pass may visit a step twice: from the start of the
             // backlog and again after resuming. Otherwise the second visit would place the
             // same tasks again, and more on a worker than the step's limit allows.
@@ -322,23 +331,23 @@
         now_ms: u64,
         pending: &PendingStep,
         queue: Option<&Queue>,
-        pool: &mut [Candidate],
+        pool: &mut Candidates,
         starts_left: usize,
         policy: &PlacementPolicy,
     ) -> Vec<Placement> {
         self.visited += 1;
         let step = &pending.job.spec.steps[pending.step];
         let demand = step.reserved();
-        if !pool.iter().any(|c| c.free.fits(&demand)) {
+        if !pool.any_fits(&demand) {
             return Vec::new();
         }
         let advised = queue.is_some_and(|q| q.advice.is_some());
-        if advised && !self.is_advised(now_ms, pending, pool) {
+        if advised && !self.is_advised(now_ms, pending, pool.all()) {
             return Vec::new();
         }
         if step.per_worker_max.is_some() || step.lasting {
             let counts = pending.runs_by_worker(&self.proposed);
-            for candidate in pool.iter_mut() {
+            for candidate in pool.all_mut() {
                 candidate.step_runs = counts.get(candidate.name).copied().unwrap_or(0);
             }
         }
@@ -347,13 +356,14 @@
         let waiting = &pending.waiting;
         let rack = match (step.rack_local, step.gang) {
             (false, _) => None,
-            (true, false) => best_rack(pool, step, 1, may_run),
+            (true, false) => best_rack(pool.all(), step, 1, may_run),
             (true, true) => {
-                let rack = best_rack(pool, step, waiting.len(), may_run);
+                let rack = best_rack(pool.all(), step, waiting.len(), may_run);
                 // A gang runs slower across several racks, so it waits for one rack unless
                 // every rack is too small for it.
                 let could_run = |c: &Candidate| !advised || !is_denied(now_ms, tickets, c.name);
-                if rack.is_none() && any_rack_could_hold(pool, step, waiting.len(), could_run) {
+                if rack.is_none() && any_rack_could_hold(pool.all(), step, waiting.len(), could_run)
+                {
                     return Vec::new();
                 }
                 rack
@@ -361,7 +371,7 @@
         };
         let zone = match step.lasting || step.gang || !policy.keep_zone {
             true => None,
-            false => best_zone(pool, step, waiting.len(), &pending.runs_by_zone, may_run),
+            false => pool.best_zone(step, waiting.len(), &pending.runs_by_zone, may_run),
         };
         let may_take = |c: &Candidate| {
             c.free.fits(&demand)
@@ -373,7 +383,7 @@
             // A part of a gang would wait in vain for the rest. Counting free places first
             // is cheaper than placing tentatively and rolling back, which for a gang that
             // does not fit scans all workers once per task in every pass.
-            let free = pool.iter().filter(|c| may_take(c));
+            let free = pool.all().iter().filter(|c| may_take(c));
             let fitting: usize = free.map(|c| c.tasks_that_fit(step)).sum();
             if fitting < waiting.len() {
                 return Vec::new();
@@ -390,20 +400,20 @@
             self.visited += 1;
             let task = pending.task(*index);
             let state = pending.occurrence.task(task.step, *index);
-            let avoid = state.and_then(|t| t.failed_on.as_ref());
-            let free = pool.iter_mut().filter(|c| may_take(c));
-            let costs = free.map(|c| (c.cost(step, avoid, zone, rack.as_deref(), policy), c));
-            let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
-            let Some((_, best)) = best else {
+            let preferences = Preferences {
+                avoid: state.and_then(|t| t.failed_on.as_ref()),
+                zone,
+                rack: rack.as_deref(),
+            };
+            let Some(best) = pool.best(step, preferences, policy, may_take) else {
                 break;
             };
-            best.reserve(step);
-            best.step_runs += 1;
+            let worker = pool.reserve(best, step).clone();
             let attempt = state.map_or(0, |t| t.attempt) + 1;
             starts.push(Placement {
                 task,
                 attempt: if step.gang { gang_attempt } else { attempt },
-                worker: best.name.clone(),
+                worker,
             });
         }
         starts
