Refuse at once at an entry instance that no control instance answers

Callers in a zone that was cut off waited 2 to 5 s for a refusal, and spent their patience there while other zones would have served them. After three unanswered rounds of greetings, or six without a leader, an entry instance refuses what nobody has taken at once (503, not run, again in 1 s) and is not ready. A leader that does not answer is given up after 1 s.

--- a/src/control/forwarding/gateway.rs
+++ b/src/control/forwarding/gateway.rs
@@ -1,22 +1,34 @@
-use crate::control::{Answer, Call, PeerMessage, Relay, RelayAction};
+use crate::control::{Answer, Call, PeerMessage, Refusal, Relay, RelayAction};
 use crate::model::EntryName;
 
 /// Maximum number of control instances that are asked for the leader at once, in
 /// round-robin order.
 const MAX_HELLO_TARGETS: usize = 3;
-/// Interval between hellos to the leader. Three fit into [`LEADER_TIMEOUT_MS`], so that one
+/// Interval between hellos to the leader. Two fit into [`LEADER_TIMEOUT_MS`], so that one
 /// lost message does not take the instance out of rotation.
 const HELLO_INTERVAL_MS: u64 = 400;
 /// Time without an answer of the leader after which the instance reports that it is not
-/// ready, so that callers use another instance.
-const LEADER_TIMEOUT_MS: u64 = 1_500;
+/// ready, so that callers use another instance. The balancer asks each second and acts on the
+/// second report in a row, so an election seldom takes an instance out of rotation, and a zone
+/// that is cut off gets no new callers soon.
+const LEADER_TIMEOUT_MS: u64 = 1_000;
 
 /// Interval between hellos to the backup peer. The link stays open for longer than this
 /// without a message.
 const BACKUP_HELLO_INTERVAL_MS: u64 = 1_000;
+/// Time without an answer of the backup peer after which it is replaced.
+const BACKUP_TIMEOUT_MS: u64 = 1_500;
 /// Time without an answer of the leader after which two hellos in a row were lost. This
 /// zone may be cut off.
 const SUSPECT_LEADER_MS: u64 = 1_000;
+/// Rounds of hellos without an answer from anybody after which this instance is cut off.
+const CUT_OFF_ROUNDS: u32 = 3;
+/// Rounds of hellos without an answer from a leader after which there is none in reach. An
+/// election is over sooner.
+const LEADERLESS_ROUNDS: u32 = 6;
+/// When a call that is refused because no leader is in reach may be sent again. Other entry
+/// instances may reach one, and most network partitions last longer.
+const OUT_OF_REACH_RETRY_MS: u64 = 1_000;
 /// Maximum age of a call while the leader may be cut off. An election takes twice as long,
 /// but another entry instance may already know the winner.
 const MAX_CALL_AGE_WITHOUT_LEADER_MS: u64 = 800;
@@ -29,6 +41,9 @@
     relay: Relay,
     last_heard_ms: Option<u64>,
     next_hello_ms: u64,
+    /// Rounds of hellos since anybody, and since a leader, answered.
+    unanswered_rounds: u32,
+    leaderless_rounds: u32,
     /// The highest term for which a leader was named.
     term: u64,
     backup: BackupPeer,
@@ -75,6 +90,8 @@
             relay,
             last_heard_ms: None,
             next_hello_ms: 0,
+            unanswered_rounds: 0,
+            leaderless_rounds: 0,
             term: 0,
             backup: BackupPeer::default(),
             next_member,
@@ -93,8 +110,14 @@
 
     /// Returns whether the leader was heard recently.
     pub fn is_ready(&self, now_ms: u64) -> bool {
-        self.last_heard_ms
-            .is_some_and(|at| now_ms < at + LEADER_TIMEOUT_MS)
+        let heard = self.last_heard_ms;
+        heard.is_some_and(|at| now_ms < at + LEADER_TIMEOUT_MS) && !self.is_out_of_reach()
+    }
+
+    /// Returns whether no leader is in reach and none is about to be elected: nobody answers
+    /// this instance, or those that do have named no leader for longer than an election takes.
+    fn is_out_of_reach(&self) -> bool {
+        self.unanswered_rounds >= CUT_OFF_ROUNDS || self.leaderless_rounds >= LEADERLESS_ROUNDS
     }
 
     /// Returns the number of calls that await an answer.
@@ -102,7 +125,9 @@
         self.relay.waiting()
     }
 
-    /// Adds a call, to be given up at `give_up_ms`.
+    /// Adds a call, to be given up at `give_up_ms`. It is refused at once if no leader is in
+    /// reach: it would only wait, and once it was sent its caller could not be told that it
+    /// has not run.
     pub fn add_call(
         &mut self,
         now_ms: u64,
@@ -110,6 +135,12 @@
         call: Call,
         give_up_ms: u64,
     ) -> Vec<GatewayEffect> {
+        if self.is_out_of_reach() {
+            let answer = Answer::Refused(Refusal::Busy {
+                retry_after_ms: OUT_OF_REACH_RETRY_MS,
+            });
+            return vec![GatewayEffect::Answer { id, answer }];
+        }
         let actions = self.relay.add_call(now_ms, id, call, give_up_ms);
         actions.into_iter().map(effect_from).collect()
     }
@@ -146,8 +177,10 @@
         term: u64,
         mut members: Vec<EntryName>,
     ) -> Vec<RelayAction> {
+        self.unanswered_rounds = 0;
         if leader.as_ref() == Some(from) {
             self.last_heard_ms = Some(now_ms);
+            self.leaderless_rounds = 0;
         }
         if self.backup.name.as_ref() == Some(from) {
             self.backup.last_heard_ms = now_ms;
@@ -185,6 +218,8 @@
         let mut effects: Vec<_> = actions.into_iter().map(effect_from).collect();
         if now_ms >= self.next_hello_ms {
             self.next_hello_ms = now_ms + HELLO_INTERVAL_MS;
+            self.unanswered_rounds = self.unanswered_rounds.saturating_add(1);
+            self.leaderless_rounds = self.leaderless_rounds.saturating_add(1);
             let targets = match self.relay.leader().filter(|_| self.is_ready(now_ms)) {
                 Some(leader) => vec![leader.clone()],
                 None => self.next_members(),
@@ -219,7 +254,7 @@
         if now_ms < self.backup.next_hello_ms {
             return None;
         }
-        let is_silent = now_ms >= self.backup.last_heard_ms + LEADER_TIMEOUT_MS;
+        let is_silent = now_ms >= self.backup.last_heard_ms + BACKUP_TIMEOUT_MS;
         let name = self
             .backup
             .name
--- a/tests/control/relay.rs
+++ b/tests/control/relay.rs
@@ -288,3 +288,61 @@
     let messages: i32 = greeted.values().sum();
     assert!(messages <= 9 * 4, "{messages} in 9 s");
 }
+
+fn refused_at_once(gateway: &mut Gateway, now_ms: u64, id: u64) -> bool {
+    let effects = gateway.add_call(now_ms, id, Call::ReadConfiguration, now_ms + 3_000);
+    matches!(
+        effects[..],
+        [GatewayEffect::Answer {
+            answer: Answer::Refused(Refusal::Busy { .. }),
+            ..
+        }]
+    )
+}
+
+/// Guards against calls that wait at an instance that is cut off until they are given up as
+/// unknown: their callers cannot tell that they have not run, and do not try elsewhere.
+#[test]
+fn a_call_at_an_instance_that_hears_nobody_is_refused_at_once() {
+    let mut gateway = Gateway::new((1..=5).map(name).collect(), 0);
+    let welcome = |leader: Option<usize>| PeerMessage::Welcome {
+        leader: leader.map(name),
+        term: 1,
+        members: (1..=5).map(name).collect(),
+    };
+    for now_ms in (0..2_000).step_by(50) {
+        gateway.tick(now_ms);
+        gateway.handle_message(now_ms, &name(1), welcome(Some(1)));
+        assert!(!refused_at_once(&mut gateway, now_ms, now_ms));
+    }
+    let first = (2_000..5_000).step_by(50).find(|now_ms| {
+        gateway.tick(*now_ms);
+        refused_at_once(&mut gateway, *now_ms, *now_ms)
+    });
+    assert!(first.is_some_and(|at| at <= 3_300), "{first:?}");
+    assert!(!gateway.is_ready(first.unwrap()));
+    gateway.handle_message(5_000, &name(2), welcome(Some(3)));
+    gateway.handle_message(5_010, &name(3), welcome(Some(3)));
+    assert!(!refused_at_once(&mut gateway, 5_020, 9_999));
+}
+
+/// Guards against calls that are refused during an election, and against calls that wait where
+/// the whole zone has no leader: the first get one in a moment, the others do not.
+#[test]
+fn a_call_waits_for_an_election_but_not_in_a_zone_without_a_leader() {
+    let mut gateway = Gateway::new((1..=5).map(name).collect(), 0);
+    let first = (0..6_000).step_by(50).find(|now_ms| {
+        gateway.tick(*now_ms);
+        let welcome = PeerMessage::Welcome {
+            leader: None,
+            term: 1,
+            members: (1..=5).map(name).collect(),
+        };
+        gateway.handle_message(*now_ms, &name(2), welcome);
+        refused_at_once(&mut gateway, *now_ms, *now_ms)
+    });
+    assert!(
+        first.is_some_and(|at| (1_500..=3_000).contains(&at)),
+        "{first:?}"
+    );
+}
