Judge a candidate for a voter by its answers to the log

An instance in a zone that is being cut off greets for the last time up to a second before, and counted as present for 2.5 s: the leader offered it the place of a lost voter, in the very zone that was gone. Followers of the log answer many times a second; silence of 1 s disqualifies.

--- a/src/control/node/members.rs
+++ b/src/control/node/members.rs
@@ -6,6 +6,8 @@
 //! survive the losses to be borne, one change at a time (see [`crate::control::voters`]). It
 //! hands leadership to a voter that reaches more instances than itself.
 
+use std::collections::BTreeMap;
+
 use super::Node;
 use super::peers::PEER_TIMEOUT_MS;
 use crate::consensus::{Input, Status};
@@ -224,8 +226,17 @@
             .peers
             .names()
             .filter(|name| !status.voters.contains(name));
+        let answers: BTreeMap<&EntryName, u64> = self
+            .replica
+            .peer_contacts(now_ms)
+            .into_iter()
+            .map(|(name, _, age_ms)| (name, age_ms))
+            .collect();
         let others = others.filter_map(|name| {
-            let (silent_ms, present_ms) = self.peers.silent_and_present_ms(now_ms, name)?;
+            let (greeted_ms, present_ms) = self.peers.silent_and_present_ms(now_ms, name)?;
+            // An instance that was cut off a moment ago still counts as present by its last
+            // greeting, but it has ceased to answer the log.
+            let silent_ms = answers.get(name).copied().unwrap_or(greeted_ms);
             Some(Member {
                 name: name.clone(),
                 location: self.peers.location(name).cloned(),
--- a/src/control/voters/step.rs
+++ b/src/control/voters/step.rs
@@ -12,8 +12,9 @@
 /// complete data folders would be left and no leader could ever be elected again. This
 /// time, two checks and two commits are over before the 4 s that a successor has to catch up.
 pub(in crate::control) const VOTER_TIMEOUT_MS: u64 = 2_000;
-/// Silence up to which an instance may become a voter: three greetings.
-const CANDIDATE_TIMEOUT_MS: u64 = 2_500;
+/// Silence up to which an instance may become a voter. One that follows the log answers several
+/// times as often.
+const CANDIDATE_TIMEOUT_MS: u64 = 1_000;
 /// Silence after which an instance counts as gone for good. Until then its zone keeps its
 /// part of the voters' number and limits, because a partition ends earlier.
 const GONE_TIMEOUT_MS: u64 = 30_000;
