Start without a zone in the settings

A settings file without a zone ended the start with an error since voters are placed by zone. Found by `settings` and `path` in tests/platform.

--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -150,11 +150,8 @@
     let region = rdr.optional("region", "the name of a region", text);
     let machines = rdr.optional("fault_tolerance.machines", "a whole number", Value::as_u64);
     let zones = rdr.optional("fault_tolerance.zones", "a whole number", Value::as_u64);
-    let zone = match zones {
-        // Without its zone, no instance can be placed so that the loss of a zone is survived.
-        Some(1..) => rdr.required("zone", "the name of the machine's availability zone", text),
-        _ => rdr.optional("zone", "the name of an availability zone", text),
-    };
+    // Instances that are not told their zone count as one zone, whose loss is not survived.
+    let zone = rdr.optional("zone", "the name of an availability zone", text);
     let regions = rdr.optional(
         "fault_tolerance.region_count",
         "a whole number",
