Cut zones off in the soak

`SOAK_ZONES` spreads the instances over zones, and a play may cut one off for some seconds, with all its links. Plans of earlier seeds are the same.

--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -51,6 +51,12 @@
         at: usize,
         for_ms: u64,
     },
+    /// Nothing goes into a zone, to its instances and workers, nor from one of its workers to
+    /// an instance elsewhere.
+    CutZone {
+        zone: usize,
+        for_ms: u64,
+    },
     CrashWorker {
         at: usize,
         for_ms: u64,
@@ -82,6 +88,20 @@
     },
 }
 
+/// Zones that are cut off, one after the other: apart from the other faults, so that the plans
+/// of seeds without zones stay as they were.
+pub fn zone_cuts(rng: &mut ChaCha8Rng, size: Size, length_ms: u64) -> Vec<(u64, Fault)> {
+    let mut cuts = Vec::new();
+    let mut at_ms = rng.random_range(500..3_000);
+    while size.zones > 1 && at_ms < length_ms {
+        let zone = rng.random_range(0..size.zones);
+        let for_ms = rng.random_range(300..5_000);
+        cuts.push((at_ms, Fault::CutZone { zone, for_ms }));
+        at_ms += for_ms + rng.random_range(500..6_000);
+    }
+    cuts
+}
+
 /// A plan for so long: what happens when, in order.
 pub fn plan(rng: &mut ChaCha8Rng, size: Size, length_ms: u64) -> Vec<(u64, Fault)> {
     let mut plan = Vec::new();
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -16,6 +16,7 @@
 
 use crate::http::{Outcome, once, request};
 use crate::ledger::{Ledger, STARTUP_MS};
+use crate::site::zone_name;
 
 /// How long a stop takes.
 const STOP_MS: u64 = 60;
@@ -67,6 +68,7 @@
 
 struct Machine {
     name: String,
+    zone: String,
     rack: String,
     address: SocketAddr,
     life: Option<Life>,
@@ -91,6 +93,7 @@
         ledger: Arc<Ledger>,
         hub: &Hub,
         count: usize,
+        zones: usize,
         pools: &[&str],
         controls: Vec<SocketAddr>,
     ) -> Arc<Self> {
@@ -103,6 +106,7 @@
             let link = hub.link(any, listener.local_addr().unwrap()).unwrap();
             machines.push(Machine {
                 name: format!("m-{at}"),
+                zone: zone_name(at % zones),
                 rack: format!("r-{}", at / 4),
                 address: link.address(),
                 life: None,
@@ -404,7 +408,7 @@
         let life = machine.life.as_mut()?;
         life.seq += 1;
         let body = json!({
-            "service": life.pool, "address": machine.address.to_string(), "zone": "a",
+            "service": life.pool, "address": machine.address.to_string(), "zone": machine.zone,
             "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
             "capacity": {"cpu": CPU_MILLI, "mem_mb": 64_000, "gpu": 0},
             "labels": ["a", machine.rack], "machine": machine.name, "seq": life.seq,
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -33,6 +33,16 @@
     entries: 2,
     workers: 12,
     callers: 6,
+    zones: 1,
+};
+
+/// Five control instances in three zones, which are cut off one after the other.
+const ZONES: Size = Size {
+    controls: 5,
+    entries: 3,
+    workers: 12,
+    callers: 6,
+    zones: 3,
 };
 
 fn passes(seed: u64, size: Size, seconds: u64) -> bool {
@@ -48,6 +58,12 @@
     assert!(passes(7, USUAL, 8), "see the lines above");
 }
 
+/// Zones are cut off as wholes, beside all other faults.
+#[test]
+fn zones_may_be_cut_off() {
+    assert!(passes(8, ZONES, 10), "see the lines above");
+}
+
 /// Seeds that failed once, each with what was behind it, as they were drawn.
 #[test]
 fn seeds_that_failed_once_pass() {
@@ -74,6 +90,7 @@
         entries: 4,
         workers: number("SOAK_WORKERS", 350),
         callers: number("SOAK_CALLERS", 120),
+        zones: 1,
     };
     let seconds = number("SOAK_SECONDS", 20) as u64;
     Play::new(1, size).measure(Duration::from_secs(seconds));
@@ -98,6 +115,7 @@
         entries: number("SOAK_ENTRIES", USUAL.entries),
         workers: number("SOAK_WORKERS", USUAL.workers),
         callers: number("SOAK_CALLERS", USUAL.callers),
+        zones: number("SOAK_ZONES", USUAL.zones),
     };
     let seconds = number("SOAK_SECONDS", 20) as u64;
     let failed: Vec<u64> = seeds.filter(|seed| !passes(*seed, size, seconds)).collect();
--- a/tests/soak/play.rs
+++ b/tests/soak/play.rs
@@ -13,7 +13,7 @@
 use tokio::runtime::Runtime;
 
 use crate::callers::{Callers, Entry};
-use crate::fault::{Fault, plan};
+use crate::fault::{Fault, plan, zone_cuts};
 use crate::fleet::{Fleet, Sickness};
 use crate::keeper::Keeper;
 use crate::ledger::Ledger;
@@ -33,6 +33,8 @@
     pub entries: usize,
     pub workers: usize,
     pub callers: usize,
+    /// Availability zones, among which instances and workers go round; 1 if none is cut.
+    pub zones: usize,
 }
 
 /// What ends a fault.
@@ -41,6 +43,7 @@
     StartAllControls,
     Resume(usize),
     Links(usize),
+    Zone(usize),
     BeginWorker(usize, String),
     Worker(usize),
     Well(usize),
@@ -64,6 +67,7 @@
     operator: Arc<Operator>,
     cures: Vec<(u64, Cure)>,
     waves: u64,
+    zones: usize,
 }
 
 impl Play {
@@ -84,7 +88,10 @@
     /// What was broken; logs of a run that broke something are kept.
     pub fn run(self, length: Duration) -> Vec<String> {
         let mut rng = ChaCha8Rng::seed_from_u64(self.seed);
-        let plan = plan(&mut rng, self.size, length.as_millis() as u64);
+        let length_ms = length.as_millis() as u64;
+        let mut plan = plan(&mut rng, self.size, length_ms);
+        plan.extend(zone_cuts(&mut rng, self.size, length_ms));
+        plan.sort_by_key(|(at_ms, _)| *at_ms);
         self.go(plan, length)
     }
 
@@ -137,12 +144,13 @@
 
 impl Stage {
     fn set(hub: &Hub, ledger: &Arc<Ledger>, folder: &std::path::Path, size: Size) -> Self {
-        let site = Site::new(hub, folder, size.controls, size.entries);
+        let site = Site::new(hub, folder, size);
         let controls = site.control_addresses();
         let fleet = Fleet::start(
             Arc::clone(ledger),
             hub,
             size.workers,
+            size.zones,
             &POOLS,
             controls.clone(),
         );
@@ -172,6 +180,7 @@
             operator,
             cures: Vec::new(),
             waves: 0,
+            zones: size.zones,
         }
     }
 
@@ -282,6 +291,11 @@
                 self.instance(at).silence_links();
                 0
             }
+            Fault::CutZone { zone, for_ms } => {
+                self.set_zone(zone, &LinkFaults::cut(), for_ms);
+                self.later(now_ms + for_ms, Cure::Zone(zone));
+                for_ms
+            }
             Fault::CrashWorker { at, for_ms } => {
                 if let Some(pool) = self.fleet.end(at, None) {
                     self.fleet.link(at).set(LinkFaults::refuse());
@@ -343,6 +357,24 @@
         for_ms
     }
 
+    /// Sets the links to all instances and workers of a zone.
+    fn set_zone(&mut self, zone: usize, faults: &LinkFaults, for_ms: u64) {
+        let zones = self.zones;
+        let (controls, entries) = (self.site.controls.len(), self.site.entries.len());
+        let instances = (0..controls).filter(|at| at % zones == zone).chain(
+            (0..entries)
+                .filter(|at| at % zones == zone)
+                .map(|at| controls + at),
+        );
+        for at in instances {
+            self.doubt(at, for_ms);
+            self.instance(at).set_links(faults);
+        }
+        for at in (0..self.fleet.len()).filter(|at| at % zones == zone) {
+            self.fleet.link(at).set(faults.clone());
+        }
+    }
+
     fn later(&mut self, at_ms: u64, cure: Cure) {
         self.cures.push((at_ms, cure));
     }
@@ -360,6 +392,7 @@
                 }
                 Cure::Resume(at) => self.instance(at).process.resume(),
                 Cure::Links(at) => self.instance(at).set_links(&LinkFaults::default()),
+                Cure::Zone(zone) => self.set_zone(zone, &LinkFaults::default(), 0),
                 Cure::BeginWorker(at, pool) => {
                     self.fleet.link(at).heal();
                     self.fleet.begin(at, &pool);
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use crate::own_loopback::OwnLoopback;
+use crate::play::Size;
 use crate::process::Process;
 
 const LINK_PORT: u16 = 7_000;
@@ -40,19 +41,29 @@
     }
 }
 
+/// Name of a zone.
+pub fn zone_name(zone: usize) -> String {
+    char::from(b'a' + zone as u8).to_string()
+}
+
 pub struct Site {
     pub controls: Vec<Instance>,
     pub entries: Vec<Instance>,
     losses_borne: usize,
+    zones: usize,
     block: OwnLoopback,
 }
 
 impl Site {
-    pub fn new(hub: &Hub, folder: &Path, controls: usize, entries: usize) -> Self {
+    pub fn new(hub: &Hub, folder: &Path, size: Size) -> Self {
+        let Size {
+            controls, entries, ..
+        } = size;
         let mut site = Self {
             controls: Vec::new(),
             entries: Vec::new(),
             // A majority of the voters is left.
+            zones: size.zones,
             losses_borne: controls.saturating_sub(1) / 2,
             block: OwnLoopback::take(),
         };
@@ -123,7 +134,10 @@
                 "front": (role == "entry").then(|| known(FRONT_PORT)),
                 "ready": (role == "entry").then(|| known(READY_PORT)),
             },
-            "fault_tolerance": {"machines": self.losses_borne}, "heartbeat_ms": 500,
+            "zone": zone_name(usize::from(place) % 30 % self.zones), "region": "r",
+            "fault_tolerance": {
+                "machines": self.losses_borne, "zones": usize::from(self.zones > 1),
+            }, "heartbeat_ms": 500,
             "bounds": {
                 "max_hold_ms": 10_000, "stop_timeout_ms": 400, "status_s": 120,
                 "maintenance_s": 0.7, "grace_s": 6, "early_ms": 250, "notice_ms": 4_500,
