--- a/src/control/workers/mod.rs
+++ b/src/control/workers/mod.rs
@@ -8,6 +8,7 @@
 mod carriers;
 mod fleet;
 mod reports;
+mod run_view;
 mod runs;
 mod schedule;
 mod silence;
@@ -15,16 +16,19 @@
 mod stall;
 mod throttle;
 mod worker_link;
+mod worker_start;
 
 pub use carrier::Carrier;
 pub use carriers::Carriers;
 pub use fleet::Fleet;
 pub use reports::Reports;
+pub use run_view::{Progress, RunPhase, RunView};
 pub use runs::{RunLoad, Runs};
 pub use sizes::{SizeShares, Sizes};
 pub use stall::is_stalled;
 pub use throttle::Throttle;
-pub use worker_link::{Progress, RunPhase, RunView, WorkerLink, WorkerStart};
+pub use worker_link::WorkerLink;
+pub use worker_start::WorkerStart;
 
 pub(super) use carrier::ORDER_MAX_AGE_MS;
 pub(super) use carriers::Losses;
--- a/src/control/workers/worker_link.rs
+++ b/src/control/workers/worker_link.rs
@@ -1,8 +1,8 @@
 use std::cmp::Ordering;
 
 use crate::consensus::TERM_STRIDE;
-use crate::control::{Ended, RunLoad, Running, Runs, RunsPolicy};
-use crate::jobs::{Step, TaskId};
+use crate::control::{Ended, RunPhase, RunView, Running, Runs, RunsPolicy, WorkerStart};
+use crate::jobs::TaskId;
 
 /// The leader's view of a worker: its clock, its lease and its runs.
 ///
@@ -53,128 +53,6 @@
     restarts: u64,
 }
 
-/// What the start time in a message of a worker says about its process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WorkerStart {
-    /// The message is from the process that is known, or does not say.
-    Known,
-    /// It is from an earlier process, which has ended.
-    Earlier,
-    /// The worker has started again.
-    Later,
-}
-
-/// The leader's view of one run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RunView {
-    /// State of the orders for the run.
-    pub phase: RunPhase,
-    /// Progress as last listed, 0 to 100; for a lasting task, how far it has started up.
-    pub percent: u8,
-    /// Tail latency or processor use as last listed.
-    pub gauge: Option<u64>,
-    /// Time at which the renewal was sent that listed the run last.
-    pub listed_ms: Option<u64>,
-    /// Share of its full speed that the run was last allowed, in percent.
-    pub share_percent: u8,
-    /// Changes of its progress; `None` before it was first listed.
-    pub progress: Option<Progress>,
-    /// Load that the run puts on the worker.
-    pub load: RunLoad,
-    /// Time of placement in milliseconds since 1970 and expected run time in milliseconds;
-    /// `None` for a lasting task.
-    pub expected: Option<(u64, u64)>,
-}
-
-/// The last change in a run's progress.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Progress {
-    /// Time at which the run was first listed with its current progress.
-    pub changed_ms: u64,
-}
-
-/// State of the orders for a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RunPhase {
-    /// An earlier leader placed the run; it is unknown whether it ever started.
-    Inherited,
-    /// A start order is in flight.
-    Starting {
-        /// Number of earlier start orders without an answer.
-        unanswered: u32,
-    },
-    /// The run was confirmed by the worker.
-    Running {
-        /// Time of the confirmation; the run began no later.
-        since_ms: u64,
-    },
-    /// The run is to be stopped.
-    Stopping {
-        /// Whether a stop order is in flight.
-        ordered: bool,
-        /// Time at which to send the stop order again.
-        again_ms: u64,
-    },
-    /// The worker has accepted the stop order and will not start the run any more.
-    Stopped {
-        /// Time at which the leader learned of it.
-        at_ms: u64,
-    },
-}
-
-impl RunView {
-    /// Creates the view of a run that was not listed yet.
-    pub fn new(phase: RunPhase, load: RunLoad) -> Self {
-        Self {
-            phase,
-            load,
-            expected: None,
-            percent: 0,
-            gauge: None,
-            listed_ms: None,
-            share_percent: 100,
-            progress: None,
-        }
-    }
-
-    /// Sets the time of placement and the expected run time, unless the step is lasting.
-    pub fn set_expected(&mut self, step: &Step, placed_unix_ms: u64, takes_ms: u64) {
-        self.expected = (!step.lasting).then_some((placed_unix_ms, takes_ms));
-    }
-
-    fn note_progress(&mut self, now_ms: u64, percent: u8) {
-        let progress = self.progress.get_or_insert(Progress { changed_ms: now_ms });
-        if percent != self.percent {
-            progress.changed_ms = now_ms;
-        }
-        self.percent = percent;
-    }
-
-    /// Returns whether the run is to be stopped or was stopped.
-    pub fn is_stopping(&self) -> bool {
-        matches!(
-            self.phase,
-            RunPhase::Stopping { .. } | RunPhase::Stopped { .. }
-        )
-    }
-
-    /// Returns whether the run is to be stopped and the stop is not ordered.
-    pub(super) fn is_stop_due(&self) -> bool {
-        matches!(self.phase, RunPhase::Stopping { ordered: false, .. })
-    }
-
-    /// Returns whether the run was listed lately as running and fully started.
-    pub fn is_fully_running(&self, now_ms: u64) -> bool {
-        let running = matches!(self.phase, RunPhase::Running { .. });
-        let recent = self
-            .listed_ms
-            .is_some_and(|at| now_ms < at + LISTING_VALID_MS);
-        running && recent && self.percent >= 100
-    }
-}
-
-/// Age up to which a listing shows that a run is at work: two renewals.
-const LISTING_VALID_MS: u64 = 2_500;
 /// Slowest rate of a worker's clock relative to the leader's. Workers guarantee a deviation
 /// of at most 2 %.
 const MIN_CLOCK_RATE_PERCENT: u64 = 98;
