Wait for a machine whose worker came between its order and its upkeep

Trace: a machine was ordered to move, without an answer, while its upkeep was ordered, without an answer either. It came out of the move as a new worker, the upkeep was confirmed and ended that one. The planner knew only the worker that it had drained, took the other for the machine's return 0.1 s after it went down, and gave its place away.

Ruled out: an order that is carried out twice (each machine went down once), and the limit's count of unconfirmed orders.

A machine is back when it reports a worker that was neither drained nor known when the upkeep was confirmed, and not before the time of an upkeep after the order. An upkeep that was over before it was confirmed holds its place for the usual time of return. The new test fails with the rule before.

--- a/src/control/node/applied.rs
+++ b/src/control/node/applied.rs
@@ -124,7 +124,7 @@
             }
             Change::UpkeepBegun { machine, .. } => {
                 let gone = lead.machines.is_removed(machine);
-                lead.upkeep.record_begun(now_ms, machine, gone);
+                lead.upkeep.record_begun(now_ms, machine, gone, &self.state);
             }
             Change::Configure(_) => self.on_configuration_changed(),
             Change::ConfigurePart(part) if part.is_last() => self.on_configuration_changed(),
--- a/src/control/upkeep/planner.rs
+++ b/src/control/upkeep/planner.rs
@@ -72,8 +72,26 @@
 #[derive(Debug)]
 struct Down {
     since_ms: u64,
-    /// The incarnation that the upkeep ended. The machine is back when it reports another.
-    ended_worker: Option<InstanceName>,
+    /// When the order that was confirmed was sent. The machine is back no sooner than the time
+    /// of an upkeep later.
+    ordered_ms: u64,
+    /// The incarnations that the upkeep may have ended: the one that was drained, and the one
+    /// that was known when the upkeep was confirmed, as a move may have come between them. The
+    /// machine is back when it reports another.
+    ended_workers: Vec<InstanceName>,
+}
+
+impl Down {
+    /// Returns whether the machine is back, of which `worker` is the known incarnation.
+    fn is_back(&self, now_ms: u64, worker: Option<&InstanceName>, upkeep_ms: u64) -> bool {
+        let is_overdue = now_ms > self.since_ms + upkeep_ms + RETURN_GRACE_MS;
+        let is_due = now_ms >= self.ordered_ms + upkeep_ms;
+        match worker {
+            Some(worker) => is_overdue || is_due && !self.ended_workers.contains(worker),
+            // A machine that was off comes back without a worker.
+            None => is_overdue,
+        }
+    }
 }
 
 /// A machine that is being drained, with the state of the order to begin its upkeep.
@@ -87,6 +105,8 @@
     /// Whether any order for the machine was left unanswered: the upkeep may then have begun
     /// even if a later order is refused.
     ever_unanswered: bool,
+    /// When an order was last sent.
+    ordered_ms: u64,
     retry_ms: u64,
 }
 
@@ -114,7 +134,8 @@
             .map(|machine| {
                 let down = Down {
                     since_ms: now_ms,
-                    ended_worker: None,
+                    ordered_ms: 0,
+                    ended_workers: Vec::new(),
                 };
                 (machine.clone(), down)
             })
@@ -128,6 +149,7 @@
                     since_ms: now_ms,
                     order: OrderState::Unconfirmed,
                     ever_unanswered: true,
+                    ordered_ms: now_ms,
                     retry_ms: now_ms,
                 };
                 draining.insert(machine.clone(), unconfirmed);
@@ -172,15 +194,19 @@
 
     /// Records that the upkeep of a machine has begun or, with `gone`, that the machine no
     /// longer exists.
-    pub fn record_begun(&mut self, now_ms: u64, machine: &str, gone: bool) {
+    pub fn record_begun(&mut self, now_ms: u64, machine: &str, gone: bool, state: &State) {
+        let draining = self.draining.remove(machine);
         if gone {
-            self.draining.remove(machine);
             return;
         }
-        let draining = self.draining.remove(machine);
+        let known = machines(state).find(|(known, _)| *known == machine);
+        let known = known.map(|(_, worker)| worker.clone());
+        let ordered_ms = draining.as_ref().map_or(now_ms, |e| e.ordered_ms);
+        let drained = draining.and_then(|e| e.worker);
         let down = Down {
             since_ms: now_ms,
-            ended_worker: draining.and_then(|e| e.worker),
+            ordered_ms,
+            ended_workers: drained.into_iter().chain(known).collect(),
         };
         self.down.insert(machine.to_owned(), down);
     }
@@ -208,14 +234,8 @@
             return Vec::new();
         }
         let known = Self::machines(state);
-        let return_ms = timing.upkeep_ms + RETURN_GRACE_MS;
         self.down.retain(|machine, down| {
-            let back = match known.get(machine) {
-                Some(worker) => down.ended_worker.as_ref() != Some(*worker),
-                // A machine that was off comes back without a worker.
-                None => now_ms > down.since_ms + return_ms,
-            };
-            !back
+            !down.is_back(now_ms, known.get(machine).copied(), timing.upkeep_ms)
         });
         self.draining.retain(|machine, e| {
             let is_unchanged = match &e.worker {
@@ -309,6 +329,7 @@
                 since_ms: now_ms,
                 order: OrderState::NotSent,
                 ever_unanswered: false,
+                ordered_ms: now_ms,
                 retry_ms: now_ms,
             };
             tracing::info!(
@@ -371,6 +392,7 @@
             let has_slot = unconfirmed || taken < wave.down_max;
             if empty && has_slot && now_ms >= draining.retry_ms {
                 draining.order = OrderState::Sent;
+                draining.ordered_ms = now_ms;
                 taken += usize::from(!unconfirmed);
                 steps.push(UpkeepStep::Begin {
                     wave: wave.number,
--- a/tests/control/upkeep.rs
+++ b/tests/control/upkeep.rs
@@ -1,8 +1,13 @@
 //! Maintenance waves while the pools run jobs.
 
-use rosemarygauge::control::{Answer, Call};
+use std::collections::BTreeSet;
+use std::sync::Arc;
 
-use crate::world::{World, job, lasting, step};
+use rosemarygauge::control::{Answer, Call, Change, Policy, Upkeep, UpkeepInput, UpkeepStep, Wave};
+
+use crate::pool::{NOW_MS, Pool, UNIX_MS};
+use crate::worker::Worker;
+use crate::world::{TIMING, World, address, job, lasting, step};
 
 const EAST_MACHINES: [&str; 6] = ["m-1000", "m-1001", "m-1002", "m-1003", "m-1004", "m-1005"];
 
@@ -151,3 +156,96 @@
 
 /// Longest time for which a lasting task may be down if there is room for it.
 const MAX_DOWNTIME_MS: u64 = 6_000;
+
+struct OneAtATime {
+    pool: Pool,
+    upkeep: Upkeep,
+}
+
+impl OneAtATime {
+    /// Three machines, due for upkeep one at a time.
+    fn new() -> Self {
+        let mut pool = Pool::new(3);
+        pool.change(Change::Wave(Wave {
+            number: 1,
+            machines: (0..3).map(|port| format!("m-{port}")).collect(),
+            duration_ms: 20_000,
+            down_max: 1,
+            accepted_unix_ms: UNIX_MS,
+            begun: BTreeSet::new(),
+            asked: Default::default(),
+        }));
+        let upkeep = Upkeep::new(NOW_MS, &pool.state);
+        Self { pool, upkeep }
+    }
+
+    /// Returns the machines whose upkeep is ordered now.
+    fn tick(&mut self, now_ms: u64) -> Vec<String> {
+        let world = UpkeepInput {
+            state: &self.pool.state,
+            fleet: &self.pool.fleet,
+            off: &BTreeSet::new(),
+            busy: &BTreeSet::new(),
+            timing: &TIMING,
+            policy: &Policy::default().upkeep,
+        };
+        let steps = self.upkeep.tick(now_ms, UNIX_MS + now_ms - NOW_MS, &world);
+        let begun = steps.into_iter().filter_map(|step| match step {
+            UpkeepStep::Begin { machine, .. } => Some(machine),
+            UpkeepStep::Stop { .. } => None,
+        });
+        begun.collect()
+    }
+
+    fn begin(&mut self, now_ms: u64, machine: &str) {
+        self.pool.change(Change::UpkeepBegun {
+            wave: 1,
+            machine: machine.to_owned(),
+        });
+        self.upkeep
+            .record_begun(now_ms, machine, false, &self.pool.state);
+    }
+
+    /// The worker of machine `m-0` ends, and another one reports there.
+    fn replace_worker(&mut self, ended: &str, by: &str) {
+        self.pool.change(Change::Gone {
+            worker: ended.into(),
+        });
+        let report = Worker::new(by, address(0), "east", 0).report();
+        self.pool.change(Change::Report(Arc::new(report)));
+    }
+
+    /// The first order is not answered, the machine comes out of a move as another worker, and
+    /// the next order is confirmed. Returns the time of that.
+    fn begin_after_a_move(&mut self) -> u64 {
+        assert_eq!(self.tick(NOW_MS), ["m-0"]);
+        self.upkeep.record_not_begun(NOW_MS + 400, "m-0", false);
+        self.replace_worker("i-0", "i-moved");
+        assert_eq!(self.tick(NOW_MS + 1_500), ["m-0"]);
+        self.begin(NOW_MS + 1_520, "m-0");
+        NOW_MS + 1_520
+    }
+}
+
+/// A machine was moved while its upkeep was ordered. Guards against a wave that takes the worker
+/// that came out of the move, and that the upkeep ended, for the machine's return, and takes down
+/// more machines than it may.
+#[test]
+fn a_worker_that_came_between_is_not_the_return_of_its_machine() {
+    let mut wave = OneAtATime::new();
+    let begun_ms = wave.begin_after_a_move();
+    for later_ms in (0..TIMING.upkeep_ms).step_by(100) {
+        assert!(wave.tick(begun_ms + later_ms).is_empty(), "{later_ms}");
+    }
+    wave.replace_worker("i-moved", "i-returned");
+    assert_eq!(wave.tick(begun_ms + TIMING.upkeep_ms + 100), ["m-1"]);
+}
+
+/// An upkeep was over before it was confirmed, so no other worker comes. The wave goes on.
+#[test]
+fn an_upkeep_that_was_over_before_it_was_confirmed_does_not_hold_up_its_wave() {
+    let mut wave = OneAtATime::new();
+    let begun_ms = wave.begin_after_a_move();
+    let goes_on = (0..100).any(|at| !wave.tick(begun_ms + at * 100).is_empty());
+    assert!(goes_on);
+}
