Take no machine into a wave while an order for it is open

A machine whose move was not answered was drained for its upkeep too: tasks were stopped on a worker that was leaving, and the upkeep was refused until the move was over.

--- a/src/control/node/machines.rs
+++ b/src/control/node/machines.rs
@@ -78,6 +78,11 @@
             state: &self.state,
             fleet: &lead.fleet,
             off: &off,
+            ordered: &lead
+                .machine_orders
+                .values()
+                .map(|(o, _)| &o.machine)
+                .collect(),
             policy: &self.settings.policy.upkeep,
             busy: &busy.collect(),
             timing: &self.settings.timing,
--- a/src/control/upkeep/planner.rs
+++ b/src/control/upkeep/planner.rs
@@ -51,6 +51,8 @@
     pub fleet: &'a Fleet,
     /// Machines that are off.
     pub off: &'a BTreeSet<String>,
+    /// Machines with an order that is not answered yet.
+    pub ordered: &'a BTreeSet<&'a String>,
     /// Workers with a proposed start that is not committed yet.
     pub busy: &'a BTreeSet<InstanceName>,
     /// Times of the deployment.
@@ -298,7 +300,9 @@
             return;
         }
         let (state, fleet, off) = (world.state, world.fleet, world.off);
-        let free = wave.due().filter(|m| !self.draining.contains_key(*m));
+        // A machine that is being moved comes back as another worker.
+        let is_taken = |m: &&String| self.draining.contains_key(*m) || world.ordered.contains(*m);
+        let free = wave.due().filter(|m| !is_taken(m));
         let mut free: Vec<(&String, Option<&InstanceName>)> = free
             .filter_map(|machine| match known.get(machine) {
                 Some(worker) => {
--- a/tests/control/upkeep.rs
+++ b/tests/control/upkeep.rs
@@ -160,6 +160,8 @@
 struct OneAtATime {
     pool: Pool,
     upkeep: Upkeep,
+    /// Machines with an open order.
+    ordered: BTreeSet<String>,
 }
 
 impl OneAtATime {
@@ -176,7 +178,11 @@
             asked: Default::default(),
         }));
         let upkeep = Upkeep::new(NOW_MS, &pool.state);
-        Self { pool, upkeep }
+        Self {
+            pool,
+            upkeep,
+            ordered: BTreeSet::new(),
+        }
     }
 
     /// Returns the machines whose upkeep is ordered now.
@@ -185,6 +191,7 @@
             state: &self.pool.state,
             fleet: &self.pool.fleet,
             off: &BTreeSet::new(),
+            ordered: &self.ordered.iter().collect(),
             busy: &BTreeSet::new(),
             timing: &TIMING,
             policy: &Policy::default().upkeep,
@@ -249,3 +256,12 @@
     let goes_on = (0..100).any(|at| !wave.tick(begun_ms + at * 100).is_empty());
     assert!(goes_on);
 }
+
+/// Guards against tasks that are moved away for an upkeep from a machine that leaves its pool
+/// at that moment.
+#[test]
+fn a_machine_that_is_being_moved_is_not_taken_into_a_wave() {
+    let mut wave = OneAtATime::new();
+    wave.ordered.insert("m-0".to_owned());
+    assert_eq!(wave.tick(NOW_MS), ["m-1"]);
+}
