Send no call that gets its connection at the end of its time

A caller of the client saw 'unanswered' for an order that had waited for one of four connections, although it could have been told 'not sent': the calls that held the connections ended a millisecond before it, it got one of theirs, sent its request and timed out at once. The worker may have executed it, so the leader had to stop the run before it could start it elsewhere.

Cause: a call waited for its connection until its deadline itself. Ruled out: a wrong outcome of the timed-out connect alone (the request was sent as well), and the late check against the boot-time clock (it was before the deadline).

Now a tenth of a call's time has to be left when it gets a connection.

--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -25,6 +25,10 @@
 /// Default TCP user timeout, after which the kernel gives up on unacknowledged data. It is long
 /// enough for a segment that is lost twice to arrive.
 const DEFAULT_TCP_USER_TIMEOUT_MS: u32 = 700;
+/// Part of a call's time that has to be left when it gets a connection. A request that is sent
+/// later reaches the server about when its sender gives up, and nobody knows whether it was
+/// executed.
+const MIN_TIME_LEFT_DIVISOR: u32 = 10;
 /// Number of consecutive yields without a new part of a response after which a call past its
 /// deadline ends: one to poll the socket, and one each to pass on the head, the body and its
 /// end.
@@ -47,8 +51,8 @@
     #[display("no answer in time")]
     #[from(skip)]
     Silent,
-    /// The request was not sent before the deadline, because all connections were in use or the
-    /// event loop was blocked.
+    /// The request was not sent in time, because all connections were in use or the event loop
+    /// was blocked.
     #[display("not sent in time")]
     #[from(skip)]
     NotSent,
@@ -221,7 +225,8 @@
         let deadline = Instant::now() + limit;
         let deadline_ms = boottime_ms() + limit.as_millis() as u64;
         let permits = self.permits(address);
-        let permit = timeout_at(deadline, permits.acquire()).await;
+        let latest_turn = deadline - limit / MIN_TIME_LEFT_DIVISOR;
+        let permit = timeout_at(latest_turn, permits.acquire()).await;
         let Ok(Ok(_permit)) = permit else {
             return Err(ClientError::NotSent);
         };
--- a/tests/platform/connections.rs
+++ b/tests/platform/connections.rs
@@ -14,7 +14,7 @@
 };
 use rosemarygauge::jobs::{JobId, TaskId};
 use rosemarygauge::places::Places;
-use rosemarygauge::platform::{Client, Platform, Settings};
+use rosemarygauge::platform::{Client, ClientError, Platform, Settings};
 use serde_json::json;
 use tokio::runtime::LocalOptions;
 
@@ -224,7 +224,11 @@
     let (address, ended) = unresponsive_service();
     run_on_local_runtime(async move {
         let platform = platform(address);
-        let orders = (0..5).map(|_| tokio::task::spawn_local(platform.order(order(address))));
+        let order = || Order {
+            timeout_ms: BULK_CALL_TIMEOUT.as_millis() as u64,
+            ..order(address)
+        };
+        let orders = (0..5).map(|_| tokio::task::spawn_local(platform.order(order())));
         let mut outcomes = Vec::new();
         for outcome in orders.collect::<Vec<_>>() {
             outcomes.push(outcome.await.unwrap());
@@ -240,6 +244,27 @@
     });
 }
 
+/// Guards against an order that waits for a connection until its time is nearly over and is sent
+/// then: it times out at once and counts as unanswered, although it could have counted as not
+/// sent. The call that holds the only connection ends 100 ms before the other one.
+#[test]
+fn a_call_that_gets_its_connection_at_the_end_of_its_time_is_not_sent() {
+    let (address, ended) = unresponsive_service();
+    run_on_local_runtime(async move {
+        let client = Rc::new(Client::new(1));
+        let first = client.call(address, request(), BULK_CALL_TIMEOUT * 19 / 20);
+        let second = client.call(address, request(), BULK_CALL_TIMEOUT);
+        let (first, second) = tokio::join!(first, second);
+        assert!(matches!(first, Err(ClientError::Silent)), "{first:?}");
+        assert!(matches!(second, Err(ClientError::NotSent)), "{second:?}");
+        let ends = tokio::task::spawn_blocking(move || {
+            let first = ended.recv_timeout(TEST_TIMEOUT).unwrap();
+            (first.0 > 0, ended.recv_timeout(CALL_TIMEOUT).is_err())
+        });
+        assert_eq!(ends.await.unwrap(), (true, true));
+    });
+}
+
 /// A service that answers a request only when the test releases it, and reports each step.
 struct GatedService {
     address: SocketAddr,
