--- a/src/control/policy/mod.rs
+++ b/src/control/policy/mod.rs
@@ -1,13 +1,28 @@
 //! Parameters of the decisions: the operator's policy file, and the timeouts of the
 //! deployment. Every decision takes them as an argument.
 
+mod carriers;
+mod moves;
+mod needs;
+mod order;
+mod placement;
 mod policy_fault;
+mod runs;
 mod settings;
+mod standby;
 mod timing;
+mod turns;
+mod upkeep;
 
+pub use carriers::CarriersPolicy;
+pub use moves::MovesPolicy;
+pub use needs::NeedsPolicy;
+pub use order::OrderPolicy;
+pub use placement::PlacementPolicy;
 pub use policy_fault::PolicyFault;
-pub use settings::{
-    CarriersPolicy, MovesPolicy, NeedsPolicy, OrderPolicy, PlacementPolicy, Policy, RunsPolicy,
-    StandbyPolicy, TurnsPolicy, UpkeepPolicy,
-};
+pub use runs::RunsPolicy;
+pub use settings::Policy;
+pub use standby::StandbyPolicy;
 pub use timing::Timing;
+pub use turns::TurnsPolicy;
+pub use upkeep::UpkeepPolicy;
