--- a/src/control/capacity/mod.rs
+++ b/src/control/capacity/mod.rs
@@ -6,12 +6,16 @@
 
 mod demand;
 mod forecast;
+mod input;
 mod machine_list;
+mod machine_move;
 mod order_pace;
 mod planner;
 
 pub use demand::{PoolDemand, WorkerUse, demand};
 pub use forecast::{Forecast, OfferedLoad};
+pub use input::CapacityInput;
 pub use machine_list::MachineList;
+pub use machine_move::Move;
 pub use order_pace::OrderPace;
-pub use planner::{Capacity, CapacityInput, Move};
+pub use planner::Capacity;
--- a/src/control/capacity/planner.rs
+++ b/src/control/capacity/planner.rs
@@ -14,9 +14,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::demand::{PoolDemand, WorkerUse};
-use crate::control::{Load, Machine, MachinePhase, OfferedLoad, Policy, State};
+use super::input::CapacityInput;
+use super::machine_move::Move;
+use crate::control::{Load, Machine, MachinePhase, OfferedLoad, State};
 use crate::model::{InstanceName, PoolName, ZoneName};
-use balance::{Balance, Purpose};
+use balance::{Balance, Purpose, largest_deficit};
 use peaks::Peaks;
 use transit::Transit;
 
@@ -24,45 +26,6 @@
 /// as long, and a fleet with tens of pools writes tens of lines each time.
 const LOG_INTERVAL_MS: u64 = 1_000;
 
-/// A move to order.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Move {
-    /// The machine.
-    pub machine: String,
-    /// The worker that the move ends; `None` if the machine is off.
-    pub worker: Option<InstanceName>,
-    /// The pool that it moves to.
-    pub pool: PoolName,
-}
-
-/// The inputs of [`Capacity::tick`].
-#[derive(Clone, Copy, Debug)]
-pub struct CapacityInput<'a> {
-    /// The replicated state.
-    pub state: &'a State,
-    /// The workers and the work of each pool.
-    pub demand: &'a BTreeMap<PoolName, PoolDemand<'a>>,
-    /// The load that arrives at each pool now, and the load that is forecast.
-    pub offers: &'a BTreeMap<PoolName, OfferedLoad>,
-    /// Cores to keep for the first turn of each pool that had none yet.
-    pub awaited: &'a BTreeMap<PoolName, f64>,
-    /// Workers that must not be moved now: a start is proposed on them, or they are being
-    /// drained for upkeep, or they are ending.
-    pub busy: &'a BTreeSet<InstanceName>,
-    /// Machines that are being drained or are down for upkeep.
-    pub in_upkeep: &'a BTreeSet<String>,
-    /// Machines whose upkeep is due.
-    pub due: &'a BTreeSet<String>,
-    /// Zones from which no worker is heard.
-    pub silent_zones: &'a BTreeSet<ZoneName>,
-    /// Duration of a round of turns, if there were any.
-    pub round_ms: Option<u64>,
-    /// How many moves may be ordered now.
-    pub moves_max: usize,
-    /// The operator's policy.
-    pub policy: &'a Policy,
-}
-
 /// The leader's planner for moves of machines.
 #[derive(Debug, Default)]
 pub struct Capacity {
@@ -438,13 +401,6 @@
     Some((worker, machine))
 }
 
-/// Returns the pool with the largest deficit relative to what it wants.
-fn largest_deficit(pools: &[Balance], purpose: Purpose) -> Option<usize> {
-    (0..pools.len())
-        .filter(|p| pools[*p].deficit(purpose) > 0)
-        .max_by_key(|p| pools[*p].deficit_per_mille(purpose))
-}
-
 /// Returns the average capacity of a machine.
 fn average_size(demand: &BTreeMap<PoolName, PoolDemand<'_>>) -> Load {
     let workers: usize = demand.values().map(|d| d.workers.len()).sum();
--- a/src/control/capacity/planner/balance.rs
+++ b/src/control/capacity/planner/balance.rs
@@ -59,3 +59,10 @@
         }
     }
 }
+
+/// Returns the pool with the largest deficit relative to what it wants.
+pub(super) fn largest_deficit(pools: &[Balance], purpose: Purpose) -> Option<usize> {
+    (0..pools.len())
+        .filter(|p| pools[*p].deficit(purpose) > 0)
+        .max_by_key(|p| pools[*p].deficit_per_mille(purpose))
+}
--- a/src/control/capacity/planner/transit.rs
+++ b/src/control/capacity/planner/transit.rs
@@ -1,7 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::Move;
-use crate::control::{Machine, MachinePhase, MovesPolicy, State};
+use crate::control::{Machine, MachinePhase, Move, MovesPolicy, State};
 use crate::control::{PoolDemand, WorkerUse};
 use crate::model::{InstanceName, PoolName};
 
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -1,6 +1,7 @@
 //! A control instance: a replica of the log and, while it leads, the component that makes
 //! all scheduling decisions.
 
+mod advice;
 mod applied;
 mod calls;
 mod carried_orders;
@@ -13,6 +14,9 @@
 mod pass;
 mod peers;
 mod renewals;
+mod sent_order;
+mod starts;
+mod stops;
 
 use std::collections::BTreeMap;
 
--- /dev/null
+++ b/src/control/node/advice.rs
@@ -0,0 +1,85 @@
+//! Requests to the outside advisor, which must allow the placements of some queues.
+
+use super::Node;
+use super::orders::ORDER_TIMEOUT_MS;
+use crate::control::Effect;
+use crate::model::InstanceName;
+
+/// Maximum number of concurrent requests to the advisor. It answers one at a time for each
+/// client and refuses the 32nd that is queued.
+const MAX_ADVICE_REQUESTS: usize = 6;
+/// Maximum number of workers in one advice request, as the advisor allows.
+const MAX_WORKERS_PER_ADVICE_REQUEST: usize = 100;
+/// Part of a ticket's validity, in percent, during which it is used. The rest is left for
+/// the start to arrive.
+const TICKET_USABLE_PERCENT: u64 = 80;
+/// How long a refusal by the advisor is cached. Refusals do not change.
+const REFUSAL_CACHE_MS: u64 = 3_600_000;
+
+impl Node {
+    /// Requests advice about steps whose tickets are missing.
+    pub(super) fn request_advice(&mut self, now_ms: u64) {
+        let Some(lead) = &mut self.leader_state else {
+            return;
+        };
+        for (step, mut workers) in lead.scheduler.take_missing_advice() {
+            let asked = lead.advice_requests.values().any(|(s, ..)| *s == step);
+            if asked || lead.advice_requests.len() >= MAX_ADVICE_REQUESTS {
+                continue;
+            }
+            workers.truncate(MAX_WORKERS_PER_ADVICE_REQUEST);
+            let job = self.state.job(step.job);
+            let queue = job.and_then(|j| self.state.configuration()?.queue(&j.queue));
+            let Some(advice) = queue.and_then(|q| q.advice) else {
+                continue;
+            };
+            let takes_ms = advice.decision_ms + advice.per_worker_ms * workers.len() as u64;
+            let id = lead.allocate_id();
+            lead.advice_requests.insert(
+                id,
+                (
+                    step,
+                    workers.clone(),
+                    now_ms + advice.validity_ms * TICKET_USABLE_PERCENT / 100,
+                ),
+            );
+            self.out.push(Effect::Advise {
+                id,
+                step,
+                workers,
+                timeout_ms: takes_ms * MAX_ADVICE_REQUESTS as u64 + ORDER_TIMEOUT_MS,
+            });
+        }
+    }
+
+    pub(super) fn handle_advice(
+        &mut self,
+        now_ms: u64,
+        id: u64,
+        allowed: Option<Vec<(InstanceName, String)>>,
+    ) {
+        let Some(lead) = &mut self.leader_state else {
+            return;
+        };
+        let Some((step, asked, until_ms)) = lead.advice_requests.remove(&id) else {
+            return;
+        };
+        lead.dirty = true;
+        let Some(allowed) = allowed else {
+            tracing::warn!(%step, "advisor: a request was not answered");
+            return;
+        };
+        tracing::info!(
+            %step, asked = asked.len(), allowed = allowed.len(),
+            "advisor: a request was answered"
+        );
+        lead.scheduler.tickets.record_answer(
+            now_ms,
+            step,
+            &asked,
+            allowed,
+            until_ms,
+            REFUSAL_CACHE_MS,
+        );
+    }
+}
--- a/src/control/node/leader_state.rs
+++ b/src/control/node/leader_state.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::orders::SentOrder;
+use super::sent_order::SentOrder;
 use super::{CallOrigin, Node};
 use crate::control::replication::Pending;
 use crate::control::{
@@ -352,7 +352,7 @@
             .retain(|job| state.job(job).is_some_and(|job| job.verdict.is_none()));
         lead.scheduler
             .tickets
-            .retain(|step, _| state.job(step.job).is_some_and(|job| job.verdict.is_none()));
+            .retain(|step| state.job(step.job).is_some_and(|job| job.verdict.is_none()));
     }
 }
 
--- a/src/control/node/renewals.rs
+++ b/src/control/node/renewals.rs
@@ -3,8 +3,9 @@
 
 use super::Node;
 use super::leader_state::Waiter;
-use super::orders::{ORDER_TIMEOUT_MS, SentOrder};
+use super::orders::ORDER_TIMEOUT_MS;
 use super::pass::request_stop;
+use super::sent_order::SentOrder;
 use crate::control::{
     Change, Decision, Effect, Ended, OrderKind, OrderOutcome, Placement, Rejection, RunPhase,
     Running, Throttle, WorkerStart, is_stalled,
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -8,12 +8,17 @@
 mod candidate;
 mod candidates;
 mod pending_step;
+mod placed_start;
 mod pool_pass;
 mod quota_room;
 mod ranking;
 mod scheduler;
+mod scheduler_input;
+mod tickets;
 mod workspace_shares;
 
+pub use placed_start::Placement;
 pub use ranking::{Rank, Remaining, rank_job};
-pub use scheduler::{Placement, Scheduler, SchedulerInput};
+pub use scheduler::Scheduler;
+pub use scheduler_input::SchedulerInput;
 pub use workspace_shares::WorkspaceShares;
--- a/src/control/placement/scheduler.rs
+++ b/src/control/placement/scheduler.rs
@@ -17,12 +17,12 @@
 use super::candidate::{Candidate, any_rack_could_hold, best_rack};
 use super::candidates::{Candidates, Preferences};
 use super::pending_step::PendingStep;
+use super::placed_start::Placement;
 use super::pool_pass::{PoolPass, Stage};
 use super::quota_room::QuotaRoom;
-use crate::control::{
-    Estimates, Fleet, PlacementPolicy, Policy, Queue, RunLoad, SizeShares, Sizes, State,
-    WorkspaceShares,
-};
+use super::scheduler_input::SchedulerInput;
+use super::tickets::Tickets;
+use crate::control::{PlacementPolicy, Queue, RunLoad, SizeShares, Sizes, State, WorkspaceShares};
 use crate::jobs::{Job, JobId, TaskId};
 use crate::model::{InstanceName, PoolName, WorkspaceName};
 
@@ -30,30 +30,6 @@
 /// at a time, and requests may already be open for as many of the first steps.
 const MISSING_ADVICE_MAX: usize = 16;
 
-/// The start of a task on a worker, as decided by the scheduler.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Placement {
-    /// The task to start.
-    pub task: TaskId,
-    /// Number of this attempt to run the task, counted from 1.
-    pub attempt: u32,
-    /// The worker that runs it.
-    pub worker: InstanceName,
-}
-
-/// The input of a scheduling pass.
-#[derive(Clone, Copy, Debug)]
-pub struct SchedulerInput<'a> {
-    /// The replicated state.
-    pub state: &'a State,
-    /// The leader's links to workers.
-    pub fleet: &'a Fleet,
-    /// Learned run times of tasks.
-    pub estimates: &'a Estimates,
-    /// The policy that is in force.
-    pub policy: &'a Policy,
-}
-
 /// The scheduler's own state, beside the replicated state and the links to workers.
 #[derive(Debug, Default)]
 pub struct Scheduler {
@@ -63,8 +39,8 @@
     pub(in crate::control) closed: BTreeSet<InstanceName>,
     /// Workers whose machines are due for upkeep: lasting tasks preferably go elsewhere.
     pub(in crate::control) upkeep_due: BTreeSet<InstanceName>,
-    /// The advisor's tickets by step (its task with index 0) and worker.
-    pub(in crate::control) tickets: BTreeMap<TaskId, BTreeMap<InstanceName, Ticket>>,
+    /// The advisor's answers.
+    pub(in crate::control) tickets: Tickets,
     /// The jobs that are large by the measure of their queues.
     pub(in crate::control) sizes: Sizes,
     /// The jobs that are beyond the shares of their workspaces.
@@ -84,15 +60,6 @@
     candidates_visited: u64,
 }
 
-/// The advisor's decision about a worker for a step.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(in crate::control) struct Ticket {
-    /// The permission to pass on to the worker; `None` if the advisor denied it.
-    pub(in crate::control) text: Option<String>,
-    /// Time at which the decision expires.
-    pub(in crate::control) until_ms: u64,
-}
-
 impl Scheduler {
     /// Records the size of a job that has arrived, to tell which jobs of its queue are
     /// large, and which are beyond the shares of their workspaces.
@@ -351,8 +318,9 @@
                 candidate.step_runs = counts.get(candidate.name).copied().unwrap_or(0);
             }
         }
-        let tickets = self.tickets.get(&pending.task(0)).filter(|_| advised);
-        let may_run = |c: &Candidate| !advised || is_allowed(now_ms, tickets, c.name);
+        let key = pending.task(0);
+        let tickets = &self.tickets;
+        let may_run = |c: &Candidate| !advised || tickets.is_allowed(now_ms, key, c.name);
         let waiting = &pending.waiting;
         let rack = match (step.rack_local, step.gang) {
             (false, _) => None,
@@ -361,7 +329,7 @@
                 let rack = best_rack(pool.all(), step, waiting.len(), may_run);
                 // A gang runs slower across several racks, so it waits for one rack unless
                 // every rack is too small for it.
-                let could_run = |c: &Candidate| !advised || !is_denied(now_ms, tickets, c.name);
+                let could_run = |c: &Candidate| !advised || !tickets.is_denied(now_ms, key, c.name);
                 if rack.is_none() && any_rack_could_hold(pool.all(), step, waiting.len(), could_run)
                 {
                     return Vec::new();
@@ -423,19 +391,18 @@
     /// for which advice is missing or has expired.
     fn is_advised(&mut self, now_ms: u64, pending: &PendingStep, pool: &[Candidate]) -> bool {
         let key = pending.task(0);
-        let tickets = self.tickets.get(&key);
+        let tickets = &self.tickets;
         if self.missing_advice.len() < MISSING_ADVICE_MAX {
-            let known = |name| tickets.and_then(|t| t.get(name));
             let unknown: Vec<InstanceName> = pool
                 .iter()
-                .filter(|c| known(c.name).is_none_or(|t| now_ms >= t.until_ms))
+                .filter(|c| !tickets.is_known(now_ms, key, c.name))
                 .map(|c| c.name.clone())
                 .collect();
             if !unknown.is_empty() {
                 self.missing_advice.push((key, unknown));
             }
         }
-        pool.iter().any(|c| is_allowed(now_ms, tickets, c.name))
+        pool.iter().any(|c| tickets.is_allowed(now_ms, key, c.name))
     }
 
     /// Takes the steps for which the last pass found no valid advice, in backlog order, and
@@ -444,54 +411,4 @@
     pub(in crate::control) fn take_missing_advice(&mut self) -> Vec<(TaskId, Vec<InstanceName>)> {
         std::mem::take(&mut self.missing_advice)
     }
-
-    /// Stores the advisor's answer for a step: tickets for the allowed workers, and a
-    /// denial for `refusal_ms` for the other workers that were asked about.
-    pub(in crate::control) fn take_advice(
-        &mut self,
-        now_ms: u64,
-        step: TaskId,
-        asked: &[InstanceName],
-        allowed: Vec<(InstanceName, String)>,
-        until_ms: u64,
-        refusal_ms: u64,
-    ) {
-        let tickets = self.tickets.entry(step).or_default();
-        for name in asked {
-            let ticket = Ticket {
-                text: None,
-                until_ms: now_ms + refusal_ms,
-            };
-            tickets.insert(name.clone(), ticket);
-        }
-        for (name, text) in allowed {
-            let ticket = Ticket {
-                text: Some(text),
-                until_ms,
-            };
-            tickets.insert(name, ticket);
-        }
-    }
-}
-
-/// Returns whether a valid answer of the advisor denies the step on a worker.
-fn is_denied(
-    now_ms: u64,
-    tickets: Option<&BTreeMap<InstanceName, Ticket>>,
-    name: &InstanceName,
-) -> bool {
-    tickets
-        .and_then(|tickets| tickets.get(name))
-        .is_some_and(|t| t.text.is_none() && now_ms < t.until_ms)
-}
-
-/// Returns whether a valid ticket allows the step on a worker.
-fn is_allowed(
-    now_ms: u64,
-    tickets: Option<&BTreeMap<InstanceName, Ticket>>,
-    name: &InstanceName,
-) -> bool {
-    tickets
-        .and_then(|tickets| tickets.get(name))
-        .is_some_and(|t| t.text.is_some() && now_ms < t.until_ms)
 }
--- a/src/control/replication/state.rs
+++ b/src/control/replication/state.rs
@@ -1,14 +1,15 @@
+mod snapshot;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::ops::Bound;
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize, Serializer};
+use serde::{Deserialize, Serialize};
 
-use crate::codec::CodecError;
 use crate::control::{
-    Access, Change, Command, Configuration, ConfigurationParts, History, Queue, Report,
-    RunsByWorker, Wave, Worker, WorkersByAddress, WorkspaceUsage,
+    Change, Command, Configuration, ConfigurationParts, History, Queue, Report, RunsByWorker, Wave,
+    Worker, WorkersByAddress, WorkspaceUsage,
 };
 use crate::jobs::{Job, JobId, JobSpec, JobState, RunResult, TaskId};
 use crate::model::{InstanceName, PoolName, WorkspaceName};
@@ -17,7 +18,7 @@
 /// the same on every control instance after the same commands.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
-    #[serde(serialize_with = "without_access")]
+    #[serde(serialize_with = "snapshot::without_access")]
     configuration: Option<Arc<Configuration>>,
     jobs: BTreeMap<JobId, Job>,
     /// Jobs of which a task may still start or run.
@@ -38,27 +39,6 @@
     led_since_unix_ms: u64,
 }
 
-/// The part of a snapshot about workspaces. It follows the layout of earlier builds, which
-/// have none, and is left out if there is nothing in it.
-#[derive(Default, PartialEq, Serialize, Deserialize)]
-struct WorkspaceState {
-    access: Option<Access>,
-    /// The jobs that belong to a workspace.
-    owners: Vec<(JobId, WorkspaceName)>,
-}
-
-/// Encodes a configuration in the layout of earlier builds, without its workspaces.
-fn without_access<S: Serializer>(
-    configuration: &Option<Arc<Configuration>>,
-    serializer: S,
-) -> Result<S::Ok, S::Error> {
-    let without = configuration.as_ref().map(|configuration| Configuration {
-        access: None,
-        ..Configuration::clone(configuration)
-    });
-    without.serialize(serializer)
-}
-
 impl State {
     /// Applies a committed command.
     pub fn apply(&mut self, command: &Command) {
@@ -158,45 +138,6 @@
         &self.usage
     }
 
-    /// Encodes the state as a snapshot.
-    pub fn encode(&self) -> Vec<u8> {
-        let mut bytes = crate::codec::encode(self);
-        let owned = self.jobs.iter();
-        let workspaces = WorkspaceState {
-            access: self.configuration().and_then(|c| c.access.clone()),
-            owners: owned
-                .filter_map(|(id, job)| Some((*id, job.workspace.clone()?)))
-                .collect(),
-        };
-        if workspaces != WorkspaceState::default() {
-            bytes.extend(crate::codec::encode(&workspaces));
-        }
-        bytes
-    }
-
-    /// Decodes a snapshot and rebuilds the indexes that it does not hold.
-    ///
-    /// # Errors
-    /// Returns an error if the bytes are not a valid snapshot.
-    pub fn decode(bytes: &[u8]) -> Result<Self, CodecError> {
-        let (mut state, rest) = crate::codec::decode_state::<Self>(bytes)?;
-        if !rest.is_empty() {
-            let (workspaces, _) = crate::codec::decode_state::<WorkspaceState>(rest)?;
-            if let Some(configuration) = &mut state.configuration {
-                Arc::make_mut(configuration).access = workspaces.access;
-            }
-            for (id, workspace) in workspaces.owners {
-                if let Some(job) = state.jobs.get_mut(&id) {
-                    job.workspace = Some(workspace);
-                }
-            }
-        }
-        state.runs = RunsByWorker::of(state.active());
-        state.addresses = WorkersByAddress::of(state.workers.iter());
-        state.usage = WorkspaceUsage::of(state.active());
-        Ok(state)
-    }
-
     fn apply_change(&mut self, at_unix_ms: u64, change: &Change) {
         match change {
             Change::Configure(configuration) => self.configure(configuration),
--- a/src/control/upkeep/planner.rs
+++ b/src/control/upkeep/planner.rs
@@ -8,59 +8,18 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::control::{Fleet, RunPhase, State, Timing, UpkeepPolicy, Wave};
-use crate::jobs::{Job, TaskId};
+use super::disruption_budget::DisruptionBudget;
+use super::down::Down;
+use super::draining::Draining;
+use super::input::UpkeepInput;
+use super::order_state::OrderState;
+use super::step::UpkeepStep;
+use crate::control::{RunPhase, State, Wave};
 use crate::model::{InstanceName, PoolName};
 
-/// How long after the usual upkeep time a machine that does not report still counts as down
-/// for its upkeep: two report intervals. If it stays silent for longer, it is down for
-/// another reason.
-const RETURN_GRACE_MS: u64 = 3_000;
 /// Delay before an order that the platform refused or did not answer is sent again.
 const RETRY_DELAY_MS: u64 = 500;
 
-/// An action that the leader takes for a wave.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum UpkeepStep {
-    /// Stop a run so that its task can start on another worker.
-    Stop {
-        /// The worker that the run is on.
-        worker: InstanceName,
-        /// The task.
-        task: TaskId,
-        /// The attempt number of the run.
-        attempt: u32,
-    },
-    /// Begin the upkeep of a drained machine.
-    Begin {
-        /// The wave's number.
-        wave: u64,
-        /// The machine.
-        machine: String,
-        /// The worker incarnation on the machine; `None` if the machine is off.
-        worker: Option<InstanceName>,
-    },
-}
-
-/// The inputs of [`Upkeep::tick`].
-#[derive(Clone, Copy, Debug)]
-pub struct UpkeepInput<'a> {
-    /// The replicated state.
-    pub state: &'a State,
-    /// The leader's links to workers.
-    pub fleet: &'a Fleet,
-    /// Machines that are off.
-    pub off: &'a BTreeSet<String>,
-    /// Machines with an order that is not answered yet.
-    pub ordered: &'a BTreeSet<&'a String>,
-    /// Workers with a proposed start that is not committed yet.
-    pub busy: &'a BTreeSet<InstanceName>,
-    /// Times of the deployment.
-    pub timing: &'a Timing,
-    /// The operator's policy for upkeep.
-    pub policy: &'a UpkeepPolicy,
-}
-
 /// The leader's planner for maintenance waves.
 #[derive(Debug, Default)]
 pub struct Upkeep {
@@ -70,60 +29,6 @@
     down: BTreeMap<String, Down>,
 }
 
-/// A machine that is down for its upkeep.
-#[derive(Debug)]
-struct Down {
-    since_ms: u64,
-    /// When the order that was confirmed was sent. The machine is back no sooner than the time
-    /// of an upkeep later.
-    ordered_ms: u64,
-    /// The incarnations that the upkeep may have ended: the one that was drained, and the one
-    /// that was known when the upkeep was confirmed, as a move may have come between them. The
-    /// machine is back when it reports another.
-    ended_workers: Vec<InstanceName>,
-}
-
-impl Down {
-    /// Returns whether the machine is back, of which `worker` is the known incarnation.
-    fn is_back(&self, now_ms: u64, worker: Option<&InstanceName>, upkeep_ms: u64) -> bool {
-        let is_overdue = now_ms > self.since_ms + upkeep_ms + RETURN_GRACE_MS;
-        let is_due = now_ms >= self.ordered_ms + upkeep_ms;
-        match worker {
-            Some(worker) => is_overdue || is_due && !self.ended_workers.contains(worker),
-            // A machine that was off comes back without a worker.
-            None => is_overdue,
-        }
-    }
-}
-
-/// A machine that is being drained, with the state of the order to begin its upkeep.
-#[derive(Debug)]
-struct Draining {
-    wave: u64,
-    /// `None` for a machine that is off.
-    worker: Option<InstanceName>,
-    since_ms: u64,
-    order: OrderState,
-    /// Whether any order for the machine was left unanswered: the upkeep may then have begun
-    /// even if a later order is refused.
-    ever_unanswered: bool,
-    /// When an order was last sent.
-    ordered_ms: u64,
-    retry_ms: u64,
-}
-
-/// State of the order to begin an upkeep.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum OrderState {
-    /// Not sent, or refused.
-    NotSent,
-    /// Sent, and not answered yet.
-    Sent,
-    /// The answer was lost. The upkeep may have begun, so the machine counts as down until
-    /// the outcome is known.
-    Unconfirmed,
-}
-
 impl Upkeep {
     /// Builds the planner of a new leader from the replicated state. A machine whose upkeep
     /// has begun and that has no worker counts as down. A machine whose upkeep an earlier
@@ -408,76 +313,6 @@
     }
 }
 
-/// Checks the disruption budgets of lasting steps within one pass.
-pub(super) struct DisruptionBudget<'a> {
-    now_ms: u64,
-    fleet: &'a Fleet,
-    /// Tasks that this pass stops, by step (the key has index 0).
-    taken: BTreeMap<TaskId, usize>,
-}
-
-impl<'a> DisruptionBudget<'a> {
-    pub(super) fn new(now_ms: u64, fleet: &'a Fleet) -> Self {
-        Self {
-            now_ms,
-            fleet,
-            taken: BTreeMap::new(),
-        }
-    }
-
-    /// Returns whether the task may be stopped now, and charges it to the budget if so.
-    ///
-    /// Tasks that crashed, are starting, are being stopped or were not reported lately count
-    /// as unavailable as well. Otherwise a stop on top of a crash would disrupt more of a
-    /// step than its owner allows.
-    pub(super) fn try_take(&mut self, job: &Job, task: TaskId) -> bool {
-        let step = &job.spec.steps[usize::from(task.step)];
-        let (Some(max), true) = (step.disruption_budget, step.lasting) else {
-            return true;
-        };
-        let key = TaskId { index: 0, ..task };
-        let taken = self.taken.get(&key).copied().unwrap_or(0);
-        let allowed = self.unavailable_peers(job, task) + taken < usize::from(max);
-        if allowed {
-            self.taken.insert(key, taken + 1);
-        }
-        allowed
-    }
-
-    /// Counts the other tasks of the step that are not running.
-    fn unavailable_peers(&self, job: &Job, task: TaskId) -> usize {
-        let Some(occurrence) = job.occurrence(task.occurrence) else {
-            return 0;
-        };
-        let tasks = occurrence.step(usize::from(task.step)).iter().enumerate();
-        tasks
-            .filter(|(index, _)| *index != usize::from(task.index))
-            .filter(|(index, other)| {
-                let id = TaskId {
-                    index: *index as u16,
-                    ..task
-                };
-                !other.runs.iter().any(|run| {
-                    let view = self.fleet.run(&run.worker, id, run.attempt);
-                    view.is_some_and(|v| v.is_fully_running(self.now_ms))
-                })
-            })
-            .count()
-    }
-
-    /// Counts the tasks on a worker that may not be stopped at present.
-    fn blocked_tasks(&self, state: &State, worker: &InstanceName) -> usize {
-        self.fleet
-            .runs_on(state, worker)
-            .filter(|(job, task, _)| {
-                let step = &job.spec.steps[usize::from(task.step)];
-                let max = step.disruption_budget.map_or(usize::MAX, usize::from);
-                step.lasting && self.unavailable_peers(job, *task) >= max
-            })
-            .count()
-    }
-}
-
 /// Counts the active jobs of each pool, without lasting ones.
 fn active_jobs_by_pool(state: &State) -> BTreeMap<PoolName, usize> {
     let mut jobs_by_pool: BTreeMap<PoolName, usize> = BTreeMap::new();
