Use no disruption budget while a stop of an earlier leader may be under way

Callers saw a sixth task of a step away of which five may be: the leader had ordered five stops for a wave and froze, the worker of one of them took 780 ms to end it, and its successor, 600 ms later, found that task in the worker's list of running ones and stopped another.

Cause: a run that a worker lists counts as running, also while it is being stopped by an order that the new leader does not know. Ruled out: an order that arrived after the listing (workers refuse the lower token).

From the first listing under the leader's token on, a worker accepts no earlier stop, and each ends within the time that the deployment allows for one. Only a listing that was asked for after that shows that a run is at work.

--- a/src/control/upkeep/disruption_budget.rs
+++ b/src/control/upkeep/disruption_budget.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use crate::control::{Fleet, State};
+use crate::control::{Fleet, State, Timing};
 use crate::jobs::{Job, TaskId};
 use crate::model::InstanceName;
 
@@ -8,15 +8,17 @@
 pub(super) struct DisruptionBudget<'a> {
     now_ms: u64,
     fleet: &'a Fleet,
+    stop_timeout_ms: u64,
     /// Tasks that this pass stops, by step (the key has index 0).
     taken: BTreeMap<TaskId, usize>,
 }
 
 impl<'a> DisruptionBudget<'a> {
-    pub(super) fn new(now_ms: u64, fleet: &'a Fleet) -> Self {
+    pub(super) fn new(now_ms: u64, fleet: &'a Fleet, timing: &Timing) -> Self {
         Self {
             now_ms,
             fleet,
+            stop_timeout_ms: timing.stop_timeout_ms,
             taken: BTreeMap::new(),
         }
     }
@@ -54,8 +56,11 @@
                     ..task
                 };
                 !other.runs.iter().any(|run| {
-                    let view = self.fleet.run(&run.worker, id, run.attempt);
-                    view.is_some_and(|v| v.is_fully_running(self.now_ms))
+                    let link = self.fleet.link(&run.worker);
+                    link.is_some_and(|link| {
+                        let (now_ms, stop_timeout_ms) = (self.now_ms, self.stop_timeout_ms);
+                        link.is_fully_running(now_ms, id, run.attempt, stop_timeout_ms)
+                    })
                 })
             })
             .count()
--- a/src/control/upkeep/planner.rs
+++ b/src/control/upkeep/planner.rs
@@ -152,7 +152,7 @@
             e.order != OrderState::NotSent || is_unchanged
         });
         let mut steps = Vec::new();
-        let mut budget = DisruptionBudget::new(now_ms, world.fleet);
+        let mut budget = DisruptionBudget::new(now_ms, world.fleet, timing);
         for wave in state.waves().values().filter(|w| !w.is_completed()) {
             let free_slots = self.free_slots(now_unix_ms, wave, world);
             self.select_machines(now_ms, wave, free_slots, &known, &budget, world);
--- a/src/control/workers/run_view.rs
+++ b/src/control/workers/run_view.rs
@@ -103,12 +103,13 @@
         matches!(self.phase, RunPhase::Stopping { ordered: false, .. })
     }
 
-    /// Returns whether the run was listed lately as running and fully started.
-    pub fn is_fully_running(&self, now_ms: u64) -> bool {
+    /// Returns whether the run was listed lately, and not before `since_ms`, as running and fully
+    /// started.
+    pub(super) fn is_fully_running(&self, now_ms: u64, since_ms: u64) -> bool {
         let running = matches!(self.phase, RunPhase::Running { .. });
         let recent = self
             .listed_ms
-            .is_some_and(|at| now_ms < at + LISTING_VALID_MS);
+            .is_some_and(|at| at >= since_ms && now_ms < at + LISTING_VALID_MS);
         running && recent && self.percent >= 100
     }
 }
--- a/src/control/workers/worker_link.rs
+++ b/src/control/workers/worker_link.rs
@@ -23,8 +23,8 @@
     lease_ms: u64,
     /// Longest lease that an earlier leader may have granted.
     inherited_lease_ms: u64,
-    /// Whether the worker has listed its runs under this leader's fencing token.
-    confirmed: bool,
+    /// When the worker first listed its runs under this leader's fencing token.
+    confirmed_ms: Option<u64>,
     /// Number of the last end that is durable.
     pub(in crate::control) acknowledged: u64,
     /// Number of the last end that is proposed to the log.
@@ -86,7 +86,7 @@
             clock: None,
             lease_end_ms: 0,
             lease_ms,
-            confirmed: false,
+            confirmed_ms: None,
             acknowledged: 0,
             proposed: 0,
             renewal_sent_ms: None,
@@ -176,7 +176,7 @@
 
     /// Returns whether the worker may get work now.
     pub fn takes_work(&self, now_ms: u64) -> bool {
-        self.confirmed && self.is_heard(now_ms) && now_ms >= self.cooldown_until_ms
+        self.is_confirmed() && self.is_heard(now_ms) && now_ms >= self.cooldown_until_ms
     }
 
     /// Returns whether the worker has answered lately.
@@ -195,7 +195,27 @@
 
     /// Returns whether the worker has listed its runs under this leader's fencing token.
     pub fn is_confirmed(&self) -> bool {
-        self.confirmed
+        self.confirmed_ms.is_some()
+    }
+
+    /// Returns whether a run was listed lately as fully started, by a worker that has ended all
+    /// stops of earlier leaders.
+    ///
+    /// A worker takes up to `stop_timeout_ms` to stop a run and lists it as running until then.
+    /// From its first listing under this leader's fencing token on, it accepts no stop of an
+    /// earlier leader.
+    pub fn is_fully_running(
+        &self,
+        now_ms: u64,
+        task: TaskId,
+        attempt: u32,
+        stop_timeout_ms: u64,
+    ) -> bool {
+        let Some(stops_end_ms) = self.confirmed_ms.map(|at_ms| at_ms + stop_timeout_ms) else {
+            return false;
+        };
+        let view = self.runs.get(&(task, attempt));
+        view.is_some_and(|view| view.is_fully_running(now_ms, stops_end_ms))
     }
 
     /// Returns the lease end to send with an order now, on the worker's clock; `None` while
@@ -322,7 +342,7 @@
         self.record_clock(now_ms, clock_ms);
         self.unanswered_renewals = 0;
         self.last_renewal_unsent = false;
-        self.confirmed = true;
+        self.confirmed_ms.get_or_insert(now_ms);
         for run in running {
             if let Some(view) = self.runs.get_mut(&(run.task, run.attempt)) {
                 view.note_progress(now_ms, run.percent);
--- a/tests/control/upkeep.rs
+++ b/tests/control/upkeep.rs
@@ -3,7 +3,11 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use rosemarygauge::control::{Answer, Call, Change, Policy, Upkeep, UpkeepInput, UpkeepStep, Wave};
+use rosemarygauge::control::{
+    Answer, Call, Change, Fleet, Policy, Running, Sizes, Upkeep, UpkeepInput, UpkeepStep, Wave,
+};
+use rosemarygauge::jobs::{JobId, TaskId};
+use rosemarygauge::model::InstanceName;
 
 use crate::pool::{NOW_MS, Pool, UNIX_MS};
 use crate::worker::Worker;
@@ -185,8 +189,7 @@
         }
     }
 
-    /// Returns the machines whose upkeep is ordered now.
-    fn tick(&mut self, now_ms: u64) -> Vec<String> {
+    fn steps(&mut self, now_ms: u64) -> Vec<UpkeepStep> {
         let world = UpkeepInput {
             state: &self.pool.state,
             fleet: &self.pool.fleet,
@@ -196,11 +199,18 @@
             timing: &TIMING,
             policy: &Policy::default().upkeep,
         };
-        let steps = self.upkeep.tick(now_ms, UNIX_MS + now_ms - NOW_MS, &world);
-        let begun = steps.into_iter().filter_map(|step| match step {
-            UpkeepStep::Begin { machine, .. } => Some(machine),
-            UpkeepStep::Stop { .. } => None,
-        });
+        self.upkeep.tick(now_ms, UNIX_MS + now_ms - NOW_MS, &world)
+    }
+
+    /// Returns the machines whose upkeep is ordered now.
+    fn tick(&mut self, now_ms: u64) -> Vec<String> {
+        let begun = self
+            .steps(now_ms)
+            .into_iter()
+            .filter_map(|step| match step {
+                UpkeepStep::Begin { machine, .. } => Some(machine),
+                UpkeepStep::Stop { .. } => None,
+            });
         begun.collect()
     }
 
@@ -265,3 +275,82 @@
     wave.ordered.insert("m-0".to_owned());
     assert_eq!(wave.tick(NOW_MS), ["m-1"]);
 }
+
+/// Two workers of a step of which one task may be away, under a leader that has just begun. Both
+/// list their task as running.
+struct AfterAChange {
+    wave: OneAtATime,
+}
+
+impl AfterAChange {
+    fn new() -> Self {
+        let mut wave = OneAtATime::new();
+        let pool = &mut wave.pool;
+        pool.accept(1, lasting(2));
+        for index in 0..2 {
+            pool.change(Change::Place {
+                task: task(index),
+                attempt: 1,
+                worker: worker(index),
+            });
+        }
+        pool.fleet = Fleet::new(NOW_MS, 3_000, 5_000, &pool.state, &Sizes::default());
+        let mut after = Self { wave };
+        after.list(NOW_MS, NOW_MS);
+        after
+    }
+
+    /// The workers list their tasks in answers to renewals that were sent at `sent_ms`.
+    fn list(&mut self, now_ms: u64, sent_ms: u64) {
+        for index in 0..2 {
+            let running = Running {
+                task: task(index),
+                attempt: 1,
+                checkpoint: String::new(),
+                percent: 100,
+                gauge: None,
+            };
+            let link = self.wave.pool.fleet.link_mut(&worker(index)).unwrap();
+            link.listed(now_ms, sent_ms, now_ms, &[running], &[]);
+        }
+    }
+
+    /// Returns how many tasks are to be stopped now.
+    fn stops(&mut self, now_ms: u64) -> usize {
+        let steps = self.wave.steps(now_ms);
+        let stops = steps
+            .iter()
+            .filter(|step| matches!(step, UpkeepStep::Stop { .. }));
+        stops.count()
+    }
+}
+
+fn task(index: u16) -> TaskId {
+    TaskId {
+        job: JobId::from(1),
+        occurrence: 0,
+        step: 0,
+        index,
+    }
+}
+
+fn worker(index: u16) -> InstanceName {
+    format!("i-{index}").as_str().into()
+}
+
+/// Guards against a disruption budget that is used twice: an earlier leader ordered the stop of a
+/// task just before it was lost, the worker still lists the task as running while it stops it,
+/// and the next leader stops another task of the step.
+#[test]
+fn a_new_leader_waits_for_stops_that_an_earlier_one_may_have_ordered() {
+    let mut after = AfterAChange::new();
+    let settled_ms = NOW_MS + TIMING.stop_timeout_ms;
+    for now_ms in (NOW_MS..settled_ms).step_by(50) {
+        assert_eq!(after.stops(now_ms), 0, "{} ms", now_ms - NOW_MS);
+    }
+    // A listing of before says nothing, however late it arrives.
+    after.list(settled_ms + 10, settled_ms - 1);
+    assert_eq!(after.stops(settled_ms + 10), 0);
+    after.list(settled_ms + 20, settled_ms);
+    assert_eq!(after.stops(settled_ms + 20), 1);
+}
