Hand leadership before a planned stop to a voter that answers

Calls waited for an election timeout of 450 ms and more after a planned stop of a leader, if a voter was down at that moment: the leader named as its successor the last voter with the most complete log, and where nothing was written since, that was one that was lost. Ruled out: a lost message (the test has none).

A voter that has not answered for an election timeout is named only if no other answers.

--- a/src/consensus/leadership_transfer.rs
+++ b/src/consensus/leadership_transfer.rs
@@ -2,9 +2,10 @@
 //!
 //! Without it, the other voters wait an election timeout for a leader that stopped as
 //! planned, and every change and every claim stalls for a second. The leader names a
-//! successor, before a stop the voter with the most complete log. That one starts an election at once,
-//! and the other voters, which know that the leader is gone, may vote for it. The
-//! successor still needs a quorum, so a lost message costs only the usual timeout.
+//! successor, before a stop the voter with the most complete log among those that answer. That
+//! one starts an election at once, and the other voters, which know that the leader is gone,
+//! may vote for it. The successor still needs a quorum, so a lost message costs only the usual
+//! timeout.
 
 use crate::model::EntryName;
 
@@ -14,7 +15,7 @@
 impl Replica {
     /// Gives up leadership. Does nothing on a replica that is not the leader.
     pub(super) fn resign(&mut self, now_ms: u64) {
-        if let Some(successor) = self.pick_successor() {
+        if let Some(successor) = self.pick_successor(now_ms) {
             self.transfer(now_ms, successor);
         }
     }
@@ -36,15 +37,23 @@
         self.become_follower(now_ms);
     }
 
-    /// On the leader: returns the other voter with the most complete log.
-    fn pick_successor(&self) -> Option<EntryName> {
+    /// On the leader: returns the other voter with the most complete log, one that has answered
+    /// lately if there is any.
+    fn pick_successor(&self, now_ms: u64) -> Option<EntryName> {
         let RoleState::Leader(leader) = &self.role_state else {
             return None;
         };
         let voters = self.log.membership().without_voter(&self.settings.me);
+        let fitness = |name: &EntryName| {
+            let peer = leader.peers.get(name)?;
+            let answers = peer
+                .echo_ms
+                .is_some_and(|at_ms| now_ms < at_ms + self.settings.election_timeout_ms);
+            Some((answers, peer.match_index))
+        };
         voters
             .iter()
-            .max_by_key(|(name, _)| leader.peers.get(*name).map_or(0, |p| p.match_index))
+            .max_by_key(|(name, _)| fitness(name))
             .map(|(name, _)| name.clone())
     }
 
--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -381,6 +381,26 @@
     }
 }
 
+/// Guards against a planned stop that hands leadership to a voter that is down, whose log was
+/// complete when it was last heard: the others would wait for an election timeout.
+#[test]
+fn a_resigning_leader_hands_over_to_a_voter_that_answers() {
+    for seed in 0..20 {
+        for down in 0..2 {
+            let (mut world, leader) = cluster(seed, 0, 0);
+            let down = followers(&world).swap_remove(down);
+            world.run_for(200);
+            world.kill(&down);
+            world.run_for(600);
+            world.input(&leader, Input::Resign);
+            let took_ms = world.run_until("another leader is elected", 5_000, |w| {
+                w.leader().is_some_and(|l| l != leader)
+            });
+            assert!(took_ms < 100, "seed {seed}: {took_ms} ms");
+        }
+    }
+}
+
 /// Leaders resign at random times among link cuts, disk losses and restarts. Guards against
 /// diverging histories, two leaders in one term, and resignations that block elections.
 #[test]
