--- a/tests/control/faults.rs
+++ b/tests/control/faults.rs
@@ -1,8 +1,9 @@
 //! Workers that are unreachable, crash, fail their runs, stall or carry out orders late.
 
+use rosemarygauge::control::Answer;
 use rosemarygauge::jobs::{JobId, JobState};
 
-use crate::world::{World, address, job, lasting, step};
+use crate::world::{TIMING, World, address, job, lasting, name, step};
 
 /// A worker with a lasting task is cut off. Every unanswered renewal might still arrive. If
 /// each carried a later lease end, the lease would never certainly expire, and the task
@@ -133,6 +134,71 @@
     }
 }
 
+/// Guards against a run of a cancelled job that nobody stops, because its worker left the order
+/// to start it unanswered and carried it out seconds after the job was cancelled.
+#[test]
+fn a_start_that_is_carried_out_after_its_job_was_cancelled_is_stopped() {
+    let mut ran = 0;
+    for seed in 740..760 {
+        for mut world in World::both(seed, 3, 1) {
+            for worker in world.workers.values_mut() {
+                worker.run_ms = 60_000;
+            }
+            world.run_ms(1_000);
+            world.submit(1, "quick", 1, job(vec![step(6)]));
+            world.run_ms(30);
+            world.late_per_mille = 1_000;
+            world.run_ms(300);
+            world.cancel(2, "quick", 1);
+            world.run_ms(1_900);
+            world.late_per_mille = 0;
+            let mut going_ms = 0;
+            for _ in 0..150 {
+                world.run_ms(100);
+                let is_going = world.workers.values().any(|w| !w.going.is_empty());
+                going_ms = if is_going { going_ms + 100 } else { 0 };
+                ran += u32::from(is_going);
+                assert!(going_ms <= CONTACT_MS, "{seed}");
+            }
+            assert!(world.workers.values().all(|w| w.going.is_empty()), "{seed}");
+        }
+    }
+    assert!(ran > 0, "no start was carried out late");
+}
+
+/// Guards against a run of a cancelled job that goes on because the control instance that started
+/// it was removed for good.
+#[test]
+fn the_runs_of_a_leader_that_was_removed_are_stopped_when_their_job_is_cancelled() {
+    for seed in 760..770 {
+        for mut world in World::both(seed, 3, 1) {
+            for worker in world.workers.values_mut() {
+                worker.run_ms = 60_000;
+            }
+            world.submit(1, "quick", 1, job(vec![step(20)]));
+            world.run_ms(1_000);
+            let leader = world.leader().unwrap();
+            world.kill(&leader);
+            let other = (1..=3).find(|place| name(*place) != leader).unwrap();
+            let delay_ms = (seed - 760) * 200;
+            world.run_ms(delay_ms);
+            let is_cancelled = (0..5).any(|_| {
+                let call = world.cancel(other, "quick", 1);
+                world.until(1_000, |w| w.answers.get(&call) == Some(&Answer::Done))
+            });
+            assert!(is_cancelled, "{seed}");
+            world.run_ms(CONTACT_MS + TIMING.stop_timeout_ms);
+            assert!(world.workers.values().all(|w| w.going.is_empty()), "{seed}");
+            let started = world.runs.len();
+            world.run_ms(3_000);
+            assert_eq!(world.runs.len(), started, "{seed}");
+        }
+    }
+}
+
+/// Time within which the system acts on a change where nothing is impaired.
+const CONTACT_MS: u64 = 3_000;
+
 /// The job of a task that fails every time fails after as many attempts as its queue allows,
 /// and no further attempt starts.
 #[test]
