--- a/src/control/placement/backlog.rs
+++ b/src/control/placement/backlog.rs
@@ -101,6 +101,11 @@
         self.pools.iter().filter(|(_, backlog)| !backlog.is_empty())
     }
 
+    /// Returns whether no step waits in any pool.
+    pub(super) fn is_empty(&self) -> bool {
+        self.pools.values().all(PoolBacklog::is_empty)
+    }
+
     /// Returns whether any step waits in a pool.
     pub(super) fn has_waiting(&self, pool: &PoolName) -> bool {
         self.pools
--- a/src/control/placement/scheduler.rs
+++ b/src/control/placement/scheduler.rs
@@ -110,6 +110,10 @@
         starts_max: usize,
     ) -> Vec<Placement> {
         self.missing_advice.clear();
+        if self.backlog.is_empty() {
+            self.at_quota.clear();
+            return Vec::new();
+        }
         // Moved out of `self`, as the pass borrows the backlog and changes other fields.
         let mut backlog = std::mem::take(&mut self.backlog);
         let mut found = self.candidates(now_ms, world, &backlog);
--- a/src/control/workers/fleet.rs
+++ b/src/control/workers/fleet.rs
@@ -14,9 +14,7 @@
 pub struct Fleet {
     lease_ms: u64,
     inherited_lease_ms: u64,
-    links: BTreeMap<InstanceName, WorkerLink>,
-    /// What is kept beside each link.
-    notes: BTreeMap<InstanceName, LinkNotes>,
+    links: BTreeMap<InstanceName, Entry>,
     /// Workers whose links may have changed since [`Self::update`].
     touched: Vec<InstanceName>,
     /// When the renewal of a lease or the end of all leases of a worker is due.
@@ -26,15 +24,38 @@
     silence: Silence,
 }
 
-/// What the fleet keeps beside a link.
-#[derive(Debug, Default)]
-struct LinkNotes {
+/// A link, and what the fleet keeps beside it.
+#[derive(Debug)]
+struct Entry {
+    link: WorkerLink,
+    /// Whether the worker is among those whose links may have changed.
+    is_touched: bool,
     /// Time at which the schedule names the worker next.
     scheduled_ms: Option<u64>,
     /// The groups in which it is counted, once it is confirmed.
     groups: Option<WorkerGroups>,
 }
 
+impl Entry {
+    /// Creates the entry of a new link, which counts as changed.
+    fn new(link: WorkerLink) -> Self {
+        Self {
+            link,
+            is_touched: true,
+            scheduled_ms: None,
+            groups: None,
+        }
+    }
+
+    /// Marks the link as changed, unless it is marked already.
+    fn touch(&mut self, name: &InstanceName, touched: &mut Vec<InstanceName>) {
+        if !self.is_touched {
+            self.is_touched = true;
+            touched.push(name.clone());
+        }
+    }
+}
+
 impl Fleet {
     /// Creates the links of a new leader, which grants leases of `lease_ms` and whose
     /// predecessors granted `inherited_lease_ms` at most. All runs in the state count as
@@ -46,25 +67,25 @@
         state: &State,
         sizes: &Sizes,
     ) -> Self {
-        let link = || WorkerLink::with_inherited_lease(now_ms, lease_ms, inherited_lease_ms);
+        let entry =
+            || Entry::new(WorkerLink::with_inherited_lease(now_ms, lease_ms, inherited_lease_ms));
         let names = state.workers().keys().cloned();
-        let mut links: BTreeMap<_, _> = names.map(|name| (name, link())).collect();
+        let mut links: BTreeMap<_, _> = names.map(|name| (name, entry())).collect();
         for job in state.active() {
             let large = sizes.is_large(job.id);
             let takes_ms = state.history().estimates().run_times_ms(job);
             for (task, run) in job.runs() {
-                let link = links.entry(run.worker.clone()).or_insert_with(link);
+                let entry = links.entry(run.worker.clone()).or_insert_with(entry);
                 let step = usize::from(task.step);
                 let load = RunLoad::of(&job.spec.steps[step], large);
                 let mut view = RunView::new(RunPhase::Inherited, load);
                 view.set_expected(&job.spec.steps[step], run.placed_unix_ms, takes_ms[step]);
-                link.runs.insert((task, run.attempt), view);
+                entry.link.runs.insert((task, run.attempt), view);
             }
         }
         Self {
             lease_ms,
             inherited_lease_ms,
-            notes: BTreeMap::new(),
             touched: links.keys().cloned().collect(),
             schedule: Schedule::default(),
             stopping: BTreeSet::new(),
@@ -78,50 +99,48 @@
         if !self.links.contains_key(name) {
             let link =
                 WorkerLink::with_inherited_lease(now_ms, self.lease_ms, self.inherited_lease_ms);
-            self.links.insert(name.clone(), link);
+            self.links.insert(name.clone(), Entry::new(link));
             self.touched.push(name.clone());
         }
     }
 
     /// Removes the link to a worker with all its runs.
     pub fn remove_link(&mut self, name: &InstanceName) {
-        self.links.remove(name);
+        let removed = self.links.remove(name);
         self.stopping.remove(name);
-        if let Some(groups) = self.notes.remove(name).and_then(|notes| notes.groups) {
+        if let Some(groups) = removed.and_then(|entry| entry.groups) {
             self.silence.remove(groups);
         }
     }
 
     /// Marks a worker as changed in the state.
     pub fn touch(&mut self, name: &InstanceName) {
-        self.touched.push(name.clone());
+        if let Some(entry) = self.links.get_mut(name) {
+            entry.touch(name, &mut self.touched);
+        }
     }
 
     /// Brings the schedule and the counts up to date with the links that changed. Returns
     /// their number.
     pub fn update(&mut self, state: &State) -> usize {
         let mut touched = std::mem::take(&mut self.touched);
-        touched.sort_unstable();
-        touched.dedup();
         for name in &touched {
-            let Some(link) = self.links.get(name) else {
+            let Some(entry) = self.links.get_mut(name) else {
                 continue;
             };
-            let notes = match self.notes.get_mut(name) {
-                Some(notes) => notes,
-                None => self.notes.entry(name.clone()).or_default(),
-            };
+            entry.is_touched = false;
+            let link = &entry.link;
             let worker = state.worker(name);
             let renews = worker.is_some_and(|worker| !worker.leaving);
             let due_ms = link.due_ms(renews);
-            if notes.scheduled_ms.is_none_or(|at_ms| due_ms < at_ms) {
-                notes.scheduled_ms = Some(self.schedule.add(due_ms, name));
+            if entry.scheduled_ms.is_none_or(|at_ms| due_ms < at_ms) {
+                entry.scheduled_ms = Some(self.schedule.add(due_ms, name));
             }
-            if link.is_confirmed() && notes.groups.is_none() {
+            if link.is_confirmed() && entry.groups.is_none() {
                 let report = worker.map(|worker| &worker.report);
-                notes.groups = report.map(|r| self.silence.add(&r.zone, r.rack.as_ref()));
+                entry.groups = report.map(|r| self.silence.add(&r.zone, r.rack.as_ref()));
             }
-            if let (Some(groups), Some(heard_ms)) = (notes.groups, link.heard_ms()) {
+            if let (Some(groups), Some(heard_ms)) = (entry.groups, link.heard_ms()) {
                 self.silence.record_heard(groups, heard_ms);
             }
             if link.runs.values().any(RunView::is_stop_due) {
@@ -142,24 +161,24 @@
         self.update(state);
         let mut due = self.schedule.take_due(now_ms);
         due.retain(|name| {
-            let Some(notes) = self.notes.get_mut(name) else {
+            let Some(entry) = self.links.get_mut(name) else {
                 return false;
             };
-            // An entry that a sooner one has replaced says nothing.
-            let is_due = notes.scheduled_ms.is_some_and(|at_ms| at_ms <= now_ms);
+            // A time that a sooner one has replaced says nothing.
+            let is_due = entry.scheduled_ms.is_some_and(|at_ms| at_ms <= now_ms);
             if is_due {
-                notes.scheduled_ms = None;
+                entry.scheduled_ms = None;
+                entry.touch(name, &mut self.touched);
             }
             is_due
         });
-        self.touched.extend(due.iter().cloned());
         due
     }
 
     /// Returns the workers with a run whose stop may have to be ordered.
     pub fn stopping(&self) -> impl Iterator<Item = (&InstanceName, &WorkerLink)> {
         let stopping = self.stopping.iter();
-        stopping.filter_map(|name| Some((name, self.links.get(name)?)))
+        stopping.filter_map(|name| Some((name, self.link(name)?)))
     }
 
     /// Returns the workers of availability zones and racks from which nothing is heard any
@@ -169,8 +188,8 @@
         if !self.silence.is_any_silent(now_ms) {
             return BTreeSet::new();
         }
-        let silent = self.notes.iter().filter(|(_, notes)| {
-            let groups = notes.groups;
+        let silent = self.links.iter().filter(|(_, entry)| {
+            let groups = entry.groups;
             groups.is_some_and(|groups| self.silence.is_silent(now_ms, groups))
         });
         silent.map(|(name, _)| name.clone()).collect()
@@ -183,19 +202,14 @@
 
     /// Returns the link to a worker.
     pub fn link(&self, name: &InstanceName) -> Option<&WorkerLink> {
-        self.links.get(name)
+        self.links.get(name).map(|entry| &entry.link)
     }
 
     /// Returns the link to a worker for changes.
     pub fn link_mut(&mut self, name: &InstanceName) -> Option<&mut WorkerLink> {
-        let link = self.links.get_mut(name)?;
-        self.touched.push(name.clone());
-        Some(link)
-    }
-
-    /// Iterates over all links.
-    pub fn links(&self) -> impl Iterator<Item = (&InstanceName, &WorkerLink)> {
-        self.links.iter()
+        let entry = self.links.get_mut(name)?;
+        entry.touch(name, &mut self.touched);
+        Some(&mut entry.link)
     }
 
     /// Iterates over the workers of the state that have a link. Both maps are merged in
@@ -208,8 +222,8 @@
         let mut links = self.links.iter().peekable();
         state.workers().iter().filter_map(move |(name, worker)| {
             while links.next_if(|(other, _)| *other < name).is_some() {}
-            let (_, link) = links.next_if(|(other, _)| *other == name)?;
-            Some((name, worker, link))
+            let (_, entry) = links.next_if(|(other, _)| *other == name)?;
+            Some((name, worker, &entry.link))
         })
     }
 
@@ -220,16 +234,15 @@
         worker: &InstanceName,
     ) -> impl Iterator<Item = (&'a Job, TaskId, u32)> {
         let runs = self
-            .links
-            .get(worker)
+            .link(worker)
             .into_iter()
-            .flat_map(|l| l.runs.keys());
+            .flat_map(|link| link.runs.keys());
         runs.filter_map(|(task, attempt)| Some((state.job(task.job)?, *task, *attempt)))
     }
 
     /// Returns the leader's view of a run.
     pub fn run(&self, worker: &InstanceName, task: TaskId, attempt: u32) -> Option<&RunView> {
-        self.links.get(worker)?.runs.get(&(task, attempt))
+        self.link(worker)?.runs.get(&(task, attempt))
     }
 
     /// Returns the leader's view of a run for changes.
