Find the worker on a machine by an index, not by a look at all workers

The index by address becomes one by any property, kept as workers report and go, and checked against a scan in a property test.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -63,7 +63,7 @@
 };
 pub use replication::{
     Arrivals, Change, Command, Estimates, History, JobSize, Load, Phase, Report, RunsByWorker,
-    State, Wave, Worker, WorkersByAddress, WorkspaceUsage,
+    State, Wave, Worker, WorkerIndex, WorkspaceUsage,
 };
 pub use runtime::{
     CallBridge, ConnectionBudget, ConnectionPermits, Driver, EventKind, ExternalSystems, Grant,
--- a/src/control/node/machines.rs
+++ b/src/control/node/machines.rs
@@ -128,10 +128,9 @@
         if self.state.waves().values().all(|wave| wave.is_completed()) {
             return;
         }
-        let registered = Upkeep::machines(&self.state);
         for wave in self.state.waves().values() {
             for machine in wave.due() {
-                if registered.contains_key(machine) || lead.capacity.is_off(machine) {
+                if self.state.worker_on(machine).is_some() || lead.capacity.is_off(machine) {
                     lead.machines.record_present(machine);
                 } else if lead.machines.record_missing(now_ms, machine) {
                     tracing::info!(
--- a/src/control/replication/mod.rs
+++ b/src/control/replication/mod.rs
@@ -16,7 +16,7 @@
 mod state;
 mod wave;
 mod worker;
-mod workers_by_address;
+mod worker_index;
 mod workspace_usage;
 
 pub use arrivals::{Arrivals, JobSize};
@@ -29,7 +29,7 @@
 pub use state::State;
 pub use wave::Wave;
 pub use worker::Worker;
-pub use workers_by_address::WorkersByAddress;
+pub use worker_index::WorkerIndex;
 pub use workspace_usage::WorkspaceUsage;
 
 pub(super) use arrivals::BUCKET_MS;
--- a/src/control/replication/state.rs
+++ b/src/control/replication/state.rs
@@ -9,7 +9,7 @@
 
 use crate::control::{
     Change, Command, Configuration, ConfigurationParts, History, Queue, Report, RunsByWorker, Wave,
-    Worker, WorkersByAddress, WorkspaceUsage,
+    Worker, WorkerIndex, WorkspaceUsage,
 };
 use crate::jobs::{Job, JobId, JobSpec, JobState, RunResult, TaskId};
 use crate::model::{InstanceName, PoolName, WorkspaceName};
@@ -27,7 +27,9 @@
     runs: RunsByWorker,
     workers: BTreeMap<InstanceName, Worker>,
     #[serde(skip)]
-    addresses: WorkersByAddress,
+    addresses: WorkerIndex<SocketAddr>,
+    #[serde(skip)]
+    machines: WorkerIndex<String>,
     #[serde(skip)]
     usage: WorkspaceUsage,
     waves: BTreeMap<u64, Wave>,
@@ -108,7 +110,14 @@
 
     /// Returns the workers that take orders at an address.
     pub fn workers_at(&self, address: SocketAddr) -> impl Iterator<Item = &InstanceName> {
-        self.addresses.at(address)
+        self.addresses.at(&address)
+    }
+
+    /// Returns the worker on a machine, unless it is leaving. If there are several incarnations,
+    /// it is the last by name.
+    pub fn worker_on(&self, machine: &str) -> Option<&InstanceName> {
+        let mut workers = self.machines.at(machine).rev();
+        workers.find(|name| self.worker(name).is_some_and(|worker| !worker.leaving))
     }
 
     /// Returns whether a report adds nothing to the known state of its worker.
@@ -214,7 +223,10 @@
             Change::Lapse { worker } => self.lapse(at_unix_ms, worker),
             Change::Gone { worker } => {
                 if let Some(gone) = self.workers.remove(worker) {
-                    self.addresses.remove(gone.report.address, worker);
+                    self.addresses.remove(&gone.report.address, worker);
+                    if let Some(machine) = &gone.report.machine {
+                        self.machines.remove(machine.as_str(), worker);
+                    }
                 }
                 self.lapse(at_unix_ms, worker);
             }
@@ -320,20 +332,28 @@
     }
 
     fn record_report(&mut self, report: &Arc<Report>) {
-        let worker = Worker {
-            report: Report::clone(report),
-            leaving: false,
-        };
-        let before = self.worker(&report.worker).map(|w| w.report.address);
-        if let Some(before) = before.filter(|before| *before != report.address) {
-            self.addresses.remove(before, &report.worker);
+        let name = &report.worker;
+        if let Some(known) = self.workers.get(name).map(|worker| &worker.report) {
+            self.addresses.remove(&known.address, name);
+            if let Some(machine) = &known.machine {
+                self.machines.remove(machine.as_str(), name);
+            }
+        }
+        self.addresses.add(report.address, name);
+        if let Some(machine) = &report.machine {
+            self.machines.add(machine.clone(), name);
+        }
+        let report = Report::clone(report);
+        match self.workers.get_mut(name) {
+            Some(known) => known.report = report,
+            None => {
+                let worker = Worker {
+                    report,
+                    leaving: false,
+                };
+                self.workers.insert(worker.report.worker.clone(), worker);
+            }
         }
-        self.addresses.add(report.address, &report.worker);
-        let known = self
-            .workers
-            .entry(report.worker.clone())
-            .or_insert_with(|| worker.clone());
-        known.report = worker.report;
     }
 
     fn lapse(&mut self, at_unix_ms: u64, worker: &InstanceName) {
--- a/src/control/replication/state/snapshot.rs
+++ b/src/control/replication/state/snapshot.rs
@@ -6,7 +6,7 @@
 
 use super::State;
 use crate::codec::CodecError;
-use crate::control::{Access, Configuration, RunsByWorker, WorkersByAddress, WorkspaceUsage};
+use crate::control::{Access, Configuration, RunsByWorker, WorkspaceUsage};
 use crate::jobs::JobId;
 use crate::model::WorkspaceName;
 
@@ -66,7 +66,13 @@
             }
         }
         state.runs = RunsByWorker::of(state.active());
-        state.addresses = WorkersByAddress::of(state.workers.iter());
+        let workers = state.workers.iter();
+        let addresses = workers.map(|(name, worker)| (worker.report.address, name.clone()));
+        state.addresses = addresses.collect();
+        let workers = state.workers.iter();
+        let machines = workers
+            .filter_map(|(name, worker)| Some((worker.report.machine.clone()?, name.clone())));
+        state.machines = machines.collect();
         state.usage = WorkspaceUsage::of(state.active());
         Ok(state)
     }
--- a/src/control/upkeep/planner.rs
+++ b/src/control/upkeep/planner.rs
@@ -34,10 +34,9 @@
     /// has begun and that has no worker counts as down. A machine whose upkeep an earlier
     /// leader ordered may be down, so its order counts as unconfirmed.
     pub fn new(now_ms: u64, state: &State) -> Self {
-        let known = Self::machines(state);
         let begun = state.waves().values().flat_map(|w| &w.begun);
         let down = begun
-            .filter(|machine| !known.contains_key(machine))
+            .filter(|machine| state.worker_on(machine).is_none())
             .map(|machine| {
                 let down = Down {
                     since_ms: now_ms,
@@ -71,11 +70,6 @@
         self.draining.values().filter_map(|e| e.worker.as_ref())
     }
 
-    /// Returns the machines that have a worker, with that worker.
-    pub fn machines(state: &State) -> BTreeMap<&String, &InstanceName> {
-        machines(state).collect()
-    }
-
     /// Returns the machines that are being drained or are down for upkeep.
     pub fn machines_in_upkeep(&self) -> impl Iterator<Item = &String> {
         self.draining.keys().chain(self.down.keys())
@@ -89,13 +83,8 @@
 
     /// Returns the workers on machines that are due for upkeep.
     pub fn due_workers(state: &State) -> BTreeSet<InstanceName> {
-        let due: BTreeSet<&String> = state.waves().values().flat_map(Wave::due).collect();
-        if due.is_empty() {
-            return BTreeSet::new();
-        }
-        machines(state)
-            .filter(|(machine, _)| due.contains(machine))
-            .map(|(_, worker)| worker.clone())
+        let due = state.waves().values().flat_map(Wave::due);
+        due.filter_map(|machine| state.worker_on(machine).cloned())
             .collect()
     }
 
@@ -106,8 +95,7 @@
         if gone {
             return;
         }
-        let known = machines(state).find(|(known, _)| *known == machine);
-        let known = known.map(|(_, worker)| worker.clone());
+        let known = state.worker_on(machine).cloned();
         let ordered_ms = draining.as_ref().map_or(now_ms, |e| e.ordered_ms);
         let drained = draining.and_then(|e| e.worker);
         let down = Down {
@@ -140,14 +128,13 @@
         if is_idle && self.down.is_empty() && self.draining.is_empty() {
             return Vec::new();
         }
-        let known = Self::machines(state);
         self.down.retain(|machine, down| {
-            !down.is_back(now_ms, known.get(machine).copied(), timing.upkeep_ms)
+            !down.is_back(now_ms, state.worker_on(machine), timing.upkeep_ms)
         });
         self.draining.retain(|machine, e| {
             let is_unchanged = match &e.worker {
-                Some(worker) => known.get(machine) == Some(&worker),
-                None => !known.contains_key(machine),
+                Some(worker) => state.worker_on(machine) == Some(worker),
+                None => state.worker_on(machine).is_none(),
             };
             e.order != OrderState::NotSent || is_unchanged
         });
@@ -155,7 +142,7 @@
         let mut budget = DisruptionBudget::new(now_ms, world.fleet, timing);
         for wave in state.waves().values().filter(|w| !w.is_completed()) {
             let free_slots = self.free_slots(now_unix_ms, wave, world);
-            self.select_machines(now_ms, wave, free_slots, &known, &budget, world);
+            self.select_machines(now_ms, wave, free_slots, &budget, world);
             self.drain_machines(now_ms, wave, world, &mut budget, &mut steps);
         }
         steps
@@ -197,7 +184,6 @@
         now_ms: u64,
         wave: &Wave,
         free_slots: usize,
-        known: &BTreeMap<&String, &InstanceName>,
         budget: &DisruptionBudget,
         world: &UpkeepInput,
     ) {
@@ -209,10 +195,10 @@
         let is_taken = |m: &&String| self.draining.contains_key(*m) || world.ordered.contains(*m);
         let free = wave.due().filter(|m| !is_taken(m));
         let mut free: Vec<(&String, Option<&InstanceName>)> = free
-            .filter_map(|machine| match known.get(machine) {
+            .filter_map(|machine| match state.worker_on(machine) {
                 Some(worker) => {
                     let heard = fleet.link(worker).is_some_and(|l| l.is_heard(now_ms));
-                    heard.then_some((machine, Some(*worker)))
+                    heard.then_some((machine, Some(worker)))
                 }
                 None => off.contains(machine).then_some((machine, None)),
             })
@@ -321,11 +307,3 @@
     }
     jobs_by_pool
 }
-
-fn machines(state: &State) -> impl Iterator<Item = (&String, &InstanceName)> {
-    state
-        .workers()
-        .iter()
-        .filter(|(_, worker)| !worker.leaving)
-        .filter_map(|(name, worker)| Some((worker.report.machine.as_ref()?, name)))
-}
--- a/src/control/workers/fleet.rs
+++ b/src/control/workers/fleet.rs
@@ -67,8 +67,13 @@
         state: &State,
         sizes: &Sizes,
     ) -> Self {
-        let entry =
-            || Entry::new(WorkerLink::with_inherited_lease(now_ms, lease_ms, inherited_lease_ms));
+        let entry = || {
+            Entry::new(WorkerLink::with_inherited_lease(
+                now_ms,
+                lease_ms,
+                inherited_lease_ms,
+            ))
+        };
         let names = state.workers().keys().cloned();
         let mut links: BTreeMap<_, _> = names.map(|name| (name, entry())).collect();
         for job in state.active() {
--- a/tests/control/addresses.rs
+++ b/tests/control/addresses.rs
@@ -1,4 +1,4 @@
-//! The lookup of workers by their address.
+//! The lookup of workers by their address and by their machine.
 
 use std::sync::Arc;
 
@@ -12,8 +12,8 @@
 /// Workers report from changing addresses, end and return, and the instance restores
 /// snapshots in between. When a worker reports, the leader at once asks the previous
 /// workers at its address. If one of them is missed, its tasks stay assigned until its
-/// lease expires; one that has left must not be asked. The index must match a scan of all
-/// workers.
+/// lease expires; one that has left must not be asked. A wave that misses the worker on a machine
+/// takes it for off. The indexes must match a scan of all workers.
 #[quickcheck]
 fn workers_are_found_at_the_address_of_their_latest_report(events: Vec<(u8, u8)>) {
     let mut state = State::default();
@@ -26,7 +26,10 @@
                 state = restored;
                 continue;
             }
-            1 | 2 => Change::Gone {
+            1 => Change::Gone {
+                worker: name.as_str().into(),
+            },
+            2 => Change::Leave {
                 worker: name.as_str().into(),
             },
             port => {
@@ -47,6 +50,11 @@
             let scanned: Vec<&InstanceName> = scanned.map(|(name, _)| name).collect();
             let found: Vec<&InstanceName> = state.workers_at(address(port)).collect();
             assert_eq!(found, scanned, "at {port}");
+            let machine = format!("m-{port}");
+            let scanned = state.workers().iter().rev();
+            let on_machine = scanned.filter(|(_, w)| w.report.machine.as_ref() == Some(&machine));
+            let staying = on_machine.filter(|(_, w)| !w.leaving).map(|(name, _)| name);
+            assert_eq!(state.worker_on(&machine), staying.into_iter().next());
         }
     }
 }
