Divide scarce machines by class of work, and stop runs that give way

Machines went to the largest deficit, whatever the work was, and half of those on their way were drained for 1.2 s and given back half empty.

What room is worth to work becomes a type of its own, ServiceClass; the order in a pool stays. If all pools together need more machines than there are, each gets an allotment by it; a drain for entitled work is finished; and runs that give way are stopped where that frees the machine at once and pays.

--- a/src/control/capacity/demand.rs
+++ b/src/control/capacity/demand.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 
 use crate::control::{
-    Estimates, Fleet, Load, NeedsPolicy, OfferedLoad, Queue, Runs, State, WorkspaceShares,
+    Estimates, Fleet, Load, NeedsPolicy, OfferedLoad, Policy, Queue, Remaining, RunView, Runs,
+    ServiceClass, State, WorkspaceShares,
 };
 use crate::jobs::{Job, Occurrence, Step, Task};
 use crate::model::{InstanceName, PoolName};
@@ -16,6 +17,12 @@
 pub struct PoolDemand<'a> {
     /// Resources that complete the present work in time, without lasting tasks.
     pub work: Load,
+    /// The same by class.
+    pub work_by_class: BTreeMap<ServiceClass, Load>,
+    /// Work of the jobs that arrived lately, in core-milliseconds.
+    pub arrived_work: f64,
+    /// The part of that which is beyond the shares of its workspaces.
+    pub arrived_beyond_share: f64,
     /// Resources that lasting tasks reserve.
     pub lasting: Load,
     /// Resources that other tasks hold at present.
@@ -42,9 +49,19 @@
     pub passing: usize,
     /// Expected time until the last of those has ended, in milliseconds.
     pub idle_in_ms: f64,
+    /// The same without the runs whose progress is saved when they are stopped.
+    pub clear_in_ms: f64,
 }
 
 impl PoolDemand<'_> {
+    /// Returns the part of the arriving work that is beyond the shares of its workspaces.
+    pub fn beyond_share_part(&self) -> f64 {
+        match self.arrived_work > 0.0 {
+            true => self.arrived_beyond_share / self.arrived_work,
+            false => 0.0,
+        }
+    }
+
     /// Returns the number of workers on which nothing runs.
     pub fn idle(&self) -> usize {
         let idle = self.workers.iter().filter(|w| w.lasting + w.passing == 0);
@@ -69,6 +86,31 @@
         self.lasting.plus(&work).plus(&margin)
     }
 
+    /// Returns the work that is entitled to room.
+    pub fn entitled_work(&self) -> Load {
+        let entitled = self.work_by_class.iter();
+        let entitled = entitled.filter(|(class, _)| class.is_entitled());
+        entitled.fold(Load::default(), |sum, (_, load)| sum.plus(load))
+    }
+
+    /// Returns the work of each class, the entitled ones first and by priority. Arriving work
+    /// within the shares of its workspaces counts as entitled, as far as it exceeds what waits.
+    pub fn claims(&self, offer: &OfferedLoad, policy: &NeedsPolicy) -> Vec<(ServiceClass, Load)> {
+        let mut classes = self.work_by_class.clone();
+        let part = 1.0 - self.beyond_share_part();
+        if policy.arrivals {
+            let arriving = offer.load.times((1.0 + offer.rise) * part);
+            let margin = Load::of_cores(policy.deviations * offer.deviation * part);
+            let more = arriving.plus(&margin).excess_over(&self.entitled_work());
+            let entitled = ServiceClass::entitled(offer.priority);
+            let load = classes.entry(entitled).or_default();
+            *load = load.plus(&more);
+        }
+        let mut classes: Vec<(ServiceClass, Load)> = classes.into_iter().collect();
+        classes.sort_by_key(|(class, _)| (!class.is_entitled(), *class));
+        classes
+    }
+
     /// Returns the number of machines of capacity `size` that are needed.
     pub fn needed_machines(&self, size: &Load, offer: &OfferedLoad, policy: &NeedsPolicy) -> usize {
         let machines = self.needed(offer, policy).count(size);
@@ -84,7 +126,7 @@
     fleet: &'a Fleet,
     estimates: &Estimates,
     shares: &WorkspaceShares,
-    policy: &NeedsPolicy,
+    policy: &Policy,
 ) -> BTreeMap<PoolName, PoolDemand<'a>> {
     let mut pools: BTreeMap<PoolName, PoolDemand> = BTreeMap::new();
     let queues = state.queues_by_name();
@@ -124,16 +166,18 @@
             machine: worker.report.machine.as_deref(),
             lasting,
             passing: link.runs.len().saturating_sub(lasting),
-            idle_in_ms: idle_in_ms(now_unix_ms, &link.runs),
+            idle_in_ms: idle_in_ms(now_unix_ms, &link.runs, |_| true),
+            clear_in_ms: idle_in_ms(now_unix_ms, &link.runs, |view| !view.saves),
         });
     }
     pools
 }
 
-/// Returns the expected time until the last run on a worker, lasting ones aside, has ended,
-/// in milliseconds.
-fn idle_in_ms(now_unix_ms: u64, runs: &Runs) -> f64 {
-    let expected = runs.values().filter_map(|view| view.expected);
+/// Returns the expected time until the last of some runs on a worker, lasting ones aside, has
+/// ended, in milliseconds.
+fn idle_in_ms(now_unix_ms: u64, runs: &Runs, counts: impl Fn(&RunView) -> bool) -> f64 {
+    let expected = runs.values().filter(|view| counts(view));
+    let expected = expected.filter_map(|view| view.expected);
     let left = expected.map(|(placed_unix_ms, takes_ms)| {
         remaining_after_ms(now_unix_ms.saturating_sub(placed_unix_ms), takes_ms)
     });
@@ -146,7 +190,7 @@
     queue: Option<&Queue>,
     takes_ms: &[u64],
     beyond_share: bool,
-    policy: &NeedsPolicy,
+    policy: &Policy,
     pool: &mut PoolDemand<'_>,
 ) {
     let chains_ms = job.spec.critical_paths_ms(takes_ms);
@@ -177,11 +221,32 @@
         let objective_ms = queue.map_or(f64::INFINITY, |q| q.objective_ms(chain_ms));
         let slack_ms = objective_ms - passed_ms - left_ms;
         let within_ms = if slack_ms < 0.0 || beyond_share {
-            policy.late_ms as f64
+            policy.needs.late_ms as f64
         } else {
-            left_ms.max(policy.shortest_ms as f64)
+            left_ms.max(policy.needs.shortest_ms as f64)
+        };
+        let resources = work.times(1.0 / within_ms);
+        pool.work = pool.work.plus(&resources);
+        if work == Load::default() {
+            continue;
+        }
+        let remaining = Remaining {
+            chain_ms,
+            left_ms: left_ms as u64,
+            work: work.cores,
+            beyond_share,
         };
-        pool.work = pool.work.plus(&work.times(1.0 / within_ms));
+        let due_unix_ms = job.due_unix_ms(k);
+        let order = &policy.order;
+        let (class, _) = ServiceClass::of(now_unix_ms, job, queue, due_unix_ms, &remaining, order);
+        let by_class = pool.work_by_class.entry(class).or_default();
+        *by_class = by_class.plus(&resources);
+        if passed_ms <= policy.needs.window_ms as f64 {
+            pool.arrived_work += work.cores;
+            if beyond_share {
+                pool.arrived_beyond_share += work.cores;
+            }
+        }
     }
 }
 
--- a/src/control/capacity/forecast.rs
+++ b/src/control/capacity/forecast.rs
@@ -53,12 +53,16 @@
     pub rise: f64,
     /// Forecast load of the pool's next turn if it begins soon, else zero.
     pub foreseen: Load,
+    /// Priority of the queue that offers most of `load`.
+    pub priority: u32,
 }
 
 /// The arrivals of one queue of a pool.
 #[derive(Clone, Copy, Debug)]
 struct Inflow<'a> {
     arrivals: &'a Arrivals,
+    /// The queue's priority.
+    priority: u32,
     /// Correction factor for the callers' estimates of work.
     factor: f64,
 }
@@ -322,6 +326,7 @@
         if let Some(queue) = queues.get(name.as_str()) {
             let inflow = Inflow {
                 arrivals,
+                priority: queue.priority,
                 factor: estimates.work_factor(name),
             };
             pools.entry(queue.pool.clone()).or_default().push(inflow);
@@ -350,9 +355,14 @@
 /// Returns the load that the jobs of some queues offer together.
 fn offer(now_unix_ms: u64, queues: &[Inflow], needs: &NeedsPolicy) -> OfferedLoad {
     let mut rises = 0.0;
+    let mut most_cores = -1.0;
     let mut sum = OfferedLoad::default();
     for inflow in queues {
         let queue_load = queue_offer(now_unix_ms, inflow, needs);
+        if queue_load.load.cores > most_cores {
+            most_cores = queue_load.load.cores;
+            sum.priority = queue_load.priority;
+        }
         sum.load = sum.load.plus(&queue_load.load);
         sum.deviation = sum.deviation.hypot(queue_load.deviation);
         rises += queue_load.rise * queue_load.load.cores;
@@ -389,5 +399,6 @@
         deviation: arrivals.variance(rate).sqrt() * inflow.factor.sqrt(),
         rise,
         foreseen: Load::default(),
+        priority: inflow.priority,
     }
 }
--- a/src/control/capacity/mod.rs
+++ b/src/control/capacity/mod.rs
@@ -18,4 +18,4 @@
 pub use machine_list::MachineList;
 pub use machine_move::Move;
 pub use order_pace::OrderPace;
-pub use planner::Capacity;
+pub use planner::{Allotment, Capacity, Claim, allot};
--- a/src/control/capacity/planner.rs
+++ b/src/control/capacity/planner.rs
@@ -7,10 +7,12 @@
 //! a while go to standby, where they are powered off and cost nothing. A machine stays in
 //! its new pool for a minimum time, so that a short lull does not move it back and forth.
 
+mod allotment;
 mod balance;
 mod peaks;
 mod transit;
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::demand::{PoolDemand, WorkerUse};
@@ -18,6 +20,7 @@
 use super::machine_move::Move;
 use crate::control::{Load, Machine, MachinePhase, OfferedLoad, State};
 use crate::model::{InstanceName, PoolName, ZoneName};
+pub use allotment::{Allotment, Claim, allot};
 use balance::{Balance, Purpose, largest_deficit};
 use peaks::Peaks;
 use transit::Transit;
@@ -37,6 +40,8 @@
     /// The recent needs of each pool, and what it was expected to need.
     peaks: BTreeMap<PoolName, Peaks>,
     expected_peaks: BTreeMap<PoolName, Peaks>,
+    /// The recent allotments of each pool.
+    allotted: BTreeMap<PoolName, Peaks>,
     logged_ms: u64,
     /// Number of machines that the choices of machines have looked at.
     visited: u64,
@@ -93,6 +98,12 @@
         self.transit.closed_workers()
     }
 
+    /// Returns the workers that are drained for entitled work of another pool, each with the
+    /// priority of that work.
+    pub fn yielding_workers(&self) -> impl Iterator<Item = (&InstanceName, u32)> {
+        self.transit.yielding_workers()
+    }
+
     /// Records that the platform accepted a move: the machine is moving or, in a standby pool,
     /// off.
     pub fn record_move(&mut self, now_ms: u64, state: &State, machine: &str, pool: &PoolName) {
@@ -125,12 +136,15 @@
             .filter(|pool| !standby_pools.contains(**pool))
             .map(|pool| self.balance(now_ms, pool, world))
             .collect();
-        self.log_balances(now_ms, &pools, world);
         let policy = world.policy;
+        if policy.arbitration.enabled && configuration.ranks_work() {
+            self.arbitrate(now_ms, &mut pools, world);
+        }
+        self.log_balances(now_ms, &pools, world);
         // These are empty and closed to work already, so they come before the others.
         let mut moves = self
             .transit
-            .take_drained(now_ms, world.demand, world.busy, &policy.moves);
+            .take_drained(now_ms, world.demand, world.busy, policy);
         let left = |moves: &[Move]| world.moves_max.saturating_sub(moves.len());
         if policy.moves.enabled {
             let moves_max = left(&moves);
@@ -183,6 +197,25 @@
                 }
                 false => usize::MAX,
             },
+            allotment: None,
+        }
+    }
+
+    /// Limits the pools to their allotments if all machines together are fewer than they need.
+    fn arbitrate(&mut self, now_ms: u64, pools: &mut [Balance], world: &CapacityInput) {
+        let claims: Vec<Claim> = pools.iter().map(|pool| claim(pool, world)).collect();
+        let powered: usize = pools.iter().map(|pool| pool.has + pool.incoming).sum();
+        let machines = powered + self.standby.len();
+        let rest_part = world.policy.arbitration.rest_part;
+        let Some(allotments) = allot(&claims, machines, rest_part) else {
+            self.allotted.clear();
+            return;
+        };
+        let kept_ms = world.policy.moves.surplus_ms;
+        for (pool, allotment) in pools.iter_mut().zip(allotments) {
+            let peaks = self.allotted.entry(pool.name.clone()).or_default();
+            peaks.record(now_ms, allotment.machines, kept_ms);
+            pool.limit(allotment, peaks.peak(now_ms, kept_ms));
         }
     }
 
@@ -206,6 +239,9 @@
                 arriving = offer.load.cores,
                 rise = offer.rise,
                 foreseen = offer.foreseen.cores,
+                entitled = demand.map_or(0.0, |d| d.entitled_work().cores),
+                beyond_share = demand.map_or(0.0, PoolDemand::beyond_share_part),
+                allotted = pool.allotment.map(|a| a.machines),
                 "capacity: a pool's balance"
             );
         }
@@ -239,10 +275,12 @@
         if largest_deficit(pools, purpose).is_none() {
             return moves;
         }
+        let preempts = world.policy.preemption.enabled
+            && pools.iter().any(|pool| pool.entitled_deficit().is_some());
         let mut spare: Vec<Vec<&WorkerUse>> = pools
             .iter()
             .map(|pool| match pool.surplus(purpose) > 0 {
-                true => self.spare(now_ms, &pool.name, world, false),
+                true => self.spare(now_ms, &pool.name, world, false, preempts),
                 false => Vec::new(),
             })
             .collect();
@@ -252,6 +290,7 @@
                 break;
             }
             let to = pools[needy].name.clone();
+            let priority = pools[needy].entitled_deficit();
             let idle = take_surplus(pools, &mut spare, purpose, true);
             let from_standby = match idle {
                 Some(_) => None,
@@ -265,7 +304,7 @@
                 let Some((worker, machine)) = idle.or_else(busy) else {
                     break;
                 };
-                moves.extend(self.transit.send(now_ms, worker, machine, to));
+                moves.extend(self.transit.send(now_ms, worker, machine, to, priority));
             }
             pools[needy].incoming += 1;
         }
@@ -312,7 +351,7 @@
             if share == 0 {
                 continue;
             }
-            let mut spare = self.spare(now_ms, &pool.name, world, true);
+            let mut spare = self.spare(now_ms, &pool.name, world, true, false);
             for _ in 0..share {
                 let Some(worker) = spare.pop().filter(|w| w.passing == 0) else {
                     break;
@@ -320,7 +359,9 @@
                 let Some(machine) = worker.machine else {
                     break;
                 };
-                let sent = self.transit.send(now_ms, worker, machine, standby.clone());
+                let sent = self
+                    .transit
+                    .send(now_ms, worker, machine, standby.clone(), None);
                 moves.extend(sent);
             }
         }
@@ -329,12 +370,14 @@
 
     /// Returns the workers of a pool whose machines may be moved, the one that is free soonest
     /// last. Among equals, machines whose upkeep is due are preferred if `due`, others if not.
+    /// With `preempts`, runs whose progress is saved when they are stopped delay no machine.
     fn spare<'a>(
         &mut self,
         now_ms: u64,
         pool: &PoolName,
         world: &CapacityInput<'a>,
         due: bool,
+        preempts: bool,
     ) -> Vec<&'a WorkerUse<'a>> {
         let is_kept = |machine: &str| {
             let policy = &world.policy.moves;
@@ -350,7 +393,11 @@
             .collect();
         spare.sort_by(|a, b| {
             let is_unfavored = |w: &WorkerUse| is_due(w) != due;
-            let soonest = a.idle_in_ms.total_cmp(&b.idle_in_ms);
+            let clearest = match preempts {
+                true => a.clear_in_ms.total_cmp(&b.clear_in_ms),
+                false => Ordering::Equal,
+            };
+            let soonest = clearest.then(a.idle_in_ms.total_cmp(&b.idle_in_ms));
             soonest.then(is_unfavored(a).cmp(&is_unfavored(b)))
         });
         spare.reverse();
@@ -358,6 +405,30 @@
     }
 }
 
+/// Returns what a pool could use machines for, by its work and what arrives.
+fn claim(pool: &Balance, world: &CapacityInput) -> Claim {
+    let none = PoolDemand::default();
+    let demand = world.demand.get(&pool.name).unwrap_or(&none);
+    let size = demand.size().unwrap_or_else(|| average_size(world.demand));
+    let offer = world.offers.get(&pool.name).copied().unwrap_or_default();
+    let lasting = demand.workers.iter().filter(|w| w.lasting > 0).count();
+    let fixed = demand
+        .min_workers
+        .max(lasting)
+        .max(world.policy.moves.fewest);
+    let mut sum = demand.lasting;
+    let mut counted = sum.count(&size).max(fixed as f64);
+    let mut wanted = Vec::new();
+    for (class, load) in demand.claims(&offer, &world.policy.needs) {
+        sum = sum.plus(&load);
+        let count = sum.count(&size).max(counted);
+        wanted.push((class, count - counted));
+        counted = count;
+    }
+    let fixed = demand.lasting.count(&size).ceil().max(fixed as f64) as usize;
+    Claim { fixed, wanted }
+}
+
 /// Counts the workers that still run lasting tasks while their machines are being
 /// drained for upkeep.
 ///
--- a/src/control/capacity/planner/balance.rs
+++ b/src/control/capacity/planner/balance.rs
@@ -1,3 +1,4 @@
+use super::allotment::Allotment;
 use crate::model::PoolName;
 
 /// The machine counts of a pool compared with its need.
@@ -16,6 +17,8 @@
     pub(super) keep: usize,
     /// Machines that the pool does not release to standby.
     pub(super) keep_powered: usize,
+    /// What the pool may have if there are not enough machines for all pools.
+    pub(super) allotment: Option<Allotment>,
 }
 
 /// What a machine is moved for. What pools need goes before what they are expected to need:
@@ -52,6 +55,23 @@
         self.deficit(purpose) * 1_000 / self.wanted(purpose).max(1)
     }
 
+    /// Limits what the pool wants and keeps to its allotment. `kept` is the largest allotment of
+    /// the last moments, so that no machine leaves because of a lull between two arrivals.
+    pub(super) fn limit(&mut self, allotment: Allotment, kept: usize) {
+        self.needs = self.needs.min(allotment.machines);
+        self.expects = self.needs;
+        self.keep = kept;
+        self.allotment = Some(allotment);
+    }
+
+    /// Returns the priority of the entitled work for which machines are missing; `None` if there
+    /// are enough machines for all pools, or none are missing for such work.
+    pub(super) fn entitled_deficit(&self) -> Option<u32> {
+        let allotment = self.allotment?;
+        let is_missing = self.has + self.incoming < allotment.entitled.min(self.needs);
+        allotment.priority.filter(|_| is_missing)
+    }
+
     fn wanted(&self, purpose: Purpose) -> usize {
         match purpose {
             Purpose::Need => self.needs,
--- a/src/control/capacity/planner/transit.rs
+++ b/src/control/capacity/planner/transit.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::control::{Machine, MachinePhase, Move, MovesPolicy, State};
+use crate::control::{Machine, MachinePhase, Move, MovesPolicy, Policy, State};
 use crate::control::{PoolDemand, WorkerUse};
 use crate::model::{InstanceName, PoolName};
 
@@ -33,6 +33,19 @@
     worker: InstanceName,
     to: PoolName,
     since_ms: u64,
+    /// Priority of the entitled work that the machine is drained for, if it is.
+    priority: Option<u32>,
+}
+
+impl Draining {
+    /// Returns how long the drain may take. Entitled work needs the machine for longer than
+    /// its runs last, so it is not given back half empty.
+    fn longest_ms(&self, policy: &Policy) -> u64 {
+        match self.priority {
+            Some(_) => policy.arbitration.empty_ms,
+            None => policy.moves.empty_ms,
+        }
+    }
 }
 
 impl Transit {
@@ -52,6 +65,12 @@
         draining.chain(self.ordered.values())
     }
 
+    /// Returns the workers that are drained for entitled work, each with its priority.
+    pub(super) fn yielding_workers(&self) -> impl Iterator<Item = (&InstanceName, u32)> {
+        let draining = self.draining.values();
+        draining.filter_map(|e| Some((&e.worker, e.priority?)))
+    }
+
     pub(super) fn is_moving(&self, machine: &str) -> bool {
         self.moving.contains_key(machine)
     }
@@ -89,13 +108,14 @@
     }
 
     /// Sends a machine to a pool: returns the move if nothing runs there, or starts to drain
-    /// the machine otherwise.
+    /// the machine otherwise. `priority` is that of the entitled work that it is for, if it is.
     pub(super) fn send(
         &mut self,
         now_ms: u64,
         worker: &WorkerUse,
         machine: &str,
         to: PoolName,
+        priority: Option<u32>,
     ) -> Option<Move> {
         let machine = machine.to_owned();
         if worker.passing > 0 {
@@ -103,6 +123,7 @@
                 worker: worker.worker.clone(),
                 to,
                 since_ms: now_ms,
+                priority,
             };
             self.draining.insert(machine, draining);
             return None;
@@ -192,7 +213,7 @@
         now_ms: u64,
         demand: &BTreeMap<PoolName, PoolDemand>,
         busy: &BTreeSet<InstanceName>,
-        policy: &MovesPolicy,
+        policy: &Policy,
     ) -> Vec<Move> {
         if self.draining.is_empty() {
             return Vec::new();
@@ -212,7 +233,7 @@
                     drained.push((machine.clone(), e.worker.clone(), e.to.clone()));
                     false
                 }
-                Some(_) => now_ms < e.since_ms + policy.empty_ms,
+                Some(_) => now_ms < e.since_ms + e.longest_ms(policy),
                 None => false,
             });
         let drained = drained.into_iter();
--- a/src/control/configurations/configuration.rs
+++ b/src/control/configurations/configuration.rs
@@ -58,6 +58,14 @@
 }
 
 impl Configuration {
+    /// Returns whether the configuration says whose work is to go first where room is scarce:
+    /// queues differ in priority, or workspaces have shares.
+    pub fn ranks_work(&self) -> bool {
+        let mut priorities = self.queues.iter().map(|queue| queue.priority);
+        let first = priorities.next();
+        self.access.is_some() || priorities.any(|priority| Some(priority) != first)
+    }
+
     /// Validates the configuration.
     ///
     /// # Errors
--- a/src/control/messages/decision.rs
+++ b/src/control/messages/decision.rs
@@ -18,6 +18,9 @@
     /// A run was stalled and is restarted.
     #[display("run-stood-still")]
     RunStalled,
+    /// A run was stopped for more urgent work.
+    #[display("run-preempted")]
+    RunPreempted,
     /// All leases of a worker expired.
     #[display("worker-lapsed")]
     WorkerLapsed,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -17,6 +17,7 @@
 //! | `voters` | which control instances vote |
 //! | `workers` | the leader's view of its workers |
 //! | `placement` | which tasks start where |
+//! | `preemption` | which runs are stopped for others |
 //! | `capacity` | how many machines each pool has |
 //! | `upkeep` | maintenance waves |
 //! | `forwarding` | the way of a call to the leader |
@@ -31,6 +32,7 @@
 mod node;
 mod placement;
 mod policy;
+mod preemption;
 mod replication;
 mod runtime;
 mod upkeep;
@@ -38,8 +40,8 @@
 mod workers;
 
 pub use capacity::{
-    Capacity, CapacityInput, Forecast, MachineList, Move, OfferedLoad, OrderPace, PoolDemand,
-    WorkerUse, demand,
+    Allotment, Capacity, CapacityInput, Claim, Forecast, MachineList, Move, OfferedLoad, OrderPace,
+    PoolDemand, WorkerUse, allot, demand,
 };
 pub use clocks::{Clock, WallClock, boottime_ms};
 pub use configurations::{
@@ -55,12 +57,15 @@
 };
 pub use node::{ELECTION_TIMEOUT_MS, Node, NodeSettings};
 pub use placement::{
-    Placement, Rank, Remaining, Scheduler, SchedulerInput, WorkspaceShares, rank_job,
+    Placement, Rank, Remaining, Scheduler, SchedulerInput, ServiceClass, Timeliness,
+    WorkspaceShares, rank_job,
 };
 pub use policy::{
-    CarriersPolicy, MovesPolicy, NeedsPolicy, OrderPolicy, PlacementPolicy, Policy, PolicyFault,
-    RunsPolicy, StandbyPolicy, Timing, TurnsPolicy, UpkeepPolicy,
+    ArbitrationPolicy, CarriersPolicy, MovesPolicy, NeedsPolicy, OrderPolicy, PlacementPolicy,
+    Policy, PolicyFault, PreemptionPolicy, RunsPolicy, StandbyPolicy, Timing, TurnsPolicy,
+    UpkeepPolicy,
 };
+pub use preemption::{PreemptionInput, Preemptor, Victim};
 pub use replication::{
     Arrivals, Change, Command, Estimates, History, JobSize, Load, Phase, Report, RunsByWorker,
     State, Wave, Worker, WorkerIndex, WorkspaceUsage,
--- a/src/control/node/leader_state.rs
+++ b/src/control/node/leader_state.rs
@@ -8,7 +8,7 @@
 use crate::control::replication::Pending;
 use crate::control::{
     Answer, Capacity, Carriers, Change, Decision, Effect, Fleet, Forecast, MachineList,
-    MachineOrder, OrderPace, Placement, Reports, Scheduler, Throttle, Upkeep,
+    MachineOrder, OrderPace, Placement, Preemptor, Reports, Scheduler, Throttle, Upkeep,
 };
 use crate::jobs::{Job, JobId, TaskId};
 use crate::model::InstanceName;
@@ -81,6 +81,7 @@
     /// it ends.
     pub(super) machine_orders: BTreeMap<u64, (MachineOrder, Option<InstanceName>)>,
     pub(super) capacity: Capacity,
+    pub(super) preemptor: Preemptor,
     pub(super) order_pace: OrderPace,
     pub(super) machines: MachineList,
     /// Jobs with a recurrence.
@@ -177,6 +178,7 @@
             upkeep: Upkeep::new(now_ms, &self.state),
             machine_orders: BTreeMap::new(),
             capacity: Capacity::default(),
+            preemptor: Preemptor::default(),
             order_pace: OrderPace::new(self.settings.machine_orders_per_s),
             machines: MachineList::new(now_ms),
             recurring: BTreeSet::new(),
--- a/src/control/placement/backlog/pool_backlog.rs
+++ b/src/control/placement/backlog/pool_backlog.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use super::super::ranking::Class;
+use super::super::ServiceClass;
 use super::{Entry, Lanes, StepDemand};
 use crate::model::WorkspaceName;
 
@@ -10,7 +10,7 @@
     /// The steps of small jobs, then those of large ones.
     groups: [Lanes; 2],
     /// Processor demand by class, of small and of large jobs, in thousandths of a core.
-    demand_milli: BTreeMap<Class, [u64; 2]>,
+    demand_milli: BTreeMap<ServiceClass, [u64; 2]>,
     /// The entries of each group after which the next pass resumes.
     pub(super) resume: [Option<Entry>; 2],
 }
@@ -27,7 +27,7 @@
     }
 
     /// Returns the processor demand of a class, of small and of large jobs, in cores.
-    pub(super) fn demand_cores(&self, class: Class) -> [f64; 2] {
+    pub(super) fn demand_cores(&self, class: ServiceClass) -> [f64; 2] {
         let milli = self.demand_milli.get(&class).copied().unwrap_or_default();
         milli.map(|milli| milli as f64 / 1_000.0)
     }
--- a/src/control/placement/backlog/ranked_steps.rs
+++ b/src/control/placement/backlog/ranked_steps.rs
@@ -1,4 +1,4 @@
-use super::super::ranking::Class;
+use super::super::ServiceClass;
 use super::{Entry, PoolBacklog, RankedLanes, StepDemand};
 use crate::control::{OrderPolicy, SizeShares};
 use crate::model::WorkspaceName;
@@ -15,7 +15,7 @@
     running: SizeShares,
     large_part: f64,
     /// The class that the iteration is in, to which `shares` and `weights` apply.
-    class: Option<Class>,
+    class: Option<ServiceClass>,
     shares: SizeShares,
     weights: [f64; 2],
 }
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -14,11 +14,13 @@
 mod ranking;
 mod scheduler;
 mod scheduler_input;
+mod service_class;
 mod tickets;
 mod workspace_shares;
 
 pub use placed_start::Placement;
-pub use ranking::{Rank, Remaining, rank_job};
+pub use ranking::{Rank, rank_job};
 pub use scheduler::Scheduler;
 pub use scheduler_input::SchedulerInput;
+pub use service_class::{Remaining, ServiceClass, Timeliness};
 pub use workspace_shares::WorkspaceShares;
--- a/src/control/policy/settings.rs
+++ b/src/control/policy/settings.rs
@@ -10,8 +10,8 @@
 
 use super::timing::LONGEST_LEASE_MS;
 use crate::control::{
-    CarriersPolicy, MovesPolicy, NeedsPolicy, OrderPolicy, PlacementPolicy, PolicyFault,
-    RunsPolicy, StandbyPolicy, TurnsPolicy, UpkeepPolicy,
+    ArbitrationPolicy, CarriersPolicy, MovesPolicy, NeedsPolicy, OrderPolicy, PlacementPolicy,
+    PolicyFault, PreemptionPolicy, RunsPolicy, StandbyPolicy, TurnsPolicy, UpkeepPolicy,
 };
 
 /// Parameters of the leader's decisions, as in the operator's policy file.
@@ -24,6 +24,10 @@
     pub turns: TurnsPolicy,
     /// Moves of machines between pools.
     pub moves: MovesPolicy,
+    /// Division of machines among pools that lack some.
+    pub arbitration: ArbitrationPolicy,
+    /// Runs that are stopped for more urgent work.
+    pub preemption: PreemptionPolicy,
     /// Machines that are powered off while no pool needs them.
     pub standby: StandbyPolicy,
     /// Order in which jobs are placed.
@@ -117,6 +121,19 @@
             ("moves.surplus_ms", time(self.moves.surplus_ms)),
             ("moves.empty_ms", time(self.moves.empty_ms)),
             ("moves.fewest", count(self.moves.fewest, 0.0)),
+            (
+                "arbitration.rest_part",
+                part(self.arbitration.rest_part, 1.0),
+            ),
+            ("arbitration.empty_ms", time(self.arbitration.empty_ms)),
+            ("preemption.soon_ms", time(self.preemption.soon_ms)),
+            ("preemption.slack_ms", time(self.preemption.slack_ms)),
+            ("preemption.again_ms", time(self.preemption.again_ms)),
+            ("preemption.loss_part", part(self.preemption.loss_part, 1.0)),
+            (
+                "preemption.loss_share",
+                part(self.preemption.loss_share, 1.0),
+            ),
             ("standby.surplus_ms", time(self.standby.surplus_ms)),
             (
                 "standby.surplus_rounds",
--- a/src/control/policy/timing.rs
+++ b/src/control/policy/timing.rs
@@ -7,6 +7,8 @@
     pub lease_max_ms: u64,
     /// Longest time that a worker takes to stop a run.
     pub stop_timeout_ms: u64,
+    /// Time that a run takes to restore its progress.
+    pub restore_ms: u64,
     /// Shortest time for which an ended job is kept.
     pub remember_ms: u64,
     /// How long a machine is down for its upkeep.
--- a/src/control/replication/load.rs
+++ b/src/control/replication/load.rs
@@ -37,6 +37,11 @@
         self.combine(other, f64::max)
     }
 
+    /// Returns how much more of each resource this is than `other`.
+    pub fn excess_over(&self, other: &Self) -> Self {
+        self.combine(other, |own, other| (own - other).max(0.0))
+    }
+
     /// Returns how many units of `size` the load needs, determined by the scarcest
     /// resource. Resources of which `size` has none are left out.
     pub fn count(&self, size: &Self) -> f64 {
--- a/src/control/workers/run_view.rs
+++ b/src/control/workers/run_view.rs
@@ -24,6 +24,8 @@
     /// Time of placement in milliseconds since 1970 and expected run time in milliseconds;
     /// `None` for a lasting task.
     pub expected: Option<(u64, u64)>,
+    /// Whether the progress of the run is saved when it is stopped.
+    pub saves: bool,
 }
 
 /// The last change in a run's progress.
@@ -69,6 +71,7 @@
             phase,
             load,
             expected: None,
+            saves: false,
             percent: 0,
             gauge: None,
             listed_ms: None,
@@ -77,9 +80,11 @@
         }
     }
 
-    /// Sets the time of placement and the expected run time, unless the step is lasting.
+    /// Sets the time of placement and the expected run time, unless the step is lasting, and
+    /// whether its progress is saved.
     pub fn set_expected(&mut self, step: &Step, placed_unix_ms: u64, takes_ms: u64) {
         self.expected = (!step.lasting).then_some((placed_unix_ms, takes_ms));
+        self.saves = step.checkpoints;
     }
 
     pub(super) fn note_progress(&mut self, now_ms: u64, percent: u8) {
--- a/src/control/workers/worker_link.rs
+++ b/src/control/workers/worker_link.rs
@@ -140,6 +140,7 @@
             };
             *view = RunView {
                 expected: view.expected,
+                saves: view.saves,
                 ..RunView::new(phase, view.load)
             };
         }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -14,6 +14,8 @@
 
 /// Orders to the machine manager in a second, if the settings name no rate.
 const DEFAULT_MACHINE_ORDERS_PER_S: f64 = 64.0;
+/// Time that a run takes to restore its progress, if the settings have none.
+const DEFAULT_RESTORE_MS: u64 = 600;
 
 /// Validated settings of an instance. The platform writes them as JSON from a template with all
 /// fields.
@@ -211,6 +213,11 @@
     let report_interval_ms = rdr.required_ms("heartbeat_ms");
     let lease_max_ms = rdr.required_ms("bounds.max_hold_ms");
     let stop_timeout_ms = rdr.required_ms("bounds.stop_timeout_ms");
+    let restore_ms = rdr.optional(
+        "bounds.restore_ms",
+        "a whole number of milliseconds",
+        Value::as_u64,
+    );
     let remember_ms = rdr.required_s_as_ms("bounds.status_s");
     let upkeep_ms = rdr.required_s_as_ms("bounds.maintenance_s");
     let grace_ms = rdr.required_s_as_ms("bounds.grace_s");
@@ -220,6 +227,7 @@
         report_interval_ms: report_interval_ms?,
         lease_max_ms: lease_max_ms?,
         stop_timeout_ms: stop_timeout_ms?,
+        restore_ms: restore_ms.unwrap_or(DEFAULT_RESTORE_MS),
         remember_ms: remember_ms?,
         upkeep_ms: upkeep_ms?,
         grace_ms: grace_ms?,
--- a/tests/control/fleet_size.rs
+++ b/tests/control/fleet_size.rs
@@ -11,7 +11,7 @@
 use rosemarygauge::jobs::JobId;
 
 use crate::pool::{NOW_MS, Pool, UNIX_MS};
-use crate::world::{job, step};
+use crate::world::{configuration, job, step};
 
 const SMALL: u16 = 100;
 const FLEET: u16 = 6_000;
@@ -79,7 +79,6 @@
     fn tick(&mut self, now_ms: u64) -> usize {
         let (state, none) = (&self.pool.state, BTreeSet::new());
         let (estimates, shares) = (Estimates::default(), WorkspaceShares::default());
-        let needs = &self.policy.needs;
         let demand = demand(
             now_ms,
             UNIX_MS,
@@ -87,7 +86,7 @@
             &self.pool.fleet,
             &estimates,
             &shares,
-            needs,
+            &self.policy,
         );
         let world = CapacityInput {
             state,
@@ -149,3 +148,27 @@
     let visited = machines.capacity.visited();
     assert!(visited <= 2 * u64::from(FLEET), "{visited}");
 }
+
+/// Guards against a division of scarce machines that costs the leader more than a look at each.
+#[test]
+fn scarce_machines_are_divided_by_one_look_at_them() {
+    for workers in [350, FLEET] {
+        let mut machines = Machines::new(workers);
+        let mut configuration = configuration(2);
+        configuration.queues[1].priority = 1;
+        let change = Change::Configure(Arc::new(configuration));
+        machines.pool.change(change);
+        for id in 0..2 * u64::from(workers) {
+            machines.pool.change(Change::Accept {
+                job: JobId::from(id),
+                queue: if id % 2 == 0 { "quick" } else { "long" }.into(),
+                spec: Arc::new(job(vec![step(200)])),
+            });
+        }
+        let before = machines.capacity.visited();
+        let moves = machines.tick(NOW_MS);
+        assert!(moves > usize::from(workers) / 4, "{moves}");
+        let visited = machines.capacity.visited() - before;
+        assert!(visited <= 2 * u64::from(workers), "{workers}: {visited}");
+    }
+}
--- a/tests/control/world.rs
+++ b/tests/control/world.rs
@@ -36,6 +36,7 @@
     report_interval_ms: 1_500,
     lease_max_ms: 10_000,
     stop_timeout_ms: 400,
+    restore_ms: 100,
     remember_ms: 120_000,
     upkeep_ms: 2_000,
     grace_ms: 6_000,
