--- a/tests/control/arbitration.rs
+++ b/tests/control/arbitration.rs
@@ -1,10 +1,12 @@
 //! More work than all machines can do: which pool gets machines, and which runs give way.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use rosemarygauge::control::{
-    Call, Change, Claim, Configuration, Estimates, Fleet, Policy, PreemptionInput, Preemptor,
-    Running, ServiceClass, Sizes, Timeliness, Timing, Victim, WorkspaceShares, allot,
+    Access, Call, Change, Claim, Configuration, Estimates, Fleet, Load, OfferedLoad, Policy,
+    PoolDemand, PreemptionInput, Preemptor, Running, ServiceClass, Sizes, Timeliness, Timing,
+    Victim, WorkspaceShares, allot,
 };
 use rosemarygauge::jobs::{JobId, JobSpec, JobState, Step, TaskId};
 
@@ -118,6 +120,42 @@
     }
 }
 
+/// Guards against a decision that nobody asked for: where queues have one priority and there are
+/// no workspaces, nothing is divided by class.
+#[test]
+fn only_a_configuration_that_ranks_work_divides_machines_by_class() {
+    assert!(!configuration(1).ranks_work());
+    assert!(with_patient_queue(1).ranks_work());
+    let with_shares = Configuration {
+        access: Some(Access::new(Vec::new(), BTreeSet::new())),
+        ..configuration(1)
+    };
+    assert!(with_shares.ranks_work());
+}
+
+/// Load: half of what arrives is beyond the share of one workspace. It claims no machines before
+/// the work of others.
+#[test]
+fn arrivals_beyond_a_share_are_not_entitled() {
+    let offer = OfferedLoad {
+        load: Load::of_cores(100.0),
+        ..OfferedLoad::default()
+    };
+    let needs = Policy::default().needs;
+    let entitled_cores = |beyond_share: f64| {
+        let demand = PoolDemand {
+            arrived_work: 80.0,
+            arrived_beyond_share: beyond_share,
+            ..PoolDemand::default()
+        };
+        let claims = demand.claims(&offer, &needs);
+        let entitled = claims.iter().filter(|(class, _)| class.is_entitled());
+        entitled.map(|(_, load)| load.cores).sum::<f64>()
+    };
+    assert_eq!(entitled_cores(0.0), 100.0);
+    assert_eq!(entitled_cores(40.0), 50.0);
+}
+
 /// A worker that runs tasks of one job, and the choice of runs to stop there.
 struct Drain {
     pool: Pool,
