Split the claims, the donors and the stops for urgent work into files of their own

The planner and the leader's machine orders had grown past what one reads at a time. No behaviour changes.

--- a/src/control/capacity/planner.rs
+++ b/src/control/capacity/planner.rs
@@ -9,6 +9,7 @@
 
 mod allotment;
 mod balance;
+mod donors;
 mod peaks;
 mod transit;
 
@@ -22,6 +23,7 @@
 use crate::model::{InstanceName, PoolName, ZoneName};
 pub use allotment::{Allotment, Claim, allot};
 use balance::{Balance, Purpose, largest_deficit};
+use donors::take_surplus;
 use peaks::Peaks;
 use transit::Transit;
 
@@ -203,7 +205,10 @@
 
     /// Limits the pools to their allotments if all machines together are fewer than they need.
     fn arbitrate(&mut self, now_ms: u64, pools: &mut [Balance], world: &CapacityInput) {
-        let claims: Vec<Claim> = pools.iter().map(|pool| claim(pool, world)).collect();
+        let claims: Vec<Claim> = pools
+            .iter()
+            .map(|pool| Claim::of_pool(pool, world))
+            .collect();
         let powered: usize = pools.iter().map(|pool| pool.has + pool.incoming).sum();
         let machines = powered + self.standby.len();
         let rest_part = world.policy.arbitration.rest_part;
@@ -405,30 +410,6 @@
     }
 }
 
-/// Returns what a pool could use machines for, by its work and what arrives.
-fn claim(pool: &Balance, world: &CapacityInput) -> Claim {
-    let none = PoolDemand::default();
-    let demand = world.demand.get(&pool.name).unwrap_or(&none);
-    let size = demand.size().unwrap_or_else(|| average_size(world.demand));
-    let offer = world.offers.get(&pool.name).copied().unwrap_or_default();
-    let lasting = demand.workers.iter().filter(|w| w.lasting > 0).count();
-    let fixed = demand
-        .min_workers
-        .max(lasting)
-        .max(world.policy.moves.fewest);
-    let mut sum = demand.lasting;
-    let mut counted = sum.count(&size).max(fixed as f64);
-    let mut wanted = Vec::new();
-    for (class, load) in demand.claims(&offer, &world.policy.needs) {
-        sum = sum.plus(&load);
-        let count = sum.count(&size).max(counted);
-        wanted.push((class, count - counted));
-        counted = count;
-    }
-    let fixed = demand.lasting.count(&size).ceil().max(fixed as f64) as usize;
-    Claim { fixed, wanted }
-}
-
 /// Counts the workers that still run lasting tasks while their machines are being
 /// drained for upkeep.
 ///
@@ -445,33 +426,6 @@
     lasting.filter(is_in_upkeep).count()
 }
 
-/// Takes a machine out of the pool with the largest surplus. With `idle` only a machine on which
-/// nothing runs qualifies; it arrives a second earlier than one that must be drained.
-fn take_surplus<'a>(
-    pools: &mut [Balance],
-    spare: &mut [Vec<&'a WorkerUse<'a>>],
-    purpose: Purpose,
-    idle: bool,
-) -> Option<(&'a WorkerUse<'a>, &'a str)> {
-    // A machine whose drain was given up in this tick is already spare, but its pool counts
-    // it only from the next tick on. Without the first condition a pool with incoming
-    // machines could give more than it counts, and `has` would underflow (a panic in builds
-    // with overflow checks).
-    let has_surplus = |p: &usize| pools[*p].has > 0 && pools[*p].surplus(purpose) > 0;
-    let donors = (0..pools.len()).filter(has_surplus);
-    let fits = |p: &usize| {
-        let soonest = spare[*p].last();
-        soonest.is_some_and(|worker| !idle || worker.passing == 0)
-    };
-    let donor = donors
-        .filter(fits)
-        .max_by_key(|p| pools[*p].surplus(purpose))?;
-    let worker = spare[donor].pop()?;
-    let machine = worker.machine?;
-    pools[donor].has -= 1;
-    Some((worker, machine))
-}
-
 /// Returns the average capacity of a machine.
 fn average_size(demand: &BTreeMap<PoolName, PoolDemand<'_>>) -> Load {
     let workers: usize = demand.values().map(|d| d.workers.len()).sum();
--- a/src/control/capacity/planner/allotment.rs
+++ b/src/control/capacity/planner/allotment.rs
@@ -6,7 +6,9 @@
 //! of them serves the same part of its work. What is late or beyond its workspace's share gets
 //! what is left. Each class leaves a part to all those after it, so that none starves.
 
-use crate::control::ServiceClass;
+use super::average_size;
+use super::balance::Balance;
+use crate::control::{CapacityInput, PoolDemand, ServiceClass};
 
 /// What a pool could use machines for.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -85,6 +87,30 @@
 }
 
 impl Claim {
+    /// Returns the claim of a pool, by its work and what arrives.
+    pub(super) fn of_pool(pool: &Balance, world: &CapacityInput) -> Self {
+        let none = PoolDemand::default();
+        let demand = world.demand.get(&pool.name).unwrap_or(&none);
+        let size = demand.size().unwrap_or_else(|| average_size(world.demand));
+        let offer = world.offers.get(&pool.name).copied().unwrap_or_default();
+        let lasting = demand.workers.iter().filter(|w| w.lasting > 0).count();
+        let fixed = demand
+            .min_workers
+            .max(lasting)
+            .max(world.policy.moves.fewest);
+        let mut sum = demand.lasting;
+        let mut counted = sum.count(&size).max(fixed as f64);
+        let mut wanted = Vec::new();
+        for (class, load) in demand.claims(&offer, &world.policy.needs) {
+            sum = sum.plus(&load);
+            let count = sum.count(&size).max(counted);
+            wanted.push((class, count - counted));
+            counted = count;
+        }
+        let fixed = demand.lasting.count(&size).ceil().max(fixed as f64) as usize;
+        Claim { fixed, wanted }
+    }
+
     fn wanted_by(&self, class: ServiceClass) -> f64 {
         let of_class = self.wanted.iter().filter(|(own, _)| *own == class);
         of_class.map(|(_, count)| count).sum()
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -13,6 +13,7 @@
 mod orders;
 mod pass;
 mod peers;
+mod preemptions;
 mod renewals;
 mod sent_order;
 mod starts;
