--- a/src/control/preemption/preemptor.rs
+++ b/src/control/preemption/preemptor.rs
@@ -42,6 +42,9 @@
         let Some(victims) = self.victims(now_ms, now_unix_ms, worker, priority, world) else {
             return Vec::new();
         };
+        if victims.is_empty() {
+            return victims;
+        }
         let Some(report) = world.state.worker(worker).map(|worker| &worker.report) else {
             return Vec::new();
         };
