Review, case 2: a subtask runs twice after its worker started again under its id

Shown: starts that reach the new process of a worker before the leader notices the restart hold a lease of `max_hold_ms`, while the leader reckons with 5.4 s at most. When the worker is then cut off, its subtasks start elsewhere while they still run there (rule TWICE).

How: review/2/run.sh. Four times, one worker of ten is silent for 0.6 s, starts again under its id, and is cut off 1 s later for 6 s.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 
 mod base;
 mod lost;
+mod twice;
 mod world;
 
 fn main() {
@@ -22,6 +23,7 @@
     });
     let code = match case.as_str() {
         "lost" => lost::run(folder, trouble),
+        "twice" => twice::run(folder, trouble),
         _ => 2,
     };
     // All processes have been ended and waited for.
