Review, case 3: a job that its consumer was told is rejected has run

Shown: when the answer to an accepted submission is lost with its channel, the edge daemon sends the call again, and passes the refusal of the second copy on as the answer (rule REFUSED).

Eight times, the channels of one edge daemon to the core are reset by a proxy, and the route is dropped right after it, under some 190 jobs a second.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 
 mod base;
 mod lost;
+mod refused;
 mod twice;
 mod world;
 
@@ -24,6 +25,7 @@
     let code = match case.as_str() {
         "lost" => lost::run(folder, trouble),
         "twice" => twice::run(folder, trouble),
+        "refused" => refused::run(folder, trouble),
         _ => 2,
     };
     // All processes have been ended and waited for.
