--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -418,10 +418,14 @@
 pub fn block() -> (u8, u8, Ports) {
     let seed = u64::from(std::process::id()) ^ unix_ms();
     for tried in 0..200_u64 {
-        let mixed = (seed + tried).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32;
+        let mixed = (seed + tried * 7_919).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32;
         let (b, c) = (40 + (mixed % 180) as u8, (mixed >> 8) as u8);
         let port = 20_000 + ((mixed >> 16) % 8_000) as u16;
-        let free = |last: u8, port: u16| TcpListener::bind(SocketAddr::from(([127, b, c, last], port))).is_ok();
+        let bind = |last: u8, port: u16| TcpListener::bind(SocketAddr::from(([127, b, c, last], port)));
+        let free = |last: u8, port: u16| bind(last, port).is_ok();
+        // Bound until the end, so that another script that starts now takes another block.
+        let Ok(claim) = bind(60, port) else { continue };
+        std::mem::forget(claim);
         if (1..60).all(|last| (0..7).all(|p| free(last, port + p))) {
             let ports = Ports {
                 link: port, control: port + 1, front: port + 2, ready: port + 3, worker: port + 4, cloud: port + 5,
