--- a/review/standin/refused.rs
+++ b/review/standin/refused.rs
@@ -13,7 +13,7 @@
 const OTHER: &str = "/wuhu344/";
 const SERVICES: [&str; 2] = ["huvo11a", "lohu93e"];
 const CONSUMERS: usize = 12;
-const ROUNDS: u64 = 8;
+const ROUNDS: u64 = 12;
 const ROUND_MS: u64 = 5_000;
 
 /// The statuses with which the attempts to hand a job in were answered; 0 for none.
@@ -44,7 +44,8 @@
     let began = now_ms();
     let mut version = 3;
     for round in 0..ROUNDS {
-        sleep_until(began + ROUND_MS * round + 1_500);
+        // At uneven times: consumers that are answered together would else be in step with it.
+        sleep_until(began + ROUND_MS * round + 1_500 + round * 137 % 400);
         if trouble {
             let reset: usize = proxies.iter().map(crate::base::Proxy::reset).sum();
             note(&format!("network: {reset} channels between {} and the core are reset", site.entries[0].name));
@@ -91,7 +92,8 @@
         }
         // Where there is no queue, a consumer tries less often.
         let found = attempts.lock().unwrap().get(&id).is_some_and(|statuses| statuses.last() == Some(&200));
-        sleep_ms(if found { 50 } else { 250 });
+        let uneven = job * 7_919 % 29;
+        sleep_ms(if found { 35 + uneven } else { 235 + uneven });
     }
 }
 
