Wait for the longest accepted lease of a worker that may have started again

Cause: starts on their way when the worker starts again carry a lease end on the clock of its earlier process, far ahead of the new clock. The new process takes them and shortens the lease to the longest that it accepts. The leader took 5 s, the longest that a leader grants, for the longest lease that can be held there.

In simulated time, with workers that shorten leases as real ones do, the three new tests fail on the code before ('runs twice'): the worker is cut off after its start is known; the leader is killed as well; the worker is cut off before its start is known. Ruled out: the fencing token (it rises with the start, and nothing earlier starts after the first listing).

Change: such a worker counts as holding the longest lease that it accepts, also for a new leader that has not heard it, unless the workers heard have another name after each start. Starts that the known process has not confirmed are kept apart: of a silent worker only confirmed runs are freed when the leases by the known clock expire, so that the tasks of a lost worker wait no longer than before.

Tests: the fake worker now shortens leases to the longest that it accepts.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -77,6 +77,6 @@
 pub use upkeep::{Upkeep, UpkeepInput, UpkeepStep};
 pub use voters::{Borne, Location, Member, Spread, Tolerance, VoterPlan, next_voter_change};
 pub use workers::{
-    Carrier, Carriers, Fleet, Progress, Reports, RunLoad, RunPhase, RunView, Runs, SizeShares,
-    Sizes, Throttle, WorkerLink, WorkerStart, is_stalled,
+    Carrier, Carriers, Fleet, LeaseLimits, Progress, Reports, RunLoad, RunPhase, RunView, Runs,
+    SizeShares, Sizes, Throttle, WorkerLink, WorkerStart, is_stalled,
 };
--- a/src/control/node/leader_state.rs
+++ b/src/control/node/leader_state.rs
@@ -8,8 +8,9 @@
 use super::{CallOrigin, ELECTION_TIMEOUT_MS, Node};
 use crate::control::replication::Pending;
 use crate::control::{
-    Answer, Capacity, Carriers, Change, Decision, Effect, Fleet, Forecast, MachineList,
-    MachineOrder, OrderPace, Placement, Preemptor, Refusal, Reports, Scheduler, Throttle, Upkeep,
+    Answer, Capacity, Carriers, Change, Decision, Effect, Fleet, Forecast, LeaseLimits,
+    MachineList, MachineOrder, OrderPace, Placement, Preemptor, Refusal, Reports, Scheduler,
+    Throttle, Upkeep,
 };
 use crate::jobs::{Job, JobId, TaskId};
 use crate::model::InstanceName;
@@ -150,8 +151,13 @@
     }
 
     fn begin_leadership(&mut self, now_ms: u64, term: u64) {
-        let longest_lease_ms = self.settings.timing.longest_lease_ms();
-        let lease_ms = self.settings.policy.runs.lease_ms.min(longest_lease_ms);
+        let timing = &self.settings.timing;
+        let longest_lease_ms = timing.longest_lease_ms();
+        let limits = LeaseLimits {
+            granted_ms: self.settings.policy.runs.lease_ms.min(longest_lease_ms),
+            inherited_ms: longest_lease_ms,
+            accepted_ms: timing.lease_max_ms,
+        };
         let start = self.draw_start_id();
         let mut scheduler = Scheduler::default();
         let mut jobs: Vec<_> = self.state.active().collect();
@@ -164,13 +170,7 @@
         }
         self.leader_state = Some(Box::new(LeaderState {
             term,
-            fleet: Fleet::new(
-                now_ms,
-                lease_ms,
-                longest_lease_ms,
-                &self.state,
-                &scheduler.sizes,
-            ),
+            fleet: Fleet::new(now_ms, limits, &self.state, &scheduler.sizes),
             pending: Pending::new(self.settings.me.clone(), start),
             held_calls: HeldCalls::default(),
             scheduler,
@@ -314,6 +314,24 @@
             let worker = self.state.worker(name);
             let heard_ms = lead.reports.heard_ms(name).max(link.heard_ms());
             let silent_ms = now_ms - heard_ms.unwrap_or(lead.began_ms);
+            if link.may_run_unheard(now_ms) {
+                let before = changes.len();
+                changes.extend(
+                    link.confirmed_runs()
+                        .map(|(task, attempt)| Change::Unplace {
+                            task,
+                            attempt,
+                            worker: name.clone(),
+                        }),
+                );
+                if changes.len() > before {
+                    tracing::info!(
+                        worker = %name, runs = changes.len() - before,
+                        "worker: its leases have expired, but not those of unanswered starts"
+                    );
+                }
+                continue;
+            }
             let is_gone = worker.is_none_or(|w| w.leaving) || silent_ms > SILENT_WORKER_TIMEOUT_MS;
             let worker = name.clone();
             if is_gone {
--- a/src/control/node/renewals.rs
+++ b/src/control/node/renewals.rs
@@ -6,6 +6,7 @@
 use super::orders::ORDER_TIMEOUT_MS;
 use super::pass::request_stop;
 use super::sent_order::SentOrder;
+use crate::control::workers::RENEWAL_SLACK_MS;
 use crate::control::{
     Change, Decision, Effect, Ended, OrderKind, OrderOutcome, Placement, Rejection, RunPhase,
     Running, Throttle, WorkerStart, is_stalled,
@@ -20,8 +21,6 @@
 /// How long a renewal waits at an idle worker; the longest that workers allow. Nothing ends
 /// there, so only its lease needs the renewal.
 const IDLE_RENEWAL_WAIT_MS: u64 = 2_000;
-/// Time that the answer to a renewal may take beyond its wait.
-const RENEWAL_SLACK_MS: u64 = 500;
 /// Minimum time between two renewals of a worker. Ends accumulate in between, which bounds
 /// the number of calls that a busy worker causes.
 const MIN_RENEWAL_GAP_MS: u64 = 15;
@@ -101,16 +100,18 @@
         let Some(lead) = &mut self.leader_state else {
             return;
         };
-        let Some(link) = lead.fleet.link_mut(worker) else {
-            return;
-        };
         match start {
-            WorkerStart::Known => {}
+            WorkerStart::Known => lead.fleet.note_start(worker, started_unix_ms),
             // The worker is asked again under the numbers of its new process.
             WorkerStart::Later => return,
-            WorkerStart::Earlier => return link.renewal_not_sent(now_ms),
+            WorkerStart::Earlier => {}
+        }
+        let Some(link) = lead.fleet.link_mut(worker) else {
+            return;
+        };
+        if start == WorkerStart::Earlier {
+            return link.renewal_not_sent(now_ms);
         }
-        link.note_start(started_unix_ms);
         if !link.is_heard(now_ms) || !link.is_confirmed() {
             lead.dirty = true;
             tracing::info!(
--- a/src/control/node/starts.rs
+++ b/src/control/node/starts.rs
@@ -63,12 +63,12 @@
         }
         let link = lead.fleet.link_mut(&start.worker);
         match link.and_then(|link| link.grant(now_ms)) {
-            Some(lease_end_ms) => self.send_start(start, lease_end_ms),
+            Some(lease_end_ms) => self.send_start(now_ms, start, lease_end_ms),
             None => self.withdraw_placement(start),
         }
     }
 
-    fn send_start(&mut self, start: &Placement, lease_end_ms: u64) {
+    fn send_start(&mut self, now_ms: u64, start: &Placement, lease_end_ms: u64) {
         let Some(lead) = &mut self.leader_state else {
             return;
         };
@@ -83,6 +83,13 @@
         if lead.workers_ending.contains(&start.worker) {
             return self.withdraw_placement(start);
         }
+        if let Some(link) = lead.fleet.link_mut(&start.worker) {
+            link.record_lease_sent(now_ms, ORDER_TIMEOUT_MS);
+            let clock_ms = link.clock_ms();
+            if let Some(view) = link.run_mut(start.task, start.attempt) {
+                view.start_clock_ms = clock_ms;
+            }
+        }
         let checkpoint = job.task(start.task).map(|t| t.checkpoint.clone());
         let step = TaskId {
             index: 0,
@@ -131,8 +138,16 @@
             return;
         };
         match outcome {
-            OrderOutcome::Done { .. } | OrderOutcome::Listed { .. } => {
+            OrderOutcome::Done { clock_ms } => {
                 view.phase = RunPhase::Running { since_ms: now_ms };
+                // A clock that is behind what was read before is that of a later process, whose
+                // next listing says when it started.
+                let is_behind = clock_ms.is_some_and(|at_ms| at_ms < view.start_clock_ms);
+                view.confirmed = clock_ms.is_some() && !is_behind;
+                if is_behind {
+                    link.renewal_sent_ms = None;
+                    link.renew_ms = now_ms;
+                }
                 tracing::debug!(
                     task = %start.task, attempt = start.attempt, worker = %start.worker,
                     "task: started"
@@ -147,7 +162,10 @@
                 self.withdraw_placement(start);
             }
             // An earlier copy of the same start may still arrive.
-            OrderOutcome::Unanswered | OrderOutcome::NotSent | OrderOutcome::Since { .. } => {
+            OrderOutcome::Unanswered
+            | OrderOutcome::NotSent
+            | OrderOutcome::Listed { .. }
+            | OrderOutcome::Since { .. } => {
                 tracing::info!(
                     task = %start.task, attempt = start.attempt, worker = %start.worker,
                     unanswered = unanswered + 1, "task: a start was not answered"
@@ -162,7 +180,7 @@
                     // The lease is not extended: if the worker is lost, its tasks would wait
                     // longer for the end of the lease.
                     let lease_end_ms = link.lease_end_ms();
-                    self.send_start(start, lease_end_ms);
+                    self.send_start(now_ms, start, lease_end_ms);
                 }
             }
             OrderOutcome::Rejected { reason, .. } => {
--- a/src/control/workers/fleet.rs
+++ b/src/control/workers/fleet.rs
@@ -2,7 +2,7 @@
 
 use super::schedule::Schedule;
 use super::silence::{Silence, WorkerGroups};
-use crate::control::{RunLoad, RunPhase, RunView, Sizes, State, Worker, WorkerLink};
+use crate::control::{LeaseLimits, RunLoad, RunPhase, RunView, Sizes, State, Worker, WorkerLink};
 use crate::jobs::{Job, TaskId};
 use crate::model::{InstanceName, ZoneName};
 
@@ -12,8 +12,7 @@
 /// changed: a look through all links in each tick would cost most where nothing happens.
 #[derive(Debug)]
 pub struct Fleet {
-    lease_ms: u64,
-    inherited_lease_ms: u64,
+    limits: LeaseLimits,
     links: BTreeMap<InstanceName, Entry>,
     /// Workers whose links may have changed since [`Self::update`].
     touched: Vec<InstanceName>,
@@ -22,6 +21,8 @@
     /// Workers with a run that is to be stopped and whose stop is not ordered.
     stopping: BTreeSet<InstanceName>,
     silence: Silence,
+    /// Whether workers say in their listings when they started; `None` before the first listing.
+    tells_starts: Option<bool>,
 }
 
 /// A link, and what the fleet keeps beside it.
@@ -57,23 +58,10 @@
 }
 
 impl Fleet {
-    /// Creates the links of a new leader, which grants leases of `lease_ms` and whose
-    /// predecessors granted `inherited_lease_ms` at most. All runs in the state count as
-    /// inherited from an earlier leader.
-    pub fn new(
-        now_ms: u64,
-        lease_ms: u64,
-        inherited_lease_ms: u64,
-        state: &State,
-        sizes: &Sizes,
-    ) -> Self {
-        let entry = || {
-            Entry::new(WorkerLink::with_inherited_lease(
-                now_ms,
-                lease_ms,
-                inherited_lease_ms,
-            ))
-        };
+    /// Creates the links of a new leader. All runs in the state count as inherited from an
+    /// earlier leader.
+    pub fn new(now_ms: u64, limits: LeaseLimits, state: &State, sizes: &Sizes) -> Self {
+        let entry = || Entry::new(WorkerLink::with_unknown_start(now_ms, limits));
         let names = state.workers().keys().cloned();
         let mut links: BTreeMap<_, _> = names.map(|name| (name, entry())).collect();
         for job in state.active() {
@@ -89,12 +77,12 @@
             }
         }
         Self {
-            lease_ms,
-            inherited_lease_ms,
+            limits,
             touched: links.keys().cloned().collect(),
             schedule: Schedule::default(),
             stopping: BTreeSet::new(),
             silence: Silence::default(),
+            tells_starts: None,
             links,
         }
     }
@@ -102,13 +90,27 @@
     /// Adds a link to a worker unless there is one.
     pub fn add_link(&mut self, now_ms: u64, name: &InstanceName) {
         if !self.links.contains_key(name) {
-            let link =
-                WorkerLink::with_inherited_lease(now_ms, self.lease_ms, self.inherited_lease_ms);
+            let link = WorkerLink::new(now_ms, self.limits);
             self.links.insert(name.clone(), Entry::new(link));
             self.touched.push(name.clone());
         }
     }
 
+    /// Remembers when a worker started, as its listing says. If the workers that were heard do
+    /// not say it, those that were not heard have not started again under their names either.
+    pub fn note_start(&mut self, name: &InstanceName, started_unix_ms: Option<u64>) {
+        let tells = started_unix_ms.is_some() || self.tells_starts == Some(true);
+        if self.tells_starts.replace(tells) != Some(tells) {
+            for (name, entry) in &mut self.links {
+                entry.link.set_may_have_started_again(tells);
+                entry.touch(name, &mut self.touched);
+            }
+        }
+        if let Some(link) = self.link_mut(name) {
+            link.note_start(started_unix_ms);
+        }
+    }
+
     /// Removes the link to a worker with all its runs.
     pub fn remove_link(&mut self, name: &InstanceName) {
         let removed = self.links.remove(name);
--- a/src/control/workers/mod.rs
+++ b/src/control/workers/mod.rs
@@ -7,6 +7,7 @@
 mod carrier;
 mod carriers;
 mod fleet;
+mod lease_limits;
 mod reports;
 mod run_view;
 mod runs;
@@ -21,6 +22,7 @@
 pub use carrier::Carrier;
 pub use carriers::Carriers;
 pub use fleet::Fleet;
+pub use lease_limits::LeaseLimits;
 pub use reports::Reports;
 pub use run_view::{Progress, RunPhase, RunView};
 pub use runs::{RunLoad, Runs};
@@ -32,3 +34,4 @@
 
 pub(super) use carrier::ORDER_MAX_AGE_MS;
 pub(super) use carriers::Losses;
+pub(super) use worker_link::RENEWAL_SLACK_MS;
--- a/src/control/workers/run_view.rs
+++ b/src/control/workers/run_view.rs
@@ -26,6 +26,10 @@
     pub expected: Option<(u64, u64)>,
     /// Whether the progress of the run is saved when it is stopped.
     pub saves: bool,
+    /// Whether the process of the worker that is known has confirmed that it has the run.
+    pub confirmed: bool,
+    /// The worker's clock as it was known when the start was last sent.
+    pub start_clock_ms: u64,
 }
 
 /// The last change in a run's progress.
@@ -72,6 +76,8 @@
             load,
             expected: None,
             saves: false,
+            confirmed: false,
+            start_clock_ms: 0,
             percent: 0,
             gauge: None,
             listed_ms: None,
--- a/src/control/workers/worker_link.rs
+++ b/src/control/workers/worker_link.rs
@@ -1,7 +1,10 @@
 use std::cmp::Ordering;
 
+use super::carrier::ORDER_MAX_AGE_MS;
 use crate::consensus::TERM_STRIDE;
-use crate::control::{Ended, RunPhase, RunView, Running, Runs, RunsPolicy, WorkerStart};
+use crate::control::{
+    Ended, LeaseLimits, RunPhase, RunView, Running, Runs, RunsPolicy, WorkerStart,
+};
 use crate::jobs::TaskId;
 
 /// The leader's view of a worker: its clock, its lease and its runs.
@@ -19,10 +22,12 @@
     clock: Option<(u64, u64)>,
     /// The latest lease end that the worker may hold, on the worker's clock.
     lease_end_ms: u64,
-    /// Lease that the worker gets with each order.
-    lease_ms: u64,
-    /// Longest lease that an earlier leader may have granted.
-    inherited_lease_ms: u64,
+    limits: LeaseLimits,
+    /// Longest lease that the worker may hold from orders of an earlier leader, or from orders
+    /// that were meant for its earlier process.
+    unknown_lease_ms: u64,
+    /// Time until which an order that carries a lease may arrive.
+    lease_arrival_ms: u64,
     /// When the worker first listed its runs under this leader's fencing token.
     confirmed_ms: Option<u64>,
     /// Number of the last end that is durable.
@@ -65,27 +70,25 @@
 /// Time beyond the long poll of a renewal after which a silent worker gets no work. An
 /// answer normally takes a fraction of it.
 const MAX_SILENCE_MS: u64 = 1_200;
+/// Time that the answer to a renewal may take beyond its wait.
+pub(in crate::control) const RENEWAL_SLACK_MS: u64 = 500;
 /// Maximum number of ends that a worker lists in one answer; set by the platform.
 const LISTED_ENDS_MAX: usize = 500;
 /// Half-life of the recent failures of a worker.
 const FAILURES_HALF_LIFE_MS: f64 = 6_000.0;
 
 impl WorkerLink {
-    /// Creates an unconfirmed link; the worker may have runs of earlier leaders.
-    pub fn new(now_ms: u64, lease_ms: u64) -> Self {
-        Self::with_inherited_lease(now_ms, lease_ms, lease_ms)
-    }
-
-    /// Creates an unconfirmed link to a worker to which earlier leaders may have granted
-    /// leases of another length.
-    pub fn with_inherited_lease(now_ms: u64, lease_ms: u64, inherited_lease_ms: u64) -> Self {
+    /// Creates an unconfirmed link; the worker may have runs of earlier leaders, which it began
+    /// under its present process.
+    pub fn new(now_ms: u64, limits: LeaseLimits) -> Self {
         Self {
-            inherited_lease_ms,
+            unknown_lease_ms: limits.inherited_ms,
+            lease_arrival_ms: 0,
             since_ms: now_ms,
             started_unix_ms: None,
             clock: None,
             lease_end_ms: 0,
-            lease_ms,
+            limits,
             confirmed_ms: None,
             acknowledged: 0,
             proposed: 0,
@@ -103,6 +106,26 @@
         }
     }
 
+    /// Creates an unconfirmed link to a worker that may have started again under an earlier
+    /// leader.
+    pub fn with_unknown_start(now_ms: u64, limits: LeaseLimits) -> Self {
+        Self {
+            unknown_lease_ms: limits.accepted_ms,
+            ..Self::new(now_ms, limits)
+        }
+    }
+
+    /// Sets whether the worker may have started again under an earlier leader, unless it was
+    /// heard.
+    pub fn set_may_have_started_again(&mut self, may: bool) {
+        if self.clock.is_none() && self.restarts == 0 {
+            self.unknown_lease_ms = match may {
+                true => self.limits.accepted_ms,
+                false => self.limits.inherited_ms,
+            };
+        }
+    }
+
     /// Compares the start time in a message of the worker with the one that is known.
     pub fn compare_start(&self, started_unix_ms: Option<u64>) -> WorkerStart {
         let (Some(said), Some(known)) = (started_unix_ms, self.started_unix_ms) else {
@@ -116,8 +139,12 @@
     }
 
     /// Remembers the start time that the first listing names. A report does not count: one of
-    /// an earlier process may arrive late.
+    /// an earlier process may arrive late. A worker that does not say it has another name after
+    /// each start.
     pub fn note_start(&mut self, started_unix_ms: Option<u64>) {
+        if started_unix_ms.is_none() {
+            self.set_may_have_started_again(false);
+        }
         self.started_unix_ms = self.started_unix_ms.or(started_unix_ms);
     }
 
@@ -127,7 +154,9 @@
     /// fencing token, and its clock and the numbers of its ends begin anew. Orders to the
     /// earlier process may still be under way. So the worker is treated as by a new leader:
     /// it gets a higher token, and no work until it has listed its runs under it. From then
-    /// on no earlier order has any effect there.
+    /// on no earlier order has any effect there. One that arrived before carried a lease end by
+    /// the clock of the earlier process, far ahead of the new clock, so it may have got the
+    /// longest lease that the worker accepts.
     pub fn start_again(&mut self, now_ms: u64, started_unix_ms: u64) {
         let mut runs = std::mem::take(&mut self.runs);
         for (_, view) in runs.iter_mut() {
@@ -148,8 +177,10 @@
             started_unix_ms: Some(started_unix_ms),
             cooldown_until_ms: self.cooldown_until_ms,
             restarts: self.restarts + 1,
+            lease_arrival_ms: self.lease_arrival_ms,
+            unknown_lease_ms: self.limits.accepted_ms,
             runs,
-            ..Self::with_inherited_lease(now_ms, self.lease_ms, self.inherited_lease_ms)
+            ..Self::new(now_ms, self.limits)
         };
     }
 
@@ -224,7 +255,7 @@
     /// answered.
     pub fn grant(&mut self, now_ms: u64) -> Option<u64> {
         let (clock_ms, at_ms) = self.clock?;
-        let end_ms = clock_ms + now_ms.saturating_sub(at_ms) + self.lease_ms;
+        let end_ms = clock_ms + now_ms.saturating_sub(at_ms) + self.limits.granted_ms;
         self.lease_end_ms = self.lease_end_ms.max(end_ms);
         Some(end_ms)
     }
@@ -244,7 +275,40 @@
     pub fn begin_renewal(&mut self, now_ms: u64, wait_ms: u64) -> Option<u64> {
         self.renewal_sent_ms = Some(now_ms);
         self.renewal_wait_ms = wait_ms;
-        self.renewal_end(now_ms)
+        let lease_end_ms = self.renewal_end(now_ms)?;
+        self.record_lease_sent(now_ms, wait_ms + RENEWAL_SLACK_MS);
+        Some(lease_end_ms)
+    }
+
+    /// Records that an order with a lease is sent, whose answer is awaited for `timeout_ms`.
+    pub fn record_lease_sent(&mut self, now_ms: u64, timeout_ms: u64) {
+        let arrival_ms = now_ms + timeout_ms + ORDER_MAX_AGE_MS;
+        self.lease_arrival_ms = self.lease_arrival_ms.max(arrival_ms);
+    }
+
+    /// Returns whether a run may be at work on a later process of the worker of which nothing
+    /// has been heard.
+    ///
+    /// A worker that tells its start may start again under its name. A start that was sent to
+    /// the earlier process then begins in the new one, under the longest lease that the worker
+    /// accepts. Runs that the earlier process has confirmed ended with it.
+    pub fn may_run_unheard(&self, now_ms: u64) -> bool {
+        let expires_ms =
+            self.lease_arrival_ms + self.limits.accepted_ms * 100 / MIN_CLOCK_RATE_PERCENT + 1;
+        self.started_unix_ms.is_some()
+            && now_ms < expires_ms
+            && self.runs.values().any(|view| !view.confirmed)
+    }
+
+    /// Returns the runs that the known process of the worker has confirmed.
+    pub fn confirmed_runs(&self) -> impl Iterator<Item = (TaskId, u32)> {
+        let confirmed = self.runs.iter().filter(|(_, view)| view.confirmed);
+        confirmed.map(|(run, _)| *run)
+    }
+
+    /// Returns the worker's clock as it was last read, 0 if it never was.
+    pub fn clock_ms(&self) -> u64 {
+        self.clock.map_or(0, |(clock_ms, _)| clock_ms)
     }
 
     /// Returns the lease end to send with the next renewal; `None` if the previous renewal
@@ -275,8 +339,9 @@
                 at_ms + (left_ms * 100).div_ceil(MIN_CLOCK_RATE_PERCENT)
             }
             None => {
-                let max_lease_ms = self.inherited_lease_ms + INHERITED_LEASE_MARGIN_MS;
-                self.since_ms + max_lease_ms * 100 / MIN_CLOCK_RATE_PERCENT + 1
+                let max_lease_ms = self.unknown_lease_ms + INHERITED_LEASE_MARGIN_MS;
+                let granted_ms = self.since_ms.max(self.lease_arrival_ms);
+                granted_ms + max_lease_ms * 100 / MIN_CLOCK_RATE_PERCENT + 1
             }
         }
     }
@@ -303,7 +368,7 @@
     pub fn record_clock(&mut self, now_ms: u64, clock_ms: u64) {
         if self.clock.is_none() {
             // Every lease that an earlier leader granted ends by then.
-            self.lease_end_ms = clock_ms + self.inherited_lease_ms + INHERITED_LEASE_MARGIN_MS;
+            self.lease_end_ms = clock_ms + self.unknown_lease_ms + INHERITED_LEASE_MARGIN_MS;
         }
         // Answers may arrive out of order.
         if self.clock.is_none_or(|(known_ms, _)| clock_ms >= known_ms) {
@@ -351,6 +416,7 @@
                 // An overloaded leader may read the answer late, so the listing is taken to
                 // be as old as the renewal.
                 view.listed_ms = Some(sent_ms);
+                view.confirmed = true;
                 if matches!(view.phase, RunPhase::Inherited | RunPhase::Starting { .. }) {
                     view.phase = RunPhase::Running { since_ms: now_ms };
                 }
--- a/tests/control/arbitration.rs
+++ b/tests/control/arbitration.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 
 use rosemarygauge::control::{
-    Access, Call, Change, Claim, Configuration, Estimates, Fleet, Load, OfferedLoad, Policy,
-    PoolDemand, PreemptionInput, Preemptor, Running, ServiceClass, Sizes, Timeliness, Timing,
-    Victim, WorkspaceShares, allot,
+    Access, Call, Change, Claim, Configuration, Estimates, Fleet, LeaseLimits, Load, OfferedLoad,
+    Policy, PoolDemand, PreemptionInput, Preemptor, Running, ServiceClass, Sizes, Timeliness,
+    Timing, Victim, WorkspaceShares, allot,
 };
 use rosemarygauge::jobs::{JobId, JobSpec, JobState, Step, TaskId};
 
@@ -190,7 +190,12 @@
     /// The worker lists its runs as at work.
     fn list(&mut self, tasks: u16, percent: u8) {
         let state = &self.pool.state;
-        self.pool.fleet = Fleet::new(NOW_MS, 5_000, 5_000, state, &Sizes::default());
+        self.pool.fleet = Fleet::new(
+            NOW_MS,
+            LeaseLimits::uniform(5_000),
+            state,
+            &Sizes::default(),
+        );
         let link = self.pool.fleet.link_mut(&"i-0".into()).unwrap();
         let running = (0..tasks).map(|index| Running {
             task: task(index),
--- a/tests/control/leases.rs
+++ b/tests/control/leases.rs
@@ -1,17 +1,18 @@
 //! The leader's view of workers' leases, and who extends them.
 
 use rosemarygauge::control::{
-    Change, Command, Ended, Fleet, RunPhase, RunsPolicy, Sizes, State, WorkerLink,
+    Change, Command, Ended, Fleet, LeaseLimits, RunPhase, RunsPolicy, Sizes, State, WorkerLink,
 };
 use rosemarygauge::jobs::{JobId, RunResult, TaskId};
 
 use crate::world::{World, address, job, name, step};
 
 const LEASE_MS: u64 = 5_000;
+const LEASES: LeaseLimits = LeaseLimits::uniform(LEASE_MS);
 
 #[test]
 fn a_lease_has_lapsed_only_when_the_slowest_clock_has_passed_its_end() {
-    let mut link = WorkerLink::new(0, LEASE_MS);
+    let mut link = WorkerLink::new(0, LEASES);
     link.listed(100, 100, 77_000, &[], &[]);
     let end_ms = link.grant(1_000).unwrap();
     assert_eq!(end_ms, 77_000 + 900 + LEASE_MS);
@@ -25,7 +26,7 @@
 /// leader granted has expired after the lease time and the clock uncertainty.
 #[test]
 fn the_leases_of_an_earlier_leader_run_out_unheard() {
-    let link = WorkerLink::new(10_000, LEASE_MS);
+    let link = WorkerLink::new(10_000, LEASES);
     assert!(!link.has_lapsed(15_300));
     assert!(link.has_lapsed(15_700));
 }
@@ -33,7 +34,7 @@
 /// A worker does not answer. Retries must not extend its lease.
 #[test]
 fn a_silent_worker_is_granted_nothing() {
-    let mut link = WorkerLink::new(0, LEASE_MS);
+    let mut link = WorkerLink::new(0, LEASES);
     link.listed(100, 100, 5, &[], &[]);
     assert!(link.renewal_end(200).is_some());
     link.renewal_failed(1_700);
@@ -46,7 +47,7 @@
 /// still gets work. It may also be lost, so the next request does not extend its lease.
 #[test]
 fn a_renewal_that_never_left_says_nothing_of_its_worker() {
-    let mut link = WorkerLink::new(0, LEASE_MS);
+    let mut link = WorkerLink::new(0, LEASES);
     link.listed(100, 100, 5, &[], &[]);
     for at_ms in [200, 700, 1_200] {
         link.renewal_not_sent(at_ms);
@@ -60,7 +61,7 @@
 
 #[test]
 fn answers_that_overtake_each_other_do_not_set_the_clock_back() {
-    let mut link = WorkerLink::new(0, LEASE_MS);
+    let mut link = WorkerLink::new(0, LEASES);
     link.record_clock(1_000, 500);
     link.record_clock(1_010, 400);
     assert_eq!(link.grant(1_010), Some(510 + LEASE_MS));
@@ -70,14 +71,14 @@
 /// does not.
 #[test]
 fn failures_in_a_row_give_a_worker_a_rest() {
-    let mut link = WorkerLink::new(0, LEASE_MS);
+    let mut link = WorkerLink::new(0, LEASES);
     link.listed(10, 10, 10, &[], &[]);
     link.run_failed(100, &RunsPolicy::default());
     link.run_failed(200, &RunsPolicy::default());
     assert!(link.takes_work(300));
     link.run_failed(300, &RunsPolicy::default());
     assert!(!link.takes_work(400));
-    let mut mixed = WorkerLink::new(0, LEASE_MS);
+    let mut mixed = WorkerLink::new(0, LEASES);
     mixed.listed(10, 10, 10, &[], &[]);
     for at in 1..20 {
         mixed.run_failed(at * 50, &RunsPolicy::default());
@@ -149,7 +150,7 @@
         at_unix_ms: 0,
         changes,
     });
-    let mut fleet = Fleet::new(0, LEASE_MS, LEASE_MS, &state, &Sizes::default());
+    let mut fleet = Fleet::new(0, LeaseLimits::uniform(LEASE_MS), &state, &Sizes::default());
     let link = fleet.link_mut(&"i-1".into()).unwrap();
     let view = link.run_mut(task, 1).unwrap();
     view.phase = RunPhase::Running { since_ms: 150 };
--- a/tests/control/pool.rs
+++ b/tests/control/pool.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use rosemarygauge::control::{
-    Change, Command, Estimates, Fleet, Placement, Policy, Scheduler, SchedulerInput, Sizes, State,
-    WorkerLink,
+    Change, Command, Estimates, Fleet, LeaseLimits, Placement, Policy, Scheduler, SchedulerInput,
+    Sizes, State, WorkerLink,
 };
 use rosemarygauge::jobs::{JobId, JobSpec};
 
@@ -12,6 +12,12 @@
 use crate::world::{address, configuration};
 
 pub const NOW_MS: u64 = 50_000;
+/// Leases of a leader whose predecessors granted longer ones.
+pub const LEASES: LeaseLimits = LeaseLimits {
+    granted_ms: 3_000,
+    inherited_ms: 5_000,
+    accepted_ms: 10_000,
+};
 pub const UNIX_MS: u64 = 1_700_000_000_000;
 
 /// A replicated state with a pool of workers, and a scheduler that follows it.
@@ -26,7 +32,12 @@
     pub fn new(workers: u16) -> Self {
         let mut state = State::default();
         apply(&mut state, Change::Configure(Arc::new(configuration(1))));
-        let mut fleet = Fleet::new(NOW_MS, 5_000, 5_000, &state, &Sizes::default());
+        let mut fleet = Fleet::new(
+            NOW_MS,
+            LeaseLimits::uniform(5_000),
+            &state,
+            &Sizes::default(),
+        );
         for port in 0..workers {
             let mut worker = Worker::new(&format!("i-{port}"), address(port), "east", 0);
             let mut report = worker.report();
@@ -53,7 +64,12 @@
     /// Starts as a new leader: placed tasks count as running, and all workers were heard just
     /// now.
     pub fn restart_leader(&mut self) {
-        self.fleet = Fleet::new(NOW_MS, 5_000, 5_000, &self.state, &Sizes::default());
+        self.fleet = Fleet::new(
+            NOW_MS,
+            LeaseLimits::uniform(5_000),
+            &self.state,
+            &Sizes::default(),
+        );
         for name in self.state.workers().keys() {
             mark_heard(&mut self.fleet, name.as_str());
         }
--- a/tests/control/restarts.rs
+++ b/tests/control/restarts.rs
@@ -4,7 +4,7 @@
 use rosemarygauge::control::{Answer, Phase};
 use rosemarygauge::jobs::JobState;
 
-use crate::world::{World, address, job, step};
+use crate::world::{TIMING, World, address, job, step};
 
 /// Time in which everything that was lost has started again and ended.
 const RECOVERY_MS: u64 = 9_000;
@@ -63,18 +63,22 @@
 /// is placed after the start would never lapse.
 #[test]
 fn the_lease_of_a_worker_that_started_again_ends_by_its_new_clock() {
+    const RUN_MS: u64 = 4_000;
+    // Time to hear that the worker has started again, and that the runs have ended.
+    const CONTACT_MS: u64 = 1_000;
     let mut world = World::without_moves(403, 2, 0);
     world.tell_starts();
     world.worker(1_000).clock_base_ms = 900_000;
     world.run_ms(3_000);
     world.start_worker_again(1_000);
+    let end_ms = world.now_ms + TIMING.lease_max_ms * 100 / 98 + RUN_MS + CONTACT_MS;
     world.run_ms(2_000);
-    world.worker(1_000).run_ms = 4_000;
-    world.worker(1_001).run_ms = 4_000;
+    world.worker(1_000).run_ms = RUN_MS;
+    world.worker(1_001).run_ms = RUN_MS;
     submit_all(&mut world, 1..5);
     world.run_ms(500);
     world.cut_worker(1_000);
-    world.run_ms(12_000);
+    world.run_ms(end_ms - world.now_ms);
     for id in 1..5 {
         assert_eq!(
             world.look(1, "quick", id),
@@ -112,3 +116,87 @@
         }
     }
 }
+
+/// How long a worker that starts again is out of reach before.
+const DOWN_MS: u64 = 600;
+
+/// Runs tasks of a minute on four workers, and starts one again under its name while orders are
+/// on their way to it: they carry lease ends by the clock of before, which was far ahead.
+/// `cut_after_ms` after its start it is cut off for good, and runs on.
+fn start_again_and_cut_off(world: &mut World, seed: u64, cut_after_ms: u64) {
+    world.tell_starts();
+    for port in 1_000..1_004 {
+        world.worker(port).clock_base_ms = 900_000;
+        world.worker(port).run_ms = 60_000;
+    }
+    // The time between its start and its next report differs.
+    world.run_ms(3_000 + seed % 10 * 50);
+    let cut = world.cut.clone();
+    world.cut_worker(1_000);
+    for id in 1..7 {
+        world.submit(1, "quick", id, job(vec![step(4)]));
+        world.run_ms(DOWN_MS / 6);
+    }
+    world.cut = cut;
+    world.start_worker_again(1_000);
+    world.run_ms(cut_after_ms);
+    world.cut_worker(1_000);
+}
+
+/// Guards against tasks that run twice: a worker that has started again under its name holds
+/// the longest lease that workers accept, and its leader waited for one that it grants.
+#[test]
+fn a_worker_that_started_again_and_is_cut_off_runs_nothing_twice() {
+    let mut taken = 0;
+    for seed in 500..520 {
+        for mut world in World::both(seed, 4, 1) {
+            start_again_and_cut_off(&mut world, seed, 1_000);
+            taken += world.worker(1_000).going.len();
+            world.run_ms(14_000);
+            let moved = world.worker(1_000).going.is_empty();
+            assert!(moved, "seed {seed}: its leases run out");
+        }
+    }
+    assert!(
+        taken > 0,
+        "the new process took no order that was on its way"
+    );
+}
+
+/// Guards against the same with a new leader, which does not know that the worker has started
+/// again.
+#[test]
+fn a_new_leader_waits_for_the_leases_of_a_worker_that_started_again() {
+    let mut taken = 0;
+    for seed in 520..540 {
+        for mut world in World::both(seed, 4, 1) {
+            start_again_and_cut_off(&mut world, seed, 1_000);
+            taken += world.worker(1_000).going.len();
+            let leader = world.leader().unwrap();
+            world.kill(&leader);
+            world.run_ms(14_000);
+        }
+    }
+    assert!(
+        taken > 0,
+        "the new process took no order that was on its way"
+    );
+}
+
+/// Guards against the same where the worker is cut off before the leader hears that it has
+/// started again.
+#[test]
+fn a_worker_whose_start_is_not_heard_runs_nothing_twice() {
+    let mut taken = 0;
+    for seed in 540..580 {
+        for mut world in World::both(seed, 4, 1) {
+            start_again_and_cut_off(&mut world, seed, 50 + seed % 10 * 45);
+            taken += world.worker(1_000).going.len();
+            world.run_ms(14_000);
+        }
+    }
+    assert!(
+        taken > 0,
+        "the new process took no order that was on its way"
+    );
+}
--- a/tests/control/upkeep.rs
+++ b/tests/control/upkeep.rs
@@ -9,7 +9,7 @@
 use rosemarygauge::jobs::{JobId, TaskId};
 use rosemarygauge::model::InstanceName;
 
-use crate::pool::{NOW_MS, Pool, UNIX_MS};
+use crate::pool::{LEASES, NOW_MS, Pool, UNIX_MS};
 use crate::worker::Worker;
 use crate::world::{TIMING, World, address, job, lasting, step};
 
@@ -294,7 +294,7 @@
                 worker: worker(index),
             });
         }
-        pool.fleet = Fleet::new(NOW_MS, 3_000, 5_000, &pool.state, &Sizes::default());
+        pool.fleet = Fleet::new(NOW_MS, LEASES, &pool.state, &Sizes::default());
         let mut after = Self { wave };
         after.list(NOW_MS, NOW_MS);
         after
--- a/tests/control/worker.rs
+++ b/tests/control/worker.rs
@@ -7,6 +7,8 @@
 use rosemarygauge::control::{Ended, OrderKind, OrderOutcome, Phase, Rejection, Report, Running};
 use rosemarygauge::jobs::{Resources, RunResult, TaskId};
 
+use crate::world::TIMING;
+
 /// Maximum number of ends in a listing; further ends follow once these are acknowledged.
 const ENDS_LISTED_MAX: usize = 500;
 /// Time that stopping a run takes.
@@ -206,16 +208,17 @@
                 lease_end_ms,
                 ..
             } => {
+                let lease_end_ms = (*lease_end_ms).min(clock_ms + TIMING.lease_max_ms);
                 if self.going.get(task).is_some_and(|g| g.attempt == *attempt) {
-                    self.lease_end_ms = self.lease_end_ms.max(*lease_end_ms);
+                    self.lease_end_ms = self.lease_end_ms.max(lease_end_ms);
                     return OrderOutcome::Done {
                         clock_ms: Some(clock_ms),
                     };
                 }
-                if *lease_end_ms <= clock_ms {
+                if lease_end_ms <= clock_ms {
                     return rejected(Rejection::Late);
                 }
-                self.lease_end_ms = self.lease_end_ms.max(*lease_end_ms);
+                self.lease_end_ms = self.lease_end_ms.max(lease_end_ms);
                 let highest = self.highest.get(task).copied().unwrap_or(0);
                 if *attempt <= highest || self.going.contains_key(task) {
                     return rejected(Rejection::Old);
@@ -263,7 +266,9 @@
                 acknowledged,
                 ..
             } => {
-                self.lease_end_ms = self.lease_end_ms.max(lease_end_ms.unwrap_or(0));
+                let lease_end_ms = lease_end_ms.unwrap_or(0);
+                let lease_end_ms = lease_end_ms.min(clock_ms + TIMING.lease_max_ms);
+                self.lease_end_ms = self.lease_end_ms.max(lease_end_ms);
                 self.acknowledged = self.acknowledged.max(*acknowledged);
                 self.ended.retain(|end| end.number > *acknowledged);
                 let open = self.done.split_off(&(*acknowledged + 1));
--- a/tests/control/zones.rs
+++ b/tests/control/zones.rs
@@ -5,7 +5,7 @@
 use rosemarygauge::control::{Change, Fleet, Placement, Sizes, State, WorkerLink};
 use rosemarygauge::jobs::JobId;
 
-use crate::pool::{NOW_MS, Pool, apply};
+use crate::pool::{LEASES, NOW_MS, Pool, apply};
 use crate::worker::Worker;
 use crate::world::{World, address, job, lasting, step};
 
@@ -78,7 +78,7 @@
 impl Heard {
     fn new(workers: u16) -> Self {
         let mut state = State::default();
-        let mut fleet = Fleet::new(NOW_MS, 3_000, 5_000, &state, &Sizes::default());
+        let mut fleet = Fleet::new(NOW_MS, LEASES, &state, &Sizes::default());
         for port in 0..workers {
             let mut report =
                 Worker::new(&format!("i-{port:03}"), address(port), "east", 0).report();
@@ -166,10 +166,10 @@
 /// leader may have granted a longer lease than this one grants.
 #[test]
 fn a_lease_of_an_earlier_leader_is_waited_for() {
-    let link = WorkerLink::with_inherited_lease(0, 3_000, 5_000);
+    let link = WorkerLink::new(0, LEASES);
     assert!(!link.has_lapsed(5_400));
     assert!(link.has_lapsed(5_600));
-    let mut read = WorkerLink::with_inherited_lease(0, 3_000, 5_000);
+    let mut read = WorkerLink::new(0, LEASES);
     read.record_clock(0, 1_000);
     assert!(!read.has_lapsed(5_300));
     read.grant(0);
