End a refused call as unknown while another copy of it may have an effect

Cause: an entry instance sends a call without an answer again, and passed the refusal of the second copy on although the leader had accepted the first, whose answer was lost with its connection.

Change: the relay passes a refusal on only if no other copy is open and no leader that lost its leadership accepted one; calls that only read are not affected. A new leader keeps this knowledge for the calls that it takes over from its relay. Why it is enough: each copy is counted when it is sent, and taken off only by the answer that it met no leader.

Tests: three fail on the code before ('Refused(NoQueue)' for 'Unknown'); the one with a new leader fails too if only the relay is mended.

--- a/src/control/forwarding/relay.rs
+++ b/src/control/forwarding/relay.rs
@@ -3,7 +3,8 @@
 //! Every call is idempotent, so one without a timely answer is sent again, to another
 //! control instance if necessary. A caller learns that its call was not run from the
 //! leader, or if every control instance that the call was sent to has answered that it does
-//! not lead. A call that was sent and not answered ends as unknown.
+//! not lead. A call that was sent and not answered ends as unknown. So does one that is refused
+//! while another copy of it may have been accepted.
 
 use std::collections::BTreeMap;
 
@@ -79,6 +80,13 @@
 }
 
 impl OpenCall {
+    /// Returns whether a copy of the call may have an effect, beside `answered` copies that have
+    /// none.
+    fn may_have_effect(&self, answered: usize) -> bool {
+        let is_open = self.accepted_by_leader || self.unanswered > answered;
+        is_open && !self.call.is_read()
+    }
+
     /// Returns the answer to a call whose time is over. A call that no leader can have
     /// accepted has no effect; any other call may have one.
     fn timeout_answer(&self) -> Answer {
@@ -163,6 +171,16 @@
                 open.accepted_by_leader = true;
                 None
             }
+            Answer::Refused(refusal) if open.may_have_effect(1) => {
+                tracing::info!(
+                    id, %refusal, unanswered = open.unanswered - 1,
+                    accepted_by_leader = open.accepted_by_leader,
+                    "call: refused, but another copy of it may have an effect"
+                );
+                self.open_calls.remove(&id);
+                let answer = Answer::Unknown;
+                return vec![RelayAction::Answer { id, answer }];
+            }
             answer => {
                 self.open_calls.remove(&id);
                 return vec![RelayAction::Answer { id, answer }];
@@ -204,10 +222,15 @@
             .is_some_and(|(non_leader, until_ms)| non_leader == name && now_ms < *until_ms)
     }
 
-    /// Takes all waiting calls, for an instance that has become the leader.
-    pub fn take_all(&mut self) -> Vec<(u64, Call)> {
+    /// Takes all waiting calls, for an instance that has become the leader. Each comes with
+    /// whether a copy that an earlier leader got may have an effect.
+    pub fn take_all(&mut self) -> Vec<(u64, Call, bool)> {
         let open = std::mem::take(&mut self.open_calls);
-        open.into_iter().map(|(id, open)| (id, open.call)).collect()
+        let taken = open.into_iter().map(|(id, open)| {
+            let may_have_effect = open.may_have_effect(0);
+            (id, open.call, may_have_effect)
+        });
+        taken.collect()
     }
 
     /// Gives up the calls that arrived before `arrived_before_ms`, because they cannot be
--- a/src/control/messages/call.rs
+++ b/src/control/messages/call.rs
@@ -86,6 +86,21 @@
         }
     }
 
+    /// Returns whether the call only reads, so that an earlier copy of it has no effect.
+    pub fn is_read(&self) -> bool {
+        match self {
+            Self::Look { .. } | Self::ReadConfiguration | Self::LookAtWave { .. } => true,
+            Self::Authorized { call, .. } | Self::Since { call, .. } => call.is_read(),
+            Self::Submit { .. }
+            | Self::Cancel { .. }
+            | Self::Report(_)
+            | Self::Leave { .. }
+            | Self::Configure(_)
+            | Self::ConfigureParts(_)
+            | Self::StartWave(_) => false,
+        }
+    }
+
     /// Returns the call in the form in which it is sent to a peer. A configuration with
     /// workspaces is sent encoded, as [`Configuration`] alone has no place for them.
     pub fn for_peer(self) -> Self {
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -20,7 +20,7 @@
 mod starts;
 mod stops;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -112,6 +112,8 @@
     relay: Relay,
     rng: ChaCha8Rng,
     leader_state: Option<Box<LeaderState>>,
+    /// Calls of this instance's listeners of which an earlier leader may have accepted a copy.
+    uncertain_calls: BTreeSet<u64>,
     /// Orders that this instance carries out for its leader while it is a follower.
     carrier: Carrier,
     /// The other control instances that greeted this one.
@@ -154,6 +156,7 @@
             clock: Clock::new(unix_ms, now_ms),
             relay,
             leader_state: None,
+            uncertain_calls: BTreeSet::new(),
             carrier: Carrier::default(),
             peers: Peers::default(),
             entries_heard: BTreeMap::new(),
@@ -353,7 +356,14 @@
             tracing::info!(?caller, %refusal, version, "call: refused");
         }
         match caller {
-            CallOrigin::Here(id) => self.out.push(Effect::Answer { id: *id, answer }),
+            CallOrigin::Here(id) => {
+                let is_uncertain = self.uncertain_calls.remove(id);
+                let answer = match answer {
+                    super::Answer::Refused(_) if is_uncertain => super::Answer::Unknown,
+                    answer => answer,
+                };
+                self.out.push(Effect::Answer { id: *id, answer });
+            }
             CallOrigin::Peer(to, id) => {
                 self.send(to.clone(), PeerMessage::Answer { id: *id, answer });
             }
--- a/src/control/node/leader_state.rs
+++ b/src/control/node/leader_state.rs
@@ -208,7 +208,10 @@
             "lead: begins"
         );
         self.out.push(Effect::Count(Decision::LeadBegan));
-        for (id, call) in self.relay.take_all() {
+        for (id, call, may_have_effect) in self.relay.take_all() {
+            if may_have_effect {
+                self.uncertain_calls.insert(id);
+            }
             self.answer_call(now_ms, CallOrigin::Here(id), call);
         }
     }
--- a/tests/control/reconfigured.rs
+++ b/tests/control/reconfigured.rs
@@ -159,3 +159,57 @@
         assert_eq!(held.version, 9);
     }
 }
+
+/// Drops the queue `quick`, whose job an instance has just submitted. Answers of the leader to
+/// this instance are lost until then.
+fn drop_queue_of_an_unanswered_job(seed: u64) -> (World, usize, u64) {
+    let mut world = World::new(seed, 4, 2);
+    let leader = world.leader().unwrap();
+    let asked = world.followers()[seed as usize % 2];
+    let lost = (leader.to_string(), name(asked).to_string());
+    world.cut.insert(lost);
+    let submitted = world.submit(asked, "quick", 1, job(vec![step(1)]));
+    let accepted = |w: &World| w.state(&leader).job(JobId::from(1)).is_some();
+    assert!(world.until(200, accepted));
+    let mut dropped = configuration(2);
+    dropped.queues.remove(0);
+    let at_leader = place_of(&leader) as usize;
+    let configured = world.call(at_leader, Call::Configure(Arc::new(dropped)));
+    let done = |w: &World| w.answers.get(&configured) == Some(&Answer::Done);
+    assert!(world.until(200, done));
+    world.cut.clear();
+    (world, asked, submitted)
+}
+
+/// Guards against jobs that run although their caller was told that they are refused: the answer
+/// was lost, and the queue is gone when the call is sent again.
+#[test]
+fn a_job_that_runs_is_not_refused_when_its_call_is_sent_again() {
+    for seed in 822..830 {
+        let (mut world, _, submitted) = drop_queue_of_an_unanswered_job(seed);
+        world.run_ms(2_000);
+        assert_eq!(world.runs.len(), 1, "seed {seed}");
+        let answer = world.answers.get(&submitted);
+        assert_eq!(answer, Some(&Answer::Unknown), "seed {seed}");
+    }
+}
+
+/// Guards against the same where the leader is lost, and the instance that sent it the call takes
+/// its place.
+#[test]
+fn a_job_that_runs_is_not_refused_by_the_instance_that_becomes_the_leader() {
+    let mut led = 0;
+    for seed in 830..870 {
+        let (mut world, asked, submitted) = drop_queue_of_an_unanswered_job(seed);
+        let leader = world.leader().unwrap();
+        // The instance that was asked catches up with the log.
+        world.run_ms(100);
+        world.kill(&leader);
+        world.until(2_000, |w| w.leader().is_some());
+        led += usize::from(world.leader() == Some(name(asked)));
+        world.run_ms(2_000);
+        let answer = world.answers.get(&submitted);
+        assert_eq!(answer, Some(&Answer::Unknown), "seed {seed}");
+    }
+    assert!(led > 0, "the instance that was asked never led");
+}
--- a/tests/control/relay.rs
+++ b/tests/control/relay.rs
@@ -4,7 +4,7 @@
     Answer, Call, Gateway, GatewayEffect, PeerMessage, Refusal, Relay, RelayAction,
 };
 
-use crate::world::name;
+use crate::world::{World, name};
 
 fn relay() -> Relay {
     let mut relay = Relay::default();
@@ -240,6 +240,57 @@
     }
 }
 
+/// Returns a call that submits a job.
+fn submission() -> Call {
+    Call::Submit {
+        place: World::place("quick", 1),
+        spec: None,
+    }
+}
+
+/// Guards against jobs that run although their caller was told that they are refused: the leader
+/// had accepted an earlier copy of the call, and its answer was lost. The refusal may also be
+/// that of the first copy, while the second is on its way.
+#[test]
+fn a_refusal_is_not_passed_on_while_another_copy_is_open() {
+    let lost = |relay: &mut Relay| {
+        relay.handle_answer(10, 1, Answer::LeadLost);
+    };
+    let unanswered = |relay: &mut Relay| {
+        assert_eq!(targets(&relay.tick(600)).len(), 1, "it is sent again");
+    };
+    let cases: [fn(&mut Relay); 2] = [lost, unanswered];
+    let refused = Answer::Refused(Refusal::NoQueue);
+    for case in cases {
+        let mut relay = relay();
+        relay.set_leader(0, Some(name(1)));
+        relay.add_call(0, 1, submission(), 3_000);
+        case(&mut relay);
+        relay.tick(700);
+        let actions = relay.handle_answer(710, 1, refused.clone());
+        assert_eq!(answers(&actions), [&Answer::Unknown]);
+    }
+}
+
+/// Guards against refusals that callers no longer get at once, although they are certain: only
+/// one copy was sent, the others met no leader, or the call has no effect.
+#[test]
+fn a_certain_refusal_is_passed_on() {
+    let refused = Answer::Refused(Refusal::NoQueue);
+    let mut relay = relay();
+    relay.add_call(0, 1, submission(), 3_000);
+    relay.handle_answer(10, 1, Answer::NotLeader { leader: None });
+    let leader = Some(name(2));
+    relay.set_leader(20, leader);
+    let actions = relay.handle_answer(30, 1, refused.clone());
+    assert_eq!(answers(&actions), [&refused]);
+    let place = World::place("quick", 1);
+    relay.add_call(40, 2, Call::Look { place }, 3_000);
+    assert_eq!(targets(&relay.tick(600)).len(), 1, "it is sent again");
+    let actions = relay.handle_answer(610, 2, refused.clone());
+    assert_eq!(answers(&actions), [&refused]);
+}
+
 /// Guards against calls that wait until their entry instance itself notices that the leader
 /// is gone, although another control instance knows the next leader.
 #[test]
