Refuse a job whose id another workspace's job took while it was on its way

Callers saw: two workspaces that choose the same id at the same moment are both told that their job is accepted; only the first is stored, the other never runs.

Cause: the id was looked up when the call arrived. A job of another workspace that was proposed and not applied yet took it first; once the second change was applied, without effect, its caller was answered as if its own job had been stored.

Change: the answer is computed from the stored job by the same function as for a job that is known when the call arrives.

--- a/src/control/node/applied.rs
+++ b/src/control/node/applied.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::Node;
+use super::calls::acceptance;
 use super::leader_state::{Waiter, counts_toward_sizes};
 use crate::control::{Access, Answer, Change, Command, Workspace};
 use crate::jobs::JobId;
@@ -180,15 +181,22 @@
                 self.answer(&caller, Answer::Done);
                 self.handle_held_calls(now_ms);
             }
-            Waiter::Accept { caller, job } => {
-                let job_state = self.state.job(job);
-                if let Some(accepted) = job_state {
+            Waiter::Accept {
+                caller,
+                job,
+                workspace,
+            } => {
+                // A job that was proposed before may have taken the id.
+                let stored = self.state.job(job);
+                let answer = stored.map_or(Answer::Unknown, |stored| {
+                    acceptance(stored, workspace.as_ref())
+                });
+                if let (Some(accepted), Answer::Done) = (stored, &answer) {
                     tracing::info!(
                         %job, queue = accepted.queue, pool = %accepted.pool,
                         "job: accepted"
                     );
                 }
-                let answer = job_state.map_or(Answer::Unknown, |_| Answer::Done);
                 self.answer(&caller, answer);
             }
             Waiter::Place(start) => self.order_start(now_ms, &start),
--- a/src/control/node/calls.rs
+++ b/src/control/node/calls.rs
@@ -12,6 +12,7 @@
     WorkerStart, Workspace,
 };
 use crate::jobs::{Job, JobId, JobSpec, JobState};
+use crate::model::WorkspaceName;
 
 impl Node {
     pub(super) fn answer_call(&mut self, now_ms: u64, caller: CallOrigin, call: Call) {
@@ -136,13 +137,10 @@
             Ok(found) => found,
             Err(refusal) => return self.answer(&caller, Answer::Refused(refusal)),
         };
+        let submitter = workspace.as_ref().map(|workspace| workspace.name.clone());
         // A retry of the same submission, for example because its first answer was lost.
         if let Some(known) = self.state.job(job) {
-            let answer = match may_see(known, workspace.as_ref()) {
-                true => Answer::Done,
-                false => Answer::Refused(Refusal::TakenId),
-            };
-            return self.answer(&caller, answer);
+            return self.answer(&caller, acceptance(known, submitter.as_ref()));
         }
         let Some(spec) = spec else {
             let why = "the job cannot be read: send it whole, as JSON".to_owned();
@@ -170,7 +168,12 @@
                 spec,
             },
         };
-        self.propose(change, Some(Waiter::Accept { caller, job }));
+        let waiter = Waiter::Accept {
+            caller,
+            job,
+            workspace: submitter,
+        };
+        self.propose(change, Some(waiter));
     }
 
     fn look_up(&mut self, credentials: Credentials, place: &Place) -> Answer {
@@ -178,6 +181,7 @@
             Ok(found) => found,
             Err(refusal) => return Answer::Refused(refusal),
         };
+        let workspace = workspace.map(|workspace| workspace.name);
         if place.path.len() <= queue.path_prefix.len() {
             return Answer::Pending(self.state.pending(&queue.name));
         }
@@ -194,6 +198,7 @@
             Ok(found) => found,
             Err(refusal) => return self.answer(&caller, Answer::Refused(refusal)),
         };
+        let workspace = workspace.map(|workspace| workspace.name);
         let known = self.state.job(job);
         let known = known.filter(|job| may_see(job, workspace.as_ref()));
         match known.map(|job| job.state()) {
@@ -315,13 +320,22 @@
 
 /// Returns whether a caller of a workspace may see and cancel a job. A job that was accepted
 /// while its queue was open to anyone belongs to no workspace and is seen by all.
-fn may_see(job: &Job, workspace: Option<&Workspace>) -> bool {
+fn may_see(job: &Job, workspace: Option<&WorkspaceName>) -> bool {
     match (&job.workspace, workspace) {
-        (Some(owner), Some(workspace)) => *owner == workspace.name,
+        (Some(owner), Some(workspace)) => owner == workspace,
         (None, _) | (_, None) => true,
     }
 }
 
+/// Returns the answer to a caller of a workspace who submitted the job that is stored under the
+/// id.
+pub(super) fn acceptance(stored: &Job, workspace: Option<&WorkspaceName>) -> Answer {
+    match may_see(stored, workspace) {
+        true => Answer::Done,
+        false => Answer::Refused(Refusal::TakenId),
+    }
+}
+
 /// Returns why a job could never run within the quota of its workspace, with the remedy. The
 /// tasks of a gang run only together; other steps run in parts.
 fn never_fits(workspace: &Workspace, spec: &JobSpec) -> Option<String> {
--- a/src/control/node/leader_state.rs
+++ b/src/control/node/leader_state.rs
@@ -13,7 +13,7 @@
     Throttle, Upkeep,
 };
 use crate::jobs::{Job, JobId, TaskId};
-use crate::model::InstanceName;
+use crate::model::{InstanceName, WorkspaceName};
 
 /// Interval at which ended jobs are removed from the state.
 const FORGET_INTERVAL_MS: u64 = 10_000;
@@ -38,6 +38,8 @@
         caller: CallOrigin,
         /// The job.
         job: JobId,
+        /// The workspace of the caller, if its queue is not open to anyone.
+        workspace: Option<WorkspaceName>,
     },
     /// Order the start of the placed task.
     Place(Placement),
--- a/tests/control/workspaces.rs
+++ b/tests/control/workspaces.rs
@@ -156,6 +156,24 @@
     assert_eq!(world.answer_as(3, key("n2"), look), completed);
 }
 
+/// Guards against a job that is accepted and never stored: two workspaces choose its id at the
+/// same time, and only the first is stored under it.
+#[test]
+fn one_of_two_workspaces_that_choose_an_id_at_once_is_refused() {
+    for seed in 20..24 {
+        let mut world = World::new(seed, 2, 2);
+        world.configure(1, two_workspaces(2));
+        let calls = ["n1", "s1"].map(|text| world.submit_as(1, key(text), "quick", 7));
+        world.run_ms(600);
+        let taken = Answer::Refused(Refusal::TakenId);
+        let answers = calls.map(|call| world.answers[&call].clone());
+        assert!(
+            answers == [Answer::Done, taken.clone()] || answers == [taken, Answer::Done],
+            "seed {seed}: {answers:?}"
+        );
+    }
+}
+
 /// Guards against a configuration that is acknowledged although its keys are ambiguous.
 #[test]
 fn ambiguous_workspaces_are_refused_without_showing_a_key() {
