Take a worker's link once when its listing is handled

finish_renewal looked the link up for the start time and again for the listing, and told apart an earlier process in two places. Fleet::note_start returns the link.

--- a/src/control/node/renewals.rs
+++ b/src/control/node/renewals.rs
@@ -100,18 +100,18 @@
         let Some(lead) = &mut self.leader_state else {
             return;
         };
-        match start {
+        let link = match start {
             WorkerStart::Known => lead.fleet.note_start(worker, started_unix_ms),
             // The worker is asked again under the numbers of its new process.
             WorkerStart::Later => return,
-            WorkerStart::Earlier => {}
-        }
-        let Some(link) = lead.fleet.link_mut(worker) else {
+            WorkerStart::Earlier => {
+                let link = lead.fleet.link_mut(worker);
+                return link.map_or((), |link| link.renewal_not_sent(now_ms));
+            }
+        };
+        let Some(link) = link else {
             return;
         };
-        if start == WorkerStart::Earlier {
-            return link.renewal_not_sent(now_ms);
-        }
         if !link.is_heard(now_ms) || !link.is_confirmed() {
             lead.dirty = true;
             tracing::info!(
--- a/src/control/workers/fleet.rs
+++ b/src/control/workers/fleet.rs
@@ -98,7 +98,12 @@
 
     /// Remembers when a worker started, as its listing says. If the workers that were heard do
     /// not say it, those that were not heard have not started again under their names either.
-    pub fn note_start(&mut self, name: &InstanceName, started_unix_ms: Option<u64>) {
+    /// Returns the link to the worker for changes.
+    pub fn note_start(
+        &mut self,
+        name: &InstanceName,
+        started_unix_ms: Option<u64>,
+    ) -> Option<&mut WorkerLink> {
         let tells = started_unix_ms.is_some() || self.tells_starts == Some(true);
         if self.tells_starts.replace(tells) != Some(tells) {
             for (name, entry) in &mut self.links {
@@ -106,9 +111,9 @@
                 entry.touch(name, &mut self.touched);
             }
         }
-        if let Some(link) = self.link_mut(name) {
-            link.note_start(started_unix_ms);
-        }
+        let link = self.link_mut(name)?;
+        link.note_start(started_unix_ms);
+        Some(link)
     }
 
     /// Removes the link to a worker with all its runs.
