Review: an upkeep that the platform did not answer ends more of a step than its owner allows

The platform is silent for 5 s when an upkeep is ordered; the worker there crashes and comes back; three lasting subtasks with missable 1 start on the new boot and are ended at once when the order is repeated.

--- /dev/null
+++ b/review/standin-2/main.rs
@@ -0,0 +1,380 @@
+//! The cases of the second review that are scripts. Usage: standin-2 CASE RECORD-FILE.
+//!
+//! Ends with 1 if the rule was broken, 0 if it held and 2 if the case could not run. With
+//! TROUBLE=0 in the environment it leaves the disruption out.
+
+mod http;
+mod json;
+mod record;
+mod site;
+mod worker;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use json::Json;
+use record::Record;
+use site::{CouldNotRun, Site, could_not_run};
+use worker::Machine;
+
+const CONTACT_MS: u64 = 3_000;
+const DRAIN_MS: u64 = 2_000;
+const VISIBLE_MS: u64 = 3_000;
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let (Some(case), Some(path)) = (args.next(), args.next()) else {
+        eprintln!("usage: standin-2 CASE RECORD-FILE");
+        std::process::exit(2);
+    };
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = Arc::new(Record::new(&path));
+    record.line(&format!("case {case}, disruption {trouble}"));
+    let play = match case.as_str() {
+        "upkeep" => upkeep_of_a_new_boot,
+        "wave" => late_report_in_a_wave,
+        "drain" => late_report_of_a_draining_worker,
+        "pending" => pending_jobs,
+        _ => {
+            eprintln!("no such case");
+            std::process::exit(2);
+        }
+    };
+    let kept = Arc::clone(&record);
+    let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| play(kept, trouble)));
+    let code = match played {
+        Ok(breaks) if breaks.is_empty() => {
+            record.line("the rule held");
+            println!("{case}: the rule held");
+            0
+        }
+        Ok(breaks) => {
+            for line in &breaks {
+                record.line(&format!("BROKEN: {line}"));
+                println!("{case}: BROKEN: {line}");
+            }
+            1
+        }
+        Err(cause) => {
+            if !cause.is::<CouldNotRun>() {
+                eprintln!("the case ended by a fault of its own");
+            }
+            record.line("the case could not run");
+            2
+        }
+    };
+    std::process::exit(code);
+}
+
+fn site_with_workers(record: Arc<Record>, workers: usize, cpu: u64) -> Site {
+    let mut site = Site::start(record, 3, 1);
+    for at in 0..workers {
+        site.add_machine(&format!("m-{at}"), "huvo11a", "a", cpu);
+    }
+    site.configure();
+    site.wait("there is a leader", 20_000, || site.leader().is_some());
+    site
+}
+
+/// Lets the system run without disruption, for longer than the pages ask before machines count
+/// as in touch.
+fn calm(site: &Site) {
+    std::thread::sleep(Duration::from_millis(CONTACT_MS + 1_500));
+    site.record.line("calm until here");
+}
+
+/// Fills all workers but `free` of them with subtasks that last longer than the case.
+fn fill(site: &Site, workers: usize, free: usize) -> Vec<Arc<Machine>> {
+    let count = (workers - free) * 4;
+    let step = format!("{{\"count\":{count},\"cpu\":4000,\"mem_mb\":256,\"estimate_ms\":90000}}");
+    site.submit("00000000000000f0", "work=90000 cpu=4000", &step);
+    site.wait("the fillers run", 15_000, || {
+        site.machines.iter().map(|m| m.running()).sum::<usize>() == count
+    });
+    let empty: Vec<Arc<Machine>> = site
+        .machines
+        .iter()
+        .filter(|m| m.running() == 0)
+        .cloned()
+        .collect();
+    if empty.len() != free {
+        could_not_run("the fillers left other workers free than planned");
+    }
+    empty
+}
+
+/// AVAIL: the platform is unavailable for 5 s when a machine's upkeep is ordered, and the worker
+/// on that machine crashes and starts again meanwhile.
+fn upkeep_of_a_new_boot(record: Arc<Record>, trouble: bool) -> Vec<String> {
+    let mut site = site_with_workers(record, 6, 16_000);
+    let other = site.add_machine("m-7", "huvo11a", "b", 16_000);
+    site.wait("the other machine of this kind reports", 5_000, || {
+        other.report_target().is_some()
+    });
+    let filler_ms = site.record.now_ms();
+    let step = "{\"count\":4,\"cpu\":4000,\"mem_mb\":256,\"estimate_ms\":9000,\"required_label\":\"b\"}";
+    site.submit("00000000000000f1", "work=9000 cpu=4000", step);
+    site.wait("the other machine of this kind is full", 5_000, || other.running() == 4);
+    let due = site.add_machine("m-6", "huvo11a", "b", 16_000);
+    site.wait("the machine that is due reports", 5_000, || due.report_target().is_some());
+    site.sleep_until(filler_ms + CONTACT_MS + 1_500);
+    if trouble {
+        site.record.line("the platform takes calls, does nothing and does not answer");
+        site.cloud.silent.store(true, Ordering::SeqCst);
+    }
+    let silent_ms = site.record.now_ms();
+    let wave = "{\"wave\":1,\"machines\":[\"m-6\"],\"duration_s\":25,\"max_count\":1}";
+    if site.operator("POST", "/wave-start", wave).is_none() {
+        could_not_run("the wave is not acknowledged");
+    }
+    if trouble {
+        site.sleep_until(silent_ms + 700);
+        site.record.line("the worker of m-6 crashes");
+        due.end();
+        std::thread::sleep(Duration::from_millis(500));
+        due.boot();
+        due.report();
+    }
+    let step = "{\"count\":3,\"cpu\":1000,\"mem_mb\":256,\"required_label\":\"b\",\
+                \"long_running\":true,\"missable\":1}";
+    site.submit("00000000000000a1", "lasts cpu=1000", step);
+    site.sleep_until(silent_ms + 5_000);
+    if trouble {
+        site.record.line(&format!(
+            "the platform answers again; at work on m-6: {:?}",
+            due.lasting_at_work()
+        ));
+        site.cloud.silent.store(false, Ordering::SeqCst);
+    }
+    site.wait("the upkeep has begun", 20_000, || !site.cloud.upkeeps.lock().unwrap().is_empty());
+    site.wait("all three subtasks are at work", 15_000, || {
+        due.lasting_at_work().len() + other.lasting_at_work().len() == 3
+    });
+    let upkeeps = site.cloud.upkeeps.lock().unwrap();
+    let ends = upkeeps.iter().filter(|(.., lasting)| lasting.len() > 1);
+    ends.map(|(at_ms, machine, _, lasting)| {
+        format!(
+            "at {at_ms} ms the upkeep of {machine} ended {} subtasks at work of a step with \
+             missable 1 at once: {lasting:?}",
+            lasting.len()
+        )
+    })
+    .collect()
+}
+
+/// LIMIT: the leader is stopped as planned while a machine is down for its upkeep, and a status
+/// report that the machine's worker sent just before the upkeep arrives 0.7 s late.
+fn late_report_in_a_wave(record: Arc<Record>, trouble: bool) -> Vec<String> {
+    let mut site = site_with_workers(record, 7, 16_000);
+    calm(&site);
+    let names: Vec<String> = site.machines.iter().map(|m| format!("\"{}\"", m.name)).collect();
+    let wave = format!(
+        "{{\"wave\":1,\"machines\":[{}],\"duration_s\":26,\"max_count\":1}}",
+        names.join(",")
+    );
+    let Some(leader) = site.leader() else {
+        could_not_run("nobody leads");
+    };
+    let others: Vec<usize> = (0..3).filter(|at| *at != leader).collect();
+    let to = others[0];
+    // The status report of the machine that is serviced first, sent just before its upkeep.
+    let first = Arc::clone(&site.machines[0]);
+    let held = first.next_report(site.control(to)).filter(|_| trouble);
+    if let Some((_, _, seq)) = &held {
+        site.record.line(&format!(
+            "worker {:?} sends report {seq} (ready) to control-{to}; it is held up on its way",
+            first.id()
+        ));
+    }
+    if site.operator("POST", "/wave-start", &wave).is_none() {
+        could_not_run("the wave is not acknowledged");
+    }
+    site.wait("an upkeep has begun", 15_000, || !site.cloud.upkeeps.lock().unwrap().is_empty());
+    let (begun_ms, down) = {
+        let upkeeps = site.cloud.upkeeps.lock().unwrap();
+        (upkeeps[0].0, upkeeps[0].1.clone())
+    };
+    if down != first.name {
+        could_not_run("another machine was serviced first than the case expects");
+    }
+    if let Some((report, _, seq)) = held {
+        site.sleep_until(begun_ms + 100);
+        site.terminate(leader);
+        site.wait("another one leads", 1_500, || {
+            others.iter().any(|at| site.leader_by(*at) == Some(*at))
+        });
+        site.sleep_until(begun_ms + 700);
+        let answer = http::send(site.control(to), &report, 1_000);
+        site.record.line(&format!(
+            "report {seq} of the worker that was on {down} arrives at control-{to}: {answer:?}"
+        ));
+        site.wait_end(leader);
+        site.spawn(leader);
+    }
+    site.wait("the wave is over", 40_000, || site.cloud.upkeeps.lock().unwrap().len() == 7);
+    let upkeeps = site.cloud.upkeeps.lock().unwrap();
+    let beyond = upkeeps.iter().filter(|(_, _, down, _)| !down.is_empty());
+    beyond
+        .map(|(at_ms, machine, down, _)| {
+            format!(
+                "at {at_ms} ms the upkeep of {machine} began while {down:?} were down for theirs, \
+                 with max_count 1"
+            )
+        })
+        .collect()
+}
+
+/// DRAIN: reports that two workers sent before they began to drain arrive late, after a change
+/// of leader.
+fn late_report_of_a_draining_worker(record: Arc<Record>, trouble: bool) -> Vec<String> {
+    let mut site = Site::start(record, 3, 1);
+    for at in 0..14 {
+        site.add_machine(&format!("m-{at}"), "huvo11a", &format!("k{at}"), 16_000);
+    }
+    site.configure();
+    site.wait("there is a leader", 20_000, || site.leader().is_some());
+    calm(&site);
+    let Some(leader) = site.leader() else {
+        could_not_run("nobody leads");
+    };
+    let others: Vec<usize> = (0..3).filter(|at| *at != leader).collect();
+    // Two workers that report to different daemons: which of these leads next is open.
+    let leaving: Vec<Arc<Machine>> = others
+        .iter()
+        .filter_map(|at| {
+            let to = Some(site.control(*at));
+            site.machines.iter().find(|m| m.report_target() == to).cloned()
+        })
+        .collect();
+    if leaving.len() != 2 {
+        could_not_run("all workers report to one daemon");
+    }
+    // The last report before the drain is held up on its way. It is not acknowledged within a
+    // second, and the worker calls the next daemon.
+    let sent_ms = site.record.now_ms();
+    let mut held = Vec::new();
+    for machine in leaving.iter().filter(|_| trouble) {
+        let Some((bytes, false, seq)) = machine.next_report(site.control(others[0])) else {
+            could_not_run("no report");
+        };
+        site.record.line(&format!(
+            "worker {:?} sends report {seq} (ready) to control-{}; it is held up on its way",
+            machine.id(),
+            others[0]
+        ));
+        held.push((Arc::clone(machine), bytes, seq));
+    }
+    site.sleep_until(sent_ms + 1_000);
+    for machine in &leaving {
+        if let Some(life) = machine.life().as_mut() {
+            life.draining = true;
+        }
+        machine.report();
+    }
+    let acked_ms: Vec<u64> = leaving
+        .iter()
+        .filter_map(|m| m.life().as_ref().and_then(|life| life.drain_acked_ms))
+        .collect();
+    if acked_ms.len() != leaving.len() {
+        could_not_run("a drain is not acknowledged");
+    }
+    // Work that only these two workers may run, and that waits for others of their kind.
+    for (n, machine) in leaving.iter().enumerate() {
+        let step = format!(
+            "{{\"count\":2,\"cpu\":1000,\"mem_mb\":256,\"estimate_ms\":5000,\"required_label\":\"{}\"}}",
+            machine.kind
+        );
+        site.submit(&format!("00000000000000d{n}"), "work=5000 cpu=1000", &step);
+    }
+    if trouble {
+        site.kill(leader);
+        std::thread::sleep(Duration::from_millis(800));
+        site.spawn(leader);
+    }
+    let restarted_ms = site.record.now_ms();
+    site.wait("somebody leads", 5_000, || site.leader().is_some());
+    // From here on, machines are in touch again.
+    let steady_ms = restarted_ms + CONTACT_MS;
+    site.sleep_until(steady_ms.max(sent_ms + 5_500) + 700);
+    for (machine, bytes, seq) in &held {
+        let answer = http::send(site.control(others[0]), bytes, 1_000);
+        site.record.line(&format!(
+            "report {seq} of {:?} arrives at control-{}, {} ms after it was sent: {answer:?}",
+            machine.id(),
+            others[0],
+            site.record.now_ms() - sent_ms
+        ));
+    }
+    std::thread::sleep(Duration::from_millis(2_000));
+    site.record.line(&format!(
+        "steady from {steady_ms} ms on, drains acknowledged at {acked_ms:?} ms"
+    ));
+    let mut breaks = Vec::new();
+    for (machine, acked_ms) in leaving.iter().zip(&acked_ms) {
+        for (at_ms, task, worker) in machine.starts.lock().unwrap().iter() {
+            if *at_ms > acked_ms + DRAIN_MS && *at_ms >= steady_ms {
+                breaks.push(format!(
+                    "at {at_ms} ms {task} was started on {worker}, {} ms after the \
+                     acknowledgement that it drains",
+                    at_ms - acked_ms
+                ));
+            }
+        }
+    }
+    breaks
+}
+
+/// MIXED: a worker turns down all starts for some seconds while the others are full.
+fn pending_jobs(record: Arc<Record>, trouble: bool) -> Vec<String> {
+    let workers = 7;
+    let site = site_with_workers(record, workers, 16_000);
+    let free = fill(&site, workers, 1);
+    calm(&site);
+    if trouble {
+        site.record.line(&format!("worker {:?} turns down all starts", free[0].id()));
+        free[0].unhealthy.store(true, Ordering::SeqCst);
+    }
+    let unhealthy_ms = site.record.now_ms();
+    let jobs = 8;
+    let accepted: Vec<(String, u64)> = (0..jobs)
+        .map(|n| {
+            let id = format!("00000000000000e{n}");
+            let step = "{\"count\":1,\"cpu\":2000,\"mem_mb\":256,\"estimate_ms\":20000}";
+            let at_ms = site.submit(&id, "work=20000 cpu=2000", step);
+            (id, at_ms)
+        })
+        .collect();
+    let mut breaks = Vec::new();
+    let last_ms = accepted.iter().map(|(_, at_ms)| *at_ms).max().unwrap_or(0);
+    site.sleep_until(last_ms + VISIBLE_MS + 2_000 + 50);
+    for _ in 0..4 {
+        let asked_ms = site.record.now_ms();
+        let Some((200, body)) = site.consumer("GET", "", "") else {
+            continue;
+        };
+        let Some(pending) = Json::parse(&body).and_then(|body| body.number("pending")) else {
+            continue;
+        };
+        let starts = free[0].starts.lock().unwrap();
+        let not_begun = accepted.iter().filter(|(id, at_ms)| {
+            let has_begun = starts.iter().any(|(_, task, _)| task.starts_with(id.as_str()));
+            !has_begun && asked_ms >= at_ms + VISIBLE_MS + 2_000
+        });
+        let not_begun = not_begun.count() as u64;
+        site.record.line(&format!("pending {pending}, not begun for 5 s: {not_begun}"));
+        if pending * 2 < not_begun {
+            breaks.push(format!(
+                "at {asked_ms} ms the queue was said to have {pending} pending jobs; {not_begun} \
+                 that were accepted over 5 s before have not begun"
+            ));
+        }
+        drop(starts);
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    site.record.line(&format!(
+        "the worker turned starts down for {} ms",
+        site.record.now_ms() - unhealthy_ms
+    ));
+    breaks
+}
