--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -21,6 +21,7 @@
 const CONTACT_MS: u64 = 3_000;
 const DRAIN_MS: u64 = 2_000;
 const VISIBLE_MS: u64 = 3_000;
+const FINISH_MS: u64 = 14_000;
 
 fn main() {
     let mut args = std::env::args().skip(1);
@@ -36,6 +37,7 @@
         "wave" => late_report_in_a_wave,
         "drain" => late_report_of_a_draining_worker,
         "pending" => pending_jobs,
+        "gang" => gang_without_a_rack,
         _ => {
             eprintln!("no such case");
             std::process::exit(2);
@@ -70,7 +72,7 @@
 fn site_with_workers(record: Arc<Record>, workers: usize, cpu: u64) -> Site {
     let mut site = Site::start(record, 3, 1);
     for at in 0..workers {
-        site.add_machine(&format!("m-{at}"), "huvo11a", "a", cpu);
+        site.add_machine(&format!("m-{at}"), "a", "r1", cpu);
     }
     site.configure();
     site.wait("there is a leader", 20_000, || site.leader().is_some());
@@ -108,7 +110,7 @@
 /// on that machine crashes and starts again meanwhile.
 fn upkeep_of_a_new_boot(record: Arc<Record>, trouble: bool) -> Vec<String> {
     let mut site = site_with_workers(record, 6, 16_000);
-    let other = site.add_machine("m-7", "huvo11a", "b", 16_000);
+    let other = site.add_machine("m-7", "b", "r1", 16_000);
     site.wait("the other machine of this kind reports", 5_000, || {
         other.report_target().is_some()
     });
@@ -116,7 +118,7 @@
     let step = "{\"count\":4,\"cpu\":4000,\"mem_mb\":256,\"estimate_ms\":9000,\"required_label\":\"b\"}";
     site.submit("00000000000000f1", "work=9000 cpu=4000", step);
     site.wait("the other machine of this kind is full", 5_000, || other.running() == 4);
-    let due = site.add_machine("m-6", "huvo11a", "b", 16_000);
+    let due = site.add_machine("m-6", "b", "r1", 16_000);
     site.wait("the machine that is due reports", 5_000, || due.report_target().is_some());
     site.sleep_until(filler_ms + CONTACT_MS + 1_500);
     if trouble {
@@ -230,7 +232,7 @@
 fn late_report_of_a_draining_worker(record: Arc<Record>, trouble: bool) -> Vec<String> {
     let mut site = Site::start(record, 3, 1);
     for at in 0..14 {
-        site.add_machine(&format!("m-{at}"), "huvo11a", &format!("k{at}"), 16_000);
+        site.add_machine(&format!("m-{at}"), &format!("k{at}"), "r1", 16_000);
     }
     site.configure();
     site.wait("there is a leader", 20_000, || site.leader().is_some());
@@ -378,3 +380,77 @@
     ));
     breaks
 }
+
+/// LOST: a worker is lost for good, and with it the only rack that had room for a gang at once.
+fn gang_without_a_rack(record: Arc<Record>, trouble: bool) -> Vec<String> {
+    const MEMBERS: u64 = 12;
+    const MEMBER_CPU: u64 = 4_800;
+    const CPU: u64 = 16_000;
+    let mut site = Site::start(record, 3, 1);
+    for at in 0..12 {
+        let rack = format!("r{}", 1 + at / 4);
+        site.add_machine(&format!("m-{at}"), "a", &rack, CPU);
+    }
+    site.configure();
+    site.wait("there is a leader", 20_000, || site.leader().is_some());
+    site.wait("all workers report", 5_000, || {
+        site.machines.iter().all(|m| m.report_target().is_some())
+    });
+    // Long work on two of the three racks, which leaves most of their room.
+    for rack in [2, 3] {
+        let step = format!(
+            "{{\"count\":4,\"cpu\":6400,\"mem_mb\":256,\"estimate_ms\":100000,\
+             \"required_label\":\"r{rack}\",\"max_per_server\":1}}"
+        );
+        site.submit(&format!("00000000000000f{rack}"), "work=100000 cpu=6400", &step);
+    }
+    site.wait("the long work runs", 5_000, || {
+        site.machines[4..].iter().all(|m| m.running() == 1)
+    });
+    let step = format!(
+        "{{\"count\":{MEMBERS},\"cpu\":{MEMBER_CPU},\"mem_mb\":256,\"estimate_ms\":100000,\
+         \"gang\":true,\"rack_local\":true}}"
+    );
+    site.submit("00000000000000a1", "work=100000 cpu=4800 gang=12", &step);
+    site.wait("the gang runs", 5_000, || {
+        site.machines[..4].iter().all(|m| m.running() == 3)
+    });
+    calm(&site);
+    if trouble {
+        site.machines[0].end();
+        site.record.line("the worker of m-0 is lost for good");
+    }
+    let end_ms = site.record.now_ms();
+    let finish_ms = end_ms + FINISH_MS;
+    let mut idle_since_ms = None;
+    while site.record.now_ms() < finish_ms + 6_000 {
+        let now_ms = site.record.now_ms();
+        let (mut members, mut used, mut room, mut all) = (0, 0, 0, 0);
+        for machine in site.machines.iter().filter(|m| m.id().is_some()) {
+            let runs = machine.used();
+            let own: u64 = runs.iter().map(|(_, cpu)| cpu).sum();
+            members += runs.iter().filter(|(task, _)| task.starts_with("00000000000000a1")).count();
+            used += own;
+            all += CPU;
+            room += (CPU - own) / MEMBER_CPU;
+        }
+        let is_idle = members == 0 && room >= 2 * MEMBERS && 2 * used < all;
+        if !is_idle || now_ms < finish_ms {
+            idle_since_ms = None;
+        }
+        if is_idle && now_ms >= finish_ms {
+            let since_ms = *idle_since_ms.get_or_insert(now_ms);
+            if now_ms >= since_ms + 3_000 {
+                let state = site.consumer("GET", "00000000000000a1", "");
+                return vec![format!(
+                    "from {since_ms} ms to {now_ms} ms nothing of the gang's job ran, {} ms after \
+                     the end of the traffic: room for {room} members, {MEMBERS} needed; {used} of \
+                     {all} in use; its state is {state:?}",
+                    now_ms - end_ms
+                )];
+            }
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    Vec::new()
+}
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -11,7 +11,7 @@
 use crate::http;
 use crate::json::Json;
 use crate::record::Record;
-use crate::worker::{Cloud, HEARTBEAT_MS, MAX_HOLD_MS, Machine};
+use crate::worker::{Cloud, Gangs, HEARTBEAT_MS, MAX_HOLD_MS, Machine};
 
 const PROGRAM: &str = "target/release/rosemarygauge";
 const LINK_PORT: u16 = 7_060;
@@ -35,6 +35,7 @@
     pub cloud: Arc<Cloud>,
     cloud_address: SocketAddr,
     pub machines: Vec<Arc<Machine>>,
+    gangs: Arc<Gangs>,
 }
 
 /// A block of loopback addresses at which all ports that are needed are free.
@@ -77,6 +78,7 @@
             cloud,
             cloud_address,
             machines: Vec::new(),
+            gangs: Arc::default(),
         };
         for at in 0..controls + entries {
             site.write_settings(at, true, cloud_address);
@@ -218,11 +220,12 @@
             .find(|at| self.leader_by(*at) == Some(*at))
     }
 
-    pub fn add_machine(&mut self, name: &str, service: &str, kind: &str, cpu: u64) -> Arc<Machine> {
+    pub fn add_machine(&mut self, name: &str, kind: &str, rack: &str, cpu: u64) -> Arc<Machine> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let controls = self.controls();
-        let record = Arc::clone(&self.record);
-        let machine = Machine::start(name, service, kind, cpu, listener, controls, record);
+        let (gangs, record) = (Arc::clone(&self.gangs), Arc::clone(&self.record));
+        let place = ("huvo11a", kind, rack);
+        let machine = Machine::start(name, place, cpu, listener, controls, gangs, record);
         self.cloud.machines.lock().unwrap().push(Arc::clone(&machine));
         self.machines.push(Arc::clone(&machine));
         machine
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -1,9 +1,10 @@
 //! Stand-in workers and the stand-in for the platform's machines, as the pages describe them.
 //!
 //! What a subtask does is in its `spec`: `work=MS` ends `done` after that time, `lasts` is at
-//! work half a second after its start and runs until it is stopped; `cpu=N` is its demand.
+//! work half a second after its start and runs until it is stopped; `cpu=N` is its demand;
+//! `gang=N` is one of N that work only together.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
@@ -18,15 +19,71 @@
 pub const MAINTENANCE_MS: u64 = 2_000;
 const STOP_MS: u64 = 100;
 const STARTUP_MS: u64 = 500;
+const GANG_TIMEOUT_MS: u64 = 3_000;
+
+/// The gangs of all workers: who is present, and which have broken up.
+#[derive(Default)]
+pub struct Gangs {
+    /// Members that are present, and when the last one came, by step and run.
+    present: Mutex<BTreeMap<(String, u64), (BTreeSet<String>, Option<u64>)>>,
+    broken: Mutex<BTreeSet<(String, u64)>>,
+}
+
+fn gang_of(task: &str, attempt: u64) -> (String, u64) {
+    let step = task.rsplit_once('.').map_or(task, |(step, _)| step);
+    (step.to_owned(), attempt)
+}
+
+impl Gangs {
+    fn join(&self, task: &str, attempt: u64, size: u64, now_ms: u64) {
+        let mut present = self.present.lock().unwrap();
+        let (members, whole_ms) = present.entry(gang_of(task, attempt)).or_default();
+        members.insert(task.to_owned());
+        if members.len() as u64 >= size {
+            whole_ms.get_or_insert(now_ms);
+        }
+    }
+
+    fn whole_ms(&self, task: &str, attempt: u64) -> Option<u64> {
+        let present = self.present.lock().unwrap();
+        present.get(&gang_of(task, attempt)).and_then(|(_, whole_ms)| *whole_ms)
+    }
+
+    fn break_up(&self, task: &str, attempt: u64) {
+        self.broken.lock().unwrap().insert(gang_of(task, attempt));
+    }
+
+    fn is_broken(&self, task: &str, attempt: u64) -> bool {
+        self.broken.lock().unwrap().contains(&gang_of(task, attempt))
+    }
+}
 
 struct Run {
     attempt: u64,
     cpu: u64,
     since_ms: u64,
-    ends_ms: Option<u64>,
+    /// How long it works; `None` if it lasts.
+    work_ms: Option<u64>,
+    gang: Option<u64>,
     stopped_ms: Option<u64>,
 }
 
+impl Run {
+    /// When it ends `done`.
+    fn ends_ms(&self, task: &str, gangs: &Gangs) -> Option<u64> {
+        let began_ms = match self.gang {
+            Some(_) => gangs.whole_ms(task, self.attempt)?,
+            None => self.since_ms,
+        };
+        Some(began_ms + self.work_ms?)
+    }
+
+    fn lasts_at_work(&self, now_ms: u64) -> bool {
+        let is_up = now_ms >= self.since_ms + STARTUP_MS;
+        self.work_ms.is_none() && self.stopped_ms.is_none() && is_up
+    }
+}
+
 /// One boot of a worker.
 pub struct Life {
     pub id: String,
@@ -46,6 +103,7 @@
     pub service: String,
     pub zone: String,
     pub kind: String,
+    pub rack: String,
     pub cpu: u64,
     pub address: SocketAddr,
     life: Mutex<Option<Life>>,
@@ -57,6 +115,7 @@
     pub unhealthy: AtomicBool,
     controls: Vec<SocketAddr>,
     record: Arc<Record>,
+    gangs: Arc<Gangs>,
     /// Starts that a worker carried out: time, task, worker.
     pub starts: Mutex<Vec<(u64, String, String)>>,
 }
@@ -64,11 +123,11 @@
 impl Machine {
     pub fn start(
         name: &str,
-        service: &str,
-        kind: &str,
+        (service, kind, rack): (&str, &str, &str),
         cpu: u64,
         listener: TcpListener,
         controls: Vec<SocketAddr>,
+        gangs: Arc<Gangs>,
         record: Arc<Record>,
     ) -> Arc<Self> {
         let machine = Arc::new(Self {
@@ -76,6 +135,7 @@
             service: service.to_owned(),
             zone: "hall-a".to_owned(),
             kind: kind.to_owned(),
+            rack: rack.to_owned(),
             cpu,
             address: listener.local_addr().expect("a bound listener"),
             life: Mutex::new(None),
@@ -86,6 +146,7 @@
             unhealthy: AtomicBool::new(false),
             controls,
             record,
+            gangs,
             starts: Mutex::new(Vec::new()),
         });
         machine.boot();
@@ -141,15 +202,11 @@
         let Some(life) = ended else {
             return Vec::new();
         };
-        let at_work = |run: &Run| {
-            run.ends_ms.is_none() && run.stopped_ms.is_none() && now_ms >= run.since_ms + STARTUP_MS
-        };
-        let lasting: Vec<String> = life
-            .runs
-            .iter()
-            .filter(|(_, run)| at_work(run))
-            .map(|(task, _)| task.clone())
-            .collect();
+        for (task, run) in life.runs.iter().filter(|(_, run)| run.gang.is_some()) {
+            self.gangs.break_up(task, run.attempt);
+        }
+        let lasting = life.runs.iter().filter(|(_, run)| run.lasts_at_work(now_ms));
+        let lasting: Vec<String> = lasting.map(|(task, _)| task.clone()).collect();
         self.record.line(&format!(
             "worker {} ends; subtasks at work that end with it: {lasting:?}",
             life.id
@@ -162,12 +219,17 @@
         let now_ms = self.record.now_ms();
         let life = self.life();
         let runs = life.iter().flat_map(|life| &life.runs);
-        let at_work = runs.filter(|(_, run)| {
-            run.ends_ms.is_none() && run.stopped_ms.is_none() && now_ms >= run.since_ms + STARTUP_MS
-        });
+        let at_work = runs.filter(|(_, run)| run.lasts_at_work(now_ms));
         at_work.map(|(task, _)| task.clone()).collect()
     }
 
+    /// The processor demand of what runs, of which jobs.
+    pub fn used(&self) -> Vec<(String, u64)> {
+        let life = self.life();
+        let runs = life.iter().flat_map(|life| &life.runs);
+        runs.map(|(task, run)| (task.clone(), run.cpu)).collect()
+    }
+
     pub fn running(&self) -> usize {
         self.life().as_ref().map_or(0, |life| life.runs.len())
     }
@@ -192,12 +254,13 @@
         let body = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":8,\
              \"state\":\"{state}\",\"cold_remaining_ms\":0,\"capacity\":{{\"cpu\":{},\"mem_mb\":65536,\
-             \"gpu\":0}},\"labels\":[\"{}\",\"r1\"],\"machine\":\"{}\",\"clock_ms\":{},\"seq\":{}{remaining}}}",
+             \"gpu\":0}},\"labels\":[\"{}\",\"{}\"],\"machine\":\"{}\",\"clock_ms\":{},\"seq\":{}{remaining}}}",
             self.service,
             self.address,
             self.zone,
             self.cpu,
             self.kind,
+            self.rack,
             self.name,
             self.record.now_ms() - life.born_ms,
             *seq
@@ -252,15 +315,27 @@
                 "lapsed"
             } else if run.stopped_ms.is_some_and(|at| now_ms >= at + STOP_MS) {
                 "stopped"
-            } else if run.stopped_ms.is_none() && run.ends_ms.is_some_and(|at| now_ms >= at) {
+            } else if run.stopped_ms.is_some() {
+                continue;
+            } else if run.ends_ms(task, &self.gangs).is_some_and(|at| now_ms >= at) {
                 "done"
+            } else if run.gang.is_some() && self.gangs.is_broken(task, run.attempt) {
+                "broken"
+            } else if run.gang.is_some()
+                && self.gangs.whole_ms(task, run.attempt).is_none()
+                && now_ms >= run.since_ms + GANG_TIMEOUT_MS
+            {
+                "alone"
             } else {
                 continue;
             };
             ended.push((task.clone(), run.attempt, how));
         }
         for (task, attempt, how) in ended {
-            life.runs.remove(&task);
+            let run = life.runs.remove(&task);
+            if how != "done" && run.is_some_and(|run| run.gang.is_some()) {
+                self.gangs.break_up(&task, attempt);
+            }
             let number = life.next_end;
             life.next_end += 1;
             self.record.line(&format!("worker {}: {task} run {attempt} ends {how}", life.id));
@@ -327,9 +402,13 @@
                     attempt,
                     cpu,
                     since_ms: now_ms,
-                    ends_ms: word("work=").map(|work_ms| now_ms + work_ms),
+                    work_ms: word("work="),
+                    gang: word("gang="),
                     stopped_ms: None,
                 };
+                if let Some(size) = run.gang {
+                    self.gangs.join(&task, attempt, size, now_ms);
+                }
                 life.runs.insert(task.clone(), run);
                 self.record.line(&format!("worker {}: {task} run {attempt} starts", life.id));
                 self.starts
@@ -359,7 +438,7 @@
                     let life = guard.as_ref().filter(|life| life.id == id)?;
                     let now_ms = self.record.now_ms();
                     if !life.finished.is_empty() || now_ms >= until_ms {
-                        return Some((200, listing(life, now_ms)));
+                        return Some((200, listing(life, &self.gangs, now_ms)));
                     }
                     let left = Duration::from_millis(until_ms - now_ms);
                     guard = self.changed.wait_timeout(guard, left).unwrap().0;
@@ -371,12 +450,14 @@
     }
 }
 
-fn listing(life: &Life, now_ms: u64) -> String {
+fn listing(life: &Life, gangs: &Gangs, now_ms: u64) -> String {
     let running = life.runs.iter().map(|(task, run)| {
-        let passed_ms = now_ms - run.since_ms;
-        let percent = match run.ends_ms {
-            Some(end_ms) => passed_ms * 100 / (end_ms - run.since_ms).max(1),
-            None => passed_ms * 100 / STARTUP_MS,
+        let percent = match (run.work_ms, run.ends_ms(task, gangs)) {
+            (None, _) => (now_ms - run.since_ms) * 100 / STARTUP_MS,
+            (Some(_), None) => 0,
+            (Some(work_ms), Some(end_ms)) => {
+                100 - end_ms.saturating_sub(now_ms).min(work_ms) * 100 / work_ms.max(1)
+            }
         };
         format!("[\"{task}\",{},\"\",{},{}]", run.attempt, percent.min(100), run.cpu)
     });
@@ -442,12 +523,13 @@
                     };
                     format!(
                         "{{\"machine\":\"{}\",\"pool\":\"{}\",\"state\":\"{state}\",\"zone\":\"{}\",\
-                         \"labels\":[\"{}\",\"r1\"],\"capacity\":{{\"cpu\":{},\"mem_mb\":65536,\"gpu\":0}},\
+                         \"labels\":[\"{}\",\"{}\"],\"capacity\":{{\"cpu\":{},\"mem_mb\":65536,\"gpu\":0}},\
                          \"id\":\"{}\"}}",
                         machine.name,
                         machine.service,
                         machine.zone,
                         machine.kind,
+                        machine.rack,
                         machine.cpu,
                         machine.id().unwrap_or_default()
                     )
