--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -38,6 +38,7 @@
         "drain" => late_report_of_a_draining_worker,
         "pending" => pending_jobs,
         "gang" => gang_without_a_rack,
+        "advice" => advice_in_a_burst,
         _ => {
             eprintln!("no such case");
             std::process::exit(2);
@@ -454,3 +455,66 @@
     }
     Vec::new()
 }
+
+/// LOST: for 4 s 2.6 times as many jobs come to a queue with advice.
+fn advice_in_a_burst(record: Arc<Record>, trouble: bool) -> Vec<String> {
+    const WORKERS: usize = 12;
+    const CPU: u64 = 16_000;
+    const USUAL_GAP_MS: u64 = 550;
+    let mut site = Site::start_with_advice(record, 3, 1, Some((140, 30, 3_000)));
+    for at in 0..WORKERS {
+        site.add_machine(&format!("m-{at}"), "a", &format!("r{}", 1 + at / 4), CPU);
+    }
+    site.configure();
+    site.wait("there is a leader", 20_000, || site.leader().is_some());
+    site.wait("all workers report", 5_000, || {
+        site.machines.iter().all(|m| m.report_target().is_some())
+    });
+    calm(&site);
+    let began_ms = site.record.now_ms();
+    let mut jobs = Vec::new();
+    let mut next_ms = began_ms;
+    while next_ms < began_ms + 10_000 {
+        site.sleep_until(next_ms);
+        let id = format!("00000000000{:05x}", 0xa0000 + jobs.len());
+        let step = "{\"count\":4,\"cpu\":1000,\"mem_mb\":256,\"estimate_ms\":1500}";
+        site.submit(&id, "work=1500 cpu=1000", step);
+        jobs.push(id);
+        let in_burst = trouble && (4_000..8_000).contains(&(next_ms - began_ms));
+        next_ms += if in_burst { USUAL_GAP_MS * 10 / 26 } else { USUAL_GAP_MS };
+    }
+    let end_ms = site.record.now_ms();
+    site.record.line(&format!("{} jobs were accepted; the traffic ends", jobs.len()));
+    site.sleep_until(end_ms + FINISH_MS);
+    // Jobs of which nothing runs for 3 s.
+    let from_ms = site.record.now_ms();
+    let mut idle: Vec<&String> = jobs.iter().collect();
+    let mut used_most = 0;
+    while site.record.now_ms() < from_ms + 3_000 {
+        let runs: Vec<(String, u64)> = site.machines.iter().flat_map(|m| m.used()).collect();
+        idle.retain(|id| !runs.iter().any(|(task, _)| task.starts_with(id.as_str())));
+        used_most = used_most.max(runs.iter().map(|(_, cpu)| cpu).sum::<u64>());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let waits = |id: &&String| {
+        let answer = site.consumer("GET", id, "");
+        answer.is_some_and(|(_, body)| body.contains("queued") || body.contains("running"))
+    };
+    let waiting: Vec<&String> = idle.into_iter().filter(waits).collect();
+    let all = WORKERS as u64 * CPU;
+    site.record.line(&format!(
+        "{} of {} jobs wait and nothing of them ran for 3 s; at most {used_most} of {all} was in use",
+        waiting.len(),
+        jobs.len()
+    ));
+    if waiting.is_empty() || 2 * used_most >= all {
+        return Vec::new();
+    }
+    vec![format!(
+        "{} ms after the end of the traffic, nothing of {} of {} accepted jobs had run for 3 s, with \
+         at most {used_most} of {all} in use: {waiting:?}",
+        site.record.now_ms() - end_ms,
+        waiting.len(),
+        jobs.len()
+    )]
+}
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -11,7 +11,7 @@
 use crate::http;
 use crate::json::Json;
 use crate::record::Record;
-use crate::worker::{Cloud, Gangs, HEARTBEAT_MS, MAX_HOLD_MS, Machine};
+use crate::worker::{Advisor, Cloud, Gangs, HEARTBEAT_MS, MAX_HOLD_MS, Machine};
 
 const PROGRAM: &str = "target/release/rosemarygauge";
 const LINK_PORT: u16 = 7_060;
@@ -36,6 +36,8 @@
     cloud_address: SocketAddr,
     pub machines: Vec<Arc<Machine>>,
     gangs: Arc<Gangs>,
+    /// The service that the queue's advice comes from, if it has any, and its address.
+    advisor: Option<(Arc<Advisor>, SocketAddr)>,
 }
 
 /// A block of loopback addresses at which all ports that are needed are free.
@@ -62,12 +64,28 @@
 
 impl Site {
     pub fn start(record: Arc<Record>, controls: usize, entries: usize) -> Self {
+        Self::start_with_advice(record, controls, entries, None)
+    }
+
+    /// A site whose queue has advice: the time of a decision, that for each worker, and how
+    /// long a ticket is valid, in milliseconds.
+    pub fn start_with_advice(
+        record: Arc<Record>,
+        controls: usize,
+        entries: usize,
+        advice: Option<(u64, u64, u64)>,
+    ) -> Self {
         let (net, mark) = free_block(controls + entries);
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let cloud_address = listener.local_addr().expect("a bound listener");
         let cloud = Cloud::start(listener, Arc::clone(&record));
+        let advisor = advice.map(|times| {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+            let address = listener.local_addr().expect("a bound listener");
+            (Advisor::start(listener, times, Arc::clone(&record)), address)
+        });
         let mut site = Self {
             record,
             folder,
@@ -79,6 +97,7 @@
             cloud_address,
             machines: Vec::new(),
             gangs: Arc::default(),
+            advisor,
         };
         for at in 0..controls + entries {
             site.write_settings(at, true, cloud_address);
@@ -117,8 +136,10 @@
     fn write_settings(&self, at: usize, first_start: bool, cloud: SocketAddr) {
         let control = self.is_control(at);
         let role = if control { "control" } else { "entry" };
+        let class = if control { "core" } else { "edge" };
         let zone = ["hall-a", "hall-b", "hall-c"][at % 3];
         let seeds: Vec<String> = self.controls().iter().map(|c| format!("\"{c}\"")).collect();
+        let advice = self.advisor.as_ref().map_or("null".to_owned(), |(_, a)| format!("\"{a}\""));
         let data_dir = self.folder.join(format!("data-{at}"));
         let (listen, data_dir, cpu, memory) = if control {
             let listen = format!("{{\"control\":\"{}\"}}", self.control(at));
@@ -133,7 +154,12 @@
             "{{\"node\":\"{role}-{at}\",\"role\":\"{role}\",\"ip\":\"{}\",\"zone\":\"{zone}\",\
              \"region\":\"amman\",\"port_range\":[{LINK_PORT},{}],\"seeds\":[{}],\
              \"bootstrap\":{first_start},\"counts_as_loss\":{control},\"heartbeat_ms\":{HEARTBEAT_MS},\
-             \"control_mode\":\"call\",\"config_mode\":\"highest\",\"data_dir\":{data_dir},\
+             \"control_mode\":\"call\",\"config_mode\":\"highest\",\"advice\":{advice},\
+             \"machine_class\":\"{class}\",\"discovery\":\"registration\",\"entry\":\"vip\",\
+             \"contracts\":[\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\",\
+             \"advice\",\"upkeep\",\"sharing\"],\
+             \"zones\":{{\"hall-a\":\"amman\",\"hall-b\":\"amman\",\"hall-c\":\"amman\"}},\
+             \"data_dir\":{data_dir},\
              \"listen\":{listen},\
              \"limits\":{{\"cpu_share\":{cpu},\"cores\":1,\"memory_mb\":{memory},\"max_fds\":4096}},\
              \"fault_tolerance\":{{\"machines\":1,\"zones\":1,\"region_count\":0}},\
@@ -223,9 +249,11 @@
     pub fn add_machine(&mut self, name: &str, kind: &str, rack: &str, cpu: u64) -> Arc<Machine> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let controls = self.controls();
-        let (gangs, record) = (Arc::clone(&self.gangs), Arc::clone(&self.record));
+        let advisor = self.advisor.as_ref().map(|(advisor, _)| Arc::clone(advisor));
+        let shared = (Arc::clone(&self.gangs), advisor);
+        let record = Arc::clone(&self.record);
         let place = ("huvo11a", kind, rack);
-        let machine = Machine::start(name, place, cpu, listener, controls, gangs, record);
+        let machine = Machine::start(name, place, cpu, listener, controls, shared, record);
         self.cloud.machines.lock().unwrap().push(Arc::clone(&machine));
         self.machines.push(Arc::clone(&machine));
         machine
@@ -233,10 +261,16 @@
 
     /// The first manifest: one queue, one service.
     pub fn configure(&self) {
+        let advice = self.advisor.as_ref().map_or(String::new(), |(advisor, _)| {
+            format!(
+                ",\"advice\":{{\"decision_ms\":{},\"per_worker_ms\":{},\"validity_ms\":{}}}",
+                advisor.decision_ms, advisor.per_worker_ms, advisor.validity_ms
+            )
+        });
         let route = format!(
             "{{\"name\":\"r-1\",\"host\":\"{HOST}\",\"path_prefix\":\"{PREFIX}\",\"kind\":\"unsafe\",\
              \"timeout_ms\":3000,\"target_latency_ms\":600,\"priority\":0,\"service\":\"huvo11a\",\
-             \"max_attempts\":4,\"slack_factor\":1.6}}"
+             \"max_attempts\":4,\"slack_factor\":1.6{advice}}}"
         );
         let body = format!(
             "{{\"version\":1,\"routes\":[{route}],\"services\":[{{\"name\":\"huvo11a\",\
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -116,6 +116,8 @@
     controls: Vec<SocketAddr>,
     record: Arc<Record>,
     gangs: Arc<Gangs>,
+    /// The advisor whose tickets a start must carry, if there is one.
+    advisor: Option<Arc<Advisor>>,
     /// Starts that a worker carried out: time, task, worker.
     pub starts: Mutex<Vec<(u64, String, String)>>,
 }
@@ -127,7 +129,7 @@
         cpu: u64,
         listener: TcpListener,
         controls: Vec<SocketAddr>,
-        gangs: Arc<Gangs>,
+        (gangs, advisor): (Arc<Gangs>, Option<Arc<Advisor>>),
         record: Arc<Record>,
     ) -> Arc<Self> {
         let machine = Arc::new(Self {
@@ -147,6 +149,7 @@
             controls,
             record,
             gangs,
+            advisor,
             starts: Mutex::new(Vec::new()),
         });
         machine.boot();
@@ -387,6 +390,12 @@
                 if attempt <= highest || life.runs.contains_key(&task) {
                     return rejected("old");
                 }
+                if let Some(advisor) = &self.advisor
+                    && !advisor.is_valid(body.text("ticket"), &task, &life.id, now_ms)
+                {
+                    self.record.line(&format!("worker {}: {task} has no valid ticket", life.id));
+                    return rejected("ticket");
+                }
                 let spec = body.text("spec").unwrap_or("");
                 let word = |name: &str| {
                     let found = spec.split(' ').find_map(|word| word.strip_prefix(name));
@@ -474,6 +483,97 @@
     )
 }
 
+/// The stand-in for the service that says which workers may run a step. It allows all.
+///
+/// It handles one call at a time, in turn, as the pages say for each calling machine: only the
+/// leader asks.
+pub struct Advisor {
+    pub decision_ms: u64,
+    pub per_worker_ms: u64,
+    pub validity_ms: u64,
+    /// Numbers of the next call to come and of the call that is handled.
+    turns: Mutex<(u64, u64)>,
+    turned: Condvar,
+    /// Step, worker and time of issue of each ticket.
+    tickets: Mutex<BTreeMap<String, (String, String, u64)>>,
+    record: Arc<Record>,
+}
+
+/// Calls that may wait.
+const WAITING_MAX: u64 = 32;
+
+impl Advisor {
+    pub fn start(
+        listener: TcpListener,
+        (decision_ms, per_worker_ms, validity_ms): (u64, u64, u64),
+        record: Arc<Record>,
+    ) -> Arc<Self> {
+        let advisor = Arc::new(Self {
+            decision_ms,
+            per_worker_ms,
+            validity_ms,
+            turns: Mutex::default(),
+            turned: Condvar::new(),
+            tickets: Mutex::default(),
+            record,
+        });
+        let served = Arc::clone(&advisor);
+        http::serve(listener, Arc::new(move |request| served.answer(request)));
+        advisor
+    }
+
+    fn answer(&self, request: &Request) -> Option<(u16, String)> {
+        let body = Json::parse(&request.body)?;
+        let step = body.text("step")?.to_owned();
+        let Some(Json::List(workers)) = body.get("workers") else {
+            return Some((400, "{}".to_owned()));
+        };
+        let mut turns = self.turns.lock().unwrap();
+        let own = turns.0;
+        let waiting = own - turns.1;
+        if waiting >= WAITING_MAX {
+            return Some((429, "{}".to_owned()));
+        }
+        turns.0 += 1;
+        self.record.line(&format!(
+            "advisor: asked about {step} on {} workers, {waiting} calls before it",
+            workers.len()
+        ));
+        while turns.1 != own {
+            turns = self.turned.wait(turns).unwrap();
+        }
+        drop(turns);
+        let takes_ms = self.decision_ms + self.per_worker_ms * workers.len() as u64;
+        std::thread::sleep(Duration::from_millis(takes_ms));
+        let now_ms = self.record.now_ms();
+        let mut tickets = self.tickets.lock().unwrap();
+        let mut rows = Vec::new();
+        for worker in workers {
+            if let Json::Text(worker) = worker {
+                let ticket = format!("{:08x}", tickets.len() + 1);
+                rows.push(format!("[\"{worker}\",\"{ticket}\"]"));
+                tickets.insert(ticket, (step.clone(), worker.clone(), now_ms));
+            }
+        }
+        drop(tickets);
+        self.turns.lock().unwrap().1 += 1;
+        self.turned.notify_all();
+        self.record.line(&format!("advisor: allows {step} on {} workers", rows.len()));
+        let allowed = rows.join(",");
+        let validity_ms = self.validity_ms;
+        Some((200, format!("{{\"allowed\":[{allowed}],\"validity_ms\":{validity_ms}}}")))
+    }
+
+    fn is_valid(&self, ticket: Option<&str>, task: &str, worker: &str, now_ms: u64) -> bool {
+        let tickets = self.tickets.lock().unwrap();
+        let found = ticket.and_then(|ticket| tickets.get(ticket));
+        let step = task.rsplit_once('.').map_or(task, |(step, _)| step);
+        found.is_some_and(|(for_step, for_worker, issued_ms)| {
+            for_step == step && for_worker == worker && now_ms <= issued_ms + self.validity_ms
+        })
+    }
+}
+
 /// The stand-in for the platform's list of machines and its orders.
 pub struct Cloud {
     pub machines: Mutex<Vec<Arc<Machine>>>,
