Review: the system never comes up if one process is killed at its first start

The first seed by name is killed 0.2 s after its first start, before the cluster is founded, and started again 1 s later with bootstrap false. No control process ever leads, and no request is served for 44 s. The stand-in's answers 421 and 503 carry its clock now.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -22,6 +22,7 @@
 const DRAIN_MS: u64 = 2_000;
 const VISIBLE_MS: u64 = 3_000;
 const FINISH_MS: u64 = 14_000;
+const RECOVERY_MS: u64 = 12_000;
 
 fn main() {
     let mut args = std::env::args().skip(1);
@@ -39,6 +40,7 @@
         "pending" => pending_jobs,
         "gang" => gang_without_a_rack,
         "advice" => advice_in_a_burst,
+        "first" => kill_at_the_first_start,
         _ => {
             eprintln!("no such case");
             std::process::exit(2);
@@ -518,3 +520,48 @@
         jobs.len()
     )]
 }
+
+/// Fault: a control process is killed in the first moments of the whole system.
+fn kill_at_the_first_start(record: Arc<Record>, trouble: bool) -> Vec<String> {
+    let mut site = Site::new(record, 3, 1, None);
+    for at in 0..2 {
+        site.add_machine(&format!("m-{at}"), "a", "r1", 16_000);
+    }
+    let began_ms = site.record.now_ms();
+    site.spawn(0);
+    site.sleep_until(began_ms + 200);
+    if trouble {
+        site.kill(0);
+        site.write_later_settings(0);
+    }
+    site.sleep_until(began_ms + 250);
+    for at in 1..4 {
+        site.spawn(at);
+    }
+    if trouble {
+        site.sleep_until(began_ms + 1_200);
+        site.spawn(0);
+    }
+    let back_ms = site.record.now_ms();
+    let until_ms = back_ms + RECOVERY_MS + 30_000;
+    let step = "{\"spec\":\"work=200 cpu=1000\",\"phases\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":256}]}";
+    let (mut attempts, mut acknowledged) = (0, false);
+    while site.record.now_ms() < until_ms {
+        acknowledged = acknowledged || site.offer_manifest();
+        attempts += 1;
+        let answer = site.attempt("POST", "00000000000000a1", step);
+        if answer.is_some_and(|(status, _)| status == 200) {
+            let passed_ms = site.record.now_ms() - back_ms;
+            site.record.line(&format!("a request is served {passed_ms} ms after all were up"));
+            return Vec::new();
+        }
+        std::thread::sleep(Duration::from_millis(500));
+    }
+    let leaders: Vec<Option<usize>> = (0..3).map(|at| site.leader_by(at)).collect();
+    vec![format!(
+        "{} ms after all processes were up no request of {attempts} had been served, and the \
+         manifest was {}; leader by each control instance: {leaders:?}",
+        site.record.now_ms() - back_ms,
+        if acknowledged { "acknowledged" } else { "never acknowledged" }
+    )]
+}
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -67,13 +67,27 @@
         Self::start_with_advice(record, controls, entries, None)
     }
 
-    /// A site whose queue has advice: the time of a decision, that for each worker, and how
+    /// A site all of whose processes start at once. The queue may have advice: the time of a decision, that for each worker, and how
     /// long a ticket is valid, in milliseconds.
     pub fn start_with_advice(
         record: Arc<Record>,
         controls: usize,
         entries: usize,
         advice: Option<(u64, u64, u64)>,
+    ) -> Self {
+        let mut site = Self::new(record, controls, entries, advice);
+        for at in 0..controls + entries {
+            site.spawn(at);
+        }
+        site
+    }
+
+    /// A site of which no process runs yet.
+    pub fn new(
+        record: Arc<Record>,
+        controls: usize,
+        entries: usize,
+        advice: Option<(u64, u64, u64)>,
     ) -> Self {
         let (net, mark) = free_block(controls + entries);
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
@@ -86,7 +100,7 @@
             let address = listener.local_addr().expect("a bound listener");
             (Advisor::start(listener, times, Arc::clone(&record)), address)
         });
-        let mut site = Self {
+        let site = Self {
             record,
             folder,
             net,
@@ -102,9 +116,6 @@
         for at in 0..controls + entries {
             site.write_settings(at, true, cloud_address);
         }
-        for at in 0..controls + entries {
-            site.spawn(at);
-        }
         site
     }
 
@@ -176,6 +187,12 @@
         fs::write(self.settings_file(at), text).expect("the settings can be written");
     }
 
+    /// Settings of a process that is started again: the system does not start for the first
+    /// time then.
+    pub fn write_later_settings(&self, at: usize) {
+        self.write_settings(at, false, self.cloud_address);
+    }
+
     /// Starts a process.
     pub fn spawn(&mut self, at: usize) {
         let role = if self.is_control(at) { "control" } else { "entry" };
@@ -260,7 +277,7 @@
     }
 
     /// The first manifest: one queue, one service.
-    pub fn configure(&self) {
+    fn manifest(&self) -> String {
         let advice = self.advisor.as_ref().map_or(String::new(), |(advisor, _)| {
             format!(
                 ",\"advice\":{{\"decision_ms\":{},\"per_worker_ms\":{},\"validity_ms\":{}}}",
@@ -272,37 +289,39 @@
              \"timeout_ms\":3000,\"target_latency_ms\":600,\"priority\":0,\"service\":\"huvo11a\",\
              \"max_attempts\":4,\"slack_factor\":1.6{advice}}}"
         );
-        let body = format!(
+        format!(
             "{{\"version\":1,\"routes\":[{route}],\"services\":[{{\"name\":\"huvo11a\",\
              \"health_path\":\"/healthz\",\"max_conns\":64,\"protocol\":\"h1\",\"tls\":false,\
              \"admission_check\":true,\"standby\":false}}],\"limits\":{{\"max_header_bytes\":16384,\
              \"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}"
-        );
-        self.wait("the manifest is acknowledged", 20_000, || {
-            self.controls().iter().any(|to| {
-                let answer = http::call(*to, "POST", "control", "/Config.Replace", &body, 1_000);
-                answer.is_some_and(|(status, _)| status == 200)
-            })
-        });
+        )
+    }
+
+    /// Whether a control instance acknowledges the first manifest.
+    pub fn offer_manifest(&self) -> bool {
+        let body = self.manifest();
+        self.controls().iter().any(|to| {
+            let answer = http::call(*to, "POST", "control", "/Config.Replace", &body, 1_000);
+            answer.is_some_and(|(status, _)| status == 200)
+        })
+    }
+
+    /// Sends the first manifest until it is acknowledged and the entry instance is ready.
+    pub fn configure(&self) {
+        self.wait("the manifest is acknowledged", 20_000, || self.offer_manifest());
         self.wait("the entry instance is ready", 20_000, || {
             let ready = self.address(self.controls, READY_PORT);
             http::call(ready, "GET", "ready", "/readyz", "", 500).is_some_and(|a| a.0 == 200)
         });
-        // A process that is started again does not start for the first time.
         for at in 0..self.children.len() {
-            self.write_settings(at, false, self.cloud_address);
+            self.write_later_settings(at);
         }
     }
 
     /// A call of a consumer, sent again until it has a clear answer.
     pub fn consumer(&self, method: &str, id: &str, body: &str) -> Option<(u16, String)> {
         for _ in 0..8 {
-            let path = format!("{PREFIX}{id}");
-            let answer = http::call(self.front(), method, HOST, &path, body, 3_000);
-            let text = answer.as_ref().map_or("no answer".to_owned(), |(status, body)| {
-                format!("{status} {body}")
-            });
-            self.record.line(&format!("consumer: {method} {path} {body} -> {text}"));
+            let answer = self.attempt(method, id, body);
             if let Some((status, _)) = &answer
                 && !matches!(status, 429 | 502 | 503 | 504)
             {
@@ -313,6 +332,17 @@
         None
     }
 
+    /// One attempt of a consumer.
+    pub fn attempt(&self, method: &str, id: &str, body: &str) -> Option<(u16, String)> {
+        let path = format!("{PREFIX}{id}");
+        let answer = http::call(self.front(), method, HOST, &path, body, 3_000);
+        let text = answer.as_ref().map_or("no answer".to_owned(), |(status, body)| {
+            format!("{status} {}", body.trim_end())
+        });
+        self.record.line(&format!("consumer: {method} {path} {body} -> {text}"));
+        answer
+    }
+
     /// Hands a job in and returns when it was accepted.
     pub fn submit(&self, id: &str, spec: &str, step: &str) -> u64 {
         let body = format!("{{\"spec\":\"{spec}\",\"phases\":[{step}]}}");
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -354,18 +354,18 @@
         let now_ms = self.record.now_ms();
         let mut guard = self.life();
         let life = guard.as_mut()?;
-        if !wanted.is_empty() && wanted != life.id {
-            return Some((421, "{}".to_owned()));
-        }
         let clock_ms = now_ms - life.born_ms;
         let done = format!("{{\"clock_ms\":{clock_ms}}}");
+        if !wanted.is_empty() && wanted != life.id {
+            return Some((421, done));
+        }
         let rejected =
             |reason: &str| Some((409, format!("{{\"clock_ms\":{clock_ms},\"reason\":\"{reason}\"}}")));
         let unhealthy = self.unhealthy.load(Ordering::SeqCst);
         if request.path == "/run-start" && unhealthy {
             let task = body.text("task").unwrap_or("");
             self.record.line(&format!("worker {}: start of {task} is answered 503", life.id));
-            return Some((503, "{}".to_owned()));
+            return Some((503, done));
         }
         let fence = body.number("fencing_token").unwrap_or(0);
         if fence < life.fence {
@@ -454,7 +454,7 @@
                 }
             }
             "/pace" => Some((200, done)),
-            _ => Some((404, "{}".to_owned())),
+            _ => Some((404, done)),
         }
     }
 }
