Log how long an advice request took and how long its tickets may be used

Callers of a queue with advice saw their jobs wait for good after a short burst. The log said that each request was answered and did not say why no task was started after it. The line of an answered request now has the time since it was sent, the time for which its tickets may still be used and the number of open requests; the line of a request without an answer has the first and the last.

--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -2,6 +2,7 @@
 //! all scheduling decisions.
 
 mod advice;
+mod advice_request;
 mod applied;
 mod calls;
 mod carried_orders;
--- a/src/control/node/advice.rs
+++ b/src/control/node/advice.rs
@@ -1,6 +1,7 @@
 //! Requests to the outside advisor, which must allow the placements of some queues.
 
 use super::Node;
+use super::advice_request::AdviceRequest;
 use super::orders::ORDER_TIMEOUT_MS;
 use crate::control::Effect;
 use crate::model::InstanceName;
@@ -23,7 +24,7 @@
             return;
         };
         for (step, mut workers) in lead.scheduler.take_missing_advice() {
-            let asked = lead.advice_requests.values().any(|(s, ..)| *s == step);
+            let asked = lead.advice_requests.values().any(|open| open.step == step);
             if asked || lead.advice_requests.len() >= MAX_ADVICE_REQUESTS {
                 continue;
             }
@@ -37,11 +38,12 @@
             let id = lead.allocate_id();
             lead.advice_requests.insert(
                 id,
-                (
+                AdviceRequest {
                     step,
-                    workers.clone(),
-                    now_ms + advice.validity_ms * TICKET_USABLE_PERCENT / 100,
-                ),
+                    workers: workers.clone(),
+                    sent_ms: now_ms,
+                    until_ms: now_ms + advice.validity_ms * TICKET_USABLE_PERCENT / 100,
+                },
             );
             self.out.push(Effect::Advise {
                 id,
@@ -61,24 +63,28 @@
         let Some(lead) = &mut self.leader_state else {
             return;
         };
-        let Some((step, asked, until_ms)) = lead.advice_requests.remove(&id) else {
+        let Some(request) = lead.advice_requests.remove(&id) else {
             return;
         };
         lead.dirty = true;
+        let step = request.step;
+        let waited_ms = now_ms.saturating_sub(request.sent_ms);
+        let open = lead.advice_requests.len();
         let Some(allowed) = allowed else {
-            tracing::warn!(%step, "advisor: a request was not answered");
+            tracing::warn!(%step, waited_ms, open, "advisor: a request was not answered");
             return;
         };
         tracing::info!(
-            %step, asked = asked.len(), allowed = allowed.len(),
+            %step, asked = request.workers.len(), allowed = allowed.len(), waited_ms,
+            usable_ms = request.until_ms.saturating_sub(now_ms), open,
             "advisor: a request was answered"
         );
         lead.scheduler.tickets.record_answer(
             now_ms,
             step,
-            &asked,
+            &request.workers,
             allowed,
-            until_ms,
+            request.until_ms,
             REFUSAL_CACHE_MS,
         );
     }
--- /dev/null
+++ b/src/control/node/advice_request.rs
@@ -0,0 +1,15 @@
+use crate::jobs::TaskId;
+use crate::model::InstanceName;
+
+/// A request to the advisor without an answer.
+#[derive(Debug)]
+pub(super) struct AdviceRequest {
+    /// The step, named by its task with index 0.
+    pub(super) step: TaskId,
+    /// The workers that it names.
+    pub(super) workers: Vec<InstanceName>,
+    /// When it was sent.
+    pub(super) sent_ms: u64,
+    /// Until when its tickets may be used.
+    pub(super) until_ms: u64,
+}
--- a/src/control/node/leader_state.rs
+++ b/src/control/node/leader_state.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::advice_request::AdviceRequest;
 use super::held_calls::HeldCalls;
 use super::sent_order::SentOrder;
 use super::{CallOrigin, ELECTION_TIMEOUT_MS, Node};
@@ -12,7 +13,7 @@
     MachineList, MachineOrder, OrderPace, Placement, Preemptor, Refusal, Reports, Scheduler,
     Throttle, Upkeep,
 };
-use crate::jobs::{Job, JobId, TaskId};
+use crate::jobs::{Job, JobId};
 use crate::model::{InstanceName, WorkspaceName};
 
 /// Interval at which ended jobs are removed from the state.
@@ -80,9 +81,8 @@
     pub(super) orders: BTreeMap<u64, SentOrder>,
     /// The followers that carry out orders.
     pub(super) carriers: Carriers,
-    /// Open requests to the advisor by id: the step, the workers asked about, and until when
-    /// their tickets may be used.
-    pub(super) advice_requests: BTreeMap<u64, (TaskId, Vec<InstanceName>, u64)>,
+    /// Open requests to the advisor, by id.
+    pub(super) advice_requests: BTreeMap<u64, AdviceRequest>,
     pub(super) upkeep: Upkeep,
     /// Orders to the machine manager without an outcome, by id, each with the worker that
     /// it ends.
