Count the validity of a ticket from the answer that brings it

Cause: the time for which a ticket may be used was counted from the moment its request was sent, less a fifth. The advisor handles one request of an instance after the other, so with six requests of 0.5 s open an answer comes 2.98 s after its request, when its tickets counted as expired (2.4 s) although they had just been issued. The step was asked about again, behind the others, and the backlog kept itself up.

Evidence: the line of an answered request has usable_ms 0 and waited_ms 2,522 to 2,985 for each step that never starts. Ruled out: tickets that workers reject (none in the record), answers that don't come (each did), a pass that does not run (it runs within 8 ms of an answer).

A ticket is now used for four fifths of its validity from its answer on. A ticket that is older than it seems, because its answer was late, is rejected by the worker, which has no effect but that the step is asked about again.

The fake advisor of the tests now handles requests in turn, its tickets carry the time of their issue, and fake workers reject those that have expired.

--- a/src/control/node/advice.rs
+++ b/src/control/node/advice.rs
@@ -11,8 +11,8 @@
 const MAX_ADVICE_REQUESTS: usize = 6;
 /// Maximum number of workers in one advice request, as the advisor allows.
 const MAX_WORKERS_PER_ADVICE_REQUEST: usize = 100;
-/// Part of a ticket's validity, in percent, during which it is used. The rest is left for
-/// the start to arrive.
+/// Part of a ticket's validity, in percent, during which it is used once it has arrived. The
+/// rest is left for the answer and for the start to arrive.
 const TICKET_USABLE_PERCENT: u64 = 80;
 /// How long a refusal by the advisor is cached. Refusals do not change.
 const REFUSAL_CACHE_MS: u64 = 3_600_000;
@@ -42,7 +42,7 @@
                     step,
                     workers: workers.clone(),
                     sent_ms: now_ms,
-                    until_ms: now_ms + advice.validity_ms * TICKET_USABLE_PERCENT / 100,
+                    validity_ms: advice.validity_ms,
                 },
             );
             self.out.push(Effect::Advise {
@@ -74,9 +74,12 @@
             tracing::warn!(%step, waited_ms, open, "advisor: a request was not answered");
             return;
         };
+        // A ticket is issued when its request is handled. The time for which the request was
+        // queued at the advisor does not count.
+        let usable_ms = request.validity_ms * TICKET_USABLE_PERCENT / 100;
         tracing::info!(
             %step, asked = request.workers.len(), allowed = allowed.len(), waited_ms,
-            usable_ms = request.until_ms.saturating_sub(now_ms), open,
+            usable_ms, open,
             "advisor: a request was answered"
         );
         lead.scheduler.tickets.record_answer(
@@ -84,7 +87,7 @@
             step,
             &request.workers,
             allowed,
-            request.until_ms,
+            now_ms + usable_ms,
             REFUSAL_CACHE_MS,
         );
     }
--- a/src/control/node/advice_request.rs
+++ b/src/control/node/advice_request.rs
@@ -10,6 +10,6 @@
     pub(super) workers: Vec<InstanceName>,
     /// When it was sent.
     pub(super) sent_ms: u64,
-    /// Until when its tickets may be used.
-    pub(super) until_ms: u64,
+    /// For how long its tickets are valid.
+    pub(super) validity_ms: u64,
 }
--- /dev/null
+++ b/tests/control/advice.rs
@@ -0,0 +1,55 @@
+//! Requests to an advisor that handles one after the other.
+
+use rosemarygauge::control::Advice;
+use rosemarygauge::jobs::{JobId, JobState};
+
+use crate::world::{World, job, step};
+
+/// Time after the end of the load in which all jobs of a test end.
+const FINISH_MS: u64 = 14_000;
+/// A request about twelve workers takes half a second.
+const SLOW: Advice = Advice {
+    decision_ms: 140,
+    per_worker_ms: 30,
+    validity_ms: 3_000,
+};
+
+/// Returns whether jobs of these ids are completed.
+fn are_completed(world: &World, ids: impl IntoIterator<Item = u64>) -> bool {
+    let Some(leader) = world.leader() else {
+        return false;
+    };
+    let state = world.state(&leader);
+    ids.into_iter().all(|id| {
+        let job = state.job(JobId::from(id));
+        job.is_some_and(|job| job.state() == JobState::Completed)
+    })
+}
+
+/// Guards against jobs that never start: requests queue up at the advisor in a burst, and each
+/// ticket counted as expired when its answer came.
+#[test]
+fn tickets_of_requests_that_queued_up_in_a_burst_are_used() {
+    for seed in 840..843 {
+        let mut world = World::without_moves(seed, 12, 2);
+        world.require_advice(SLOW);
+        for id in 1..=30 {
+            world.submit(1 + id as usize % 3, "quick", id, job(vec![step(4)]));
+            world.run_ms(if (8..27).contains(&id) { 210 } else { 550 });
+        }
+        let completed = |w: &World| are_completed(w, 1..=30);
+        assert!(world.until(FINISH_MS, completed), "seed {seed}");
+    }
+}
+
+/// Guards against jobs that never start where a request takes longer than its tickets are valid.
+#[test]
+fn tickets_are_used_though_their_request_took_longer_than_they_are_valid() {
+    let mut world = World::without_moves(843, 12, 2);
+    world.require_advice(Advice {
+        validity_ms: 300,
+        ..SLOW
+    });
+    world.submit(1, "quick", 1, job(vec![step(4)]));
+    assert!(world.until(FINISH_MS, |w| are_completed(w, [1])));
+}
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -6,6 +6,7 @@
 mod naive_disk;
 
 mod addresses;
+mod advice;
 mod arbitration;
 mod backlog;
 mod calls;
--- a/tests/control/overload.rs
+++ b/tests/control/overload.rs
@@ -464,15 +464,11 @@
 #[test]
 fn the_advisor_is_asked_about_steps_by_rank() {
     let mut world = World::without_moves(8, 40, 4);
-    let mut changed = configuration(2);
-    changed.queues[0].advice = Some(Advice {
+    world.require_advice(Advice {
         decision_ms: 10,
         per_worker_ms: 1,
         validity_ms: 3_000,
     });
-    let call = world.call(1, Call::Configure(Arc::new(changed)));
-    world.run_ms(500);
-    assert_eq!(world.answers.get(&call), Some(&Answer::Done));
     for id in 0..600 {
         world.submit(1 + id as usize % 3, "quick", 1 + id, job(vec![step(2)]));
     }
--- a/tests/control/world.rs
+++ b/tests/control/world.rs
@@ -3,6 +3,7 @@
 //! Time moves on in steps, and what is on its way arrives in the order of its times. The
 //! modules hold what may happen to a world and what is read off it.
 
+mod advisor;
 mod calls;
 mod cuts;
 mod deliveries;
@@ -27,6 +28,7 @@
 pub use samples::{configuration, job, lasting, queue, step};
 
 use crate::worker::Worker;
+use advisor::Advisor;
 use flying::Flying;
 use instances::Control;
 use processor::Processor;
@@ -96,6 +98,7 @@
     look_us: Option<u64>,
     /// How long the instance that is at work still works on what it now sends.
     work_left_ms: u64,
+    pub advisor: Advisor,
     policy: Policy,
     /// Orders that the keeper of machines accepts in a second.
     machine_orders_per_s: f64,
@@ -224,6 +227,7 @@
             processors: BTreeMap::new(),
             look_us: None,
             work_left_ms: 0,
+            advisor: Advisor::default(),
             policy: Policy::default(),
             machine_orders_per_s: 600.0,
         }
--- a/tests/control/world/deliveries.rs
+++ b/tests/control/world/deliveries.rs
@@ -221,6 +221,7 @@
 
     fn carry_out(&mut self, order: &Order) -> Option<OrderOutcome> {
         let now_ms = self.now_ms;
+        let expired = self.has_expired_ticket(order);
         let worker = self.workers.get_mut(&order.address)?;
         worker.tick(now_ms);
         if worker.name != order.worker.as_str() {
@@ -229,6 +230,12 @@
                 clock_ms: None,
             });
         }
+        if expired {
+            return Some(OrderOutcome::Rejected {
+                reason: Rejection::Ticket,
+                clock_ms: None,
+            });
+        }
         let before = worker.going.len();
         let outcome = worker.order(now_ms, order.fence, &order.kind);
         let began = worker.going.len() > before;
@@ -452,21 +459,12 @@
                     },
                 );
             }
-            Effect::Advise { id, workers, .. } => {
-                let allowed = workers.into_iter().map(|w| (w, "ticket".to_owned()));
-                let event = Event::Advised {
-                    id,
-                    allowed: Some(allowed.collect()),
-                };
-                self.fly(
-                    30,
-                    Flying::Event {
-                        to: from,
-                        start,
-                        event,
-                    },
-                );
-            }
+            Effect::Advise {
+                id,
+                workers,
+                timeout_ms,
+                ..
+            } => self.advise(from, start, id, workers, timeout_ms),
             Effect::Count(decision) => {
                 self.done += u64::from(decision == Decision::RunEnded(RunResult::Done));
                 *self.decisions.entry(decision.to_string()).or_default() += 1;
