Await the answer of an advice request for as long as those before it take

Callers of a queue whose requests are short saw accepted jobs wait while requests of other queues, about many workers, kept the advisor busy.

Cause: the time for which an answer is awaited was six times what the request itself takes. A request about 2 workers (0.26 s) was given up after 1.96 s behind one about 40 (2.54 s). The advisor handled it all the same, its answer was dropped, and the next attempt was queued behind another long one. It is the cause of the tickets that expired in a queue, on the path of the timeout.

Requests are sent strictly in the order of the backlog, so that short ones don't pass a long one for good.

The test failed before: with a request of 2.54 s a second, a job of another queue was not completed within 10 s.

--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -3,6 +3,7 @@
 
 mod advice;
 mod advice_request;
+mod advice_requests;
 mod applied;
 mod calls;
 mod carried_orders;
--- a/src/control/node/advice.rs
+++ b/src/control/node/advice.rs
@@ -2,13 +2,9 @@
 
 use super::Node;
 use super::advice_request::AdviceRequest;
-use super::orders::ORDER_TIMEOUT_MS;
 use crate::control::Effect;
 use crate::model::InstanceName;
 
-/// Maximum number of concurrent requests to the advisor. It answers one at a time for each
-/// client and refuses the 32nd that is queued.
-const MAX_ADVICE_REQUESTS: usize = 6;
 /// Maximum number of workers in one advice request, as the advisor allows.
 const MAX_WORKERS_PER_ADVICE_REQUEST: usize = 100;
 /// Part of a ticket's validity, in percent, during which it is used once it has arrived. The
@@ -24,32 +20,34 @@
             return;
         };
         for (step, mut workers) in lead.scheduler.take_missing_advice() {
-            let asked = lead.advice_requests.values().any(|open| open.step == step);
-            if asked || lead.advice_requests.len() >= MAX_ADVICE_REQUESTS {
+            if lead.advice_requests.contains(step) {
                 continue;
             }
-            workers.truncate(MAX_WORKERS_PER_ADVICE_REQUEST);
             let job = self.state.job(step.job);
             let queue = job.and_then(|j| self.state.configuration()?.queue(&j.queue));
             let Some(advice) = queue.and_then(|q| q.advice) else {
                 continue;
             };
-            let takes_ms = advice.decision_ms + advice.per_worker_ms * workers.len() as u64;
+            workers.truncate(MAX_WORKERS_PER_ADVICE_REQUEST);
+            let request = AdviceRequest {
+                step,
+                workers: workers.clone(),
+                sent_ms: now_ms,
+                takes_ms: advice.decision_ms + advice.per_worker_ms * workers.len() as u64,
+                validity_ms: advice.validity_ms,
+            };
+            // Steps behind this one wait too, even if their requests are shorter: they would
+            // delay it without end.
+            if !lead.advice_requests.may_send(&request) {
+                break;
+            }
             let id = lead.allocate_id();
-            lead.advice_requests.insert(
-                id,
-                AdviceRequest {
-                    step,
-                    workers: workers.clone(),
-                    sent_ms: now_ms,
-                    validity_ms: advice.validity_ms,
-                },
-            );
+            let timeout_ms = lead.advice_requests.add(id, request);
             self.out.push(Effect::Advise {
                 id,
                 step,
                 workers,
-                timeout_ms: takes_ms * MAX_ADVICE_REQUESTS as u64 + ORDER_TIMEOUT_MS,
+                timeout_ms,
             });
         }
     }
@@ -63,7 +61,7 @@
         let Some(lead) = &mut self.leader_state else {
             return;
         };
-        let Some(request) = lead.advice_requests.remove(&id) else {
+        let Some(request) = lead.advice_requests.remove(id) else {
             return;
         };
         lead.dirty = true;
--- a/src/control/node/advice_request.rs
+++ b/src/control/node/advice_request.rs
@@ -10,6 +10,8 @@
     pub(super) workers: Vec<InstanceName>,
     /// When it was sent.
     pub(super) sent_ms: u64,
+    /// How long the advisor takes for it.
+    pub(super) takes_ms: u64,
     /// For how long its tickets are valid.
     pub(super) validity_ms: u64,
 }
--- a/src/control/node/leader_state.rs
+++ b/src/control/node/leader_state.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::advice_request::AdviceRequest;
+use super::advice_requests::AdviceRequests;
 use super::held_calls::HeldCalls;
 use super::sent_order::SentOrder;
 use super::{CallOrigin, ELECTION_TIMEOUT_MS, Node};
@@ -81,8 +81,7 @@
     pub(super) orders: BTreeMap<u64, SentOrder>,
     /// The followers that carry out orders.
     pub(super) carriers: Carriers,
-    /// Open requests to the advisor, by id.
-    pub(super) advice_requests: BTreeMap<u64, AdviceRequest>,
+    pub(super) advice_requests: AdviceRequests,
     pub(super) upkeep: Upkeep,
     /// Orders to the machine manager without an outcome, by id, each with the worker that
     /// it ends.
@@ -181,7 +180,7 @@
             throttles: BTreeMap::new(),
             orders: BTreeMap::new(),
             carriers: Carriers::default(),
-            advice_requests: BTreeMap::new(),
+            advice_requests: AdviceRequests::default(),
             upkeep: Upkeep::new(now_ms, &self.state),
             machine_orders: BTreeMap::new(),
             capacity: Capacity::default(),
--- a/tests/control/advice.rs
+++ b/tests/control/advice.rs
@@ -53,3 +53,24 @@
     world.submit(1, "quick", 1, job(vec![step(4)]));
     assert!(world.until(FINISH_MS, |w| are_completed(w, [1])));
 }
+
+/// Guards against jobs that never start: a request about few workers was given up while those
+/// about many were before it, and its answer was dropped.
+#[test]
+fn a_short_request_behind_long_ones_is_not_given_up() {
+    let mut world = World::without_moves(844, 40, 2);
+    world.require_advice(Advice {
+        per_worker_ms: 60,
+        ..SLOW
+    });
+    for id in 1..=10 {
+        world.submit(1, "quick", id, job(vec![step(4)]));
+    }
+    world.run_ms(1_000);
+    world.submit(1, "long", 100, job(vec![step(2)]));
+    for id in 11..=20 {
+        world.submit(1, "quick", id, job(vec![step(4)]));
+        world.run_ms(1_000);
+    }
+    assert!(are_completed(&world, [100]));
+}
