Back off from an advisor that refuses or is slower than it states

Operators of an advisor that refuses requests, or is not there, saw hundreds of requests: a failure marks the leader's state as changed, so the next pass asks again at once. Callers of a queue whose advisor is over twice as slow as it states saw their jobs wait for good: each request was given up before its answer came, while the advisor still handled it before the next one.

After a failure no request is sent for 0.1 s, doubled with each further one up to 1.6 s, and the timeout doubles too. An answer ends both. Requests that fail together, as when a connection is reset, count once.

--- a/src/control/node/advice.rs
+++ b/src/control/node/advice.rs
@@ -38,7 +38,7 @@
             };
             // Steps behind this one wait too, even if their requests are shorter: they would
             // delay it without end.
-            if !lead.advice_requests.may_send(&request) {
+            if !lead.advice_requests.may_send(now_ms, &request) {
                 break;
             }
             let id = lead.allocate_id();
@@ -61,7 +61,11 @@
         let Some(lead) = &mut self.leader_state else {
             return;
         };
-        let Some(request) = lead.advice_requests.remove(id) else {
+        let request = match allowed {
+            Some(_) => lead.advice_requests.answered(id),
+            None => lead.advice_requests.failed(now_ms, id),
+        };
+        let Some(request) = request else {
             return;
         };
         lead.dirty = true;
--- a/src/control/node/advice_requests.rs
+++ b/src/control/node/advice_requests.rs
@@ -10,13 +10,21 @@
 /// validity of a ticket. A longer queue answers no request sooner, and a step of a higher rank
 /// would wait behind it.
 const MAX_QUEUE_PERCENT: u64 = 50;
-/// How much longer than stated an answer may take.
+/// How much longer than stated an answer may take. It doubles with each failure: a slow advisor
+/// still handles the requests that were given up.
 const TIMEOUT_FACTOR: u64 = 2;
+/// Backoff after failures. An advisor that refuses fails each request within milliseconds.
+const RETRY_DELAYS_MS: [u64; 5] = [100, 200, 400, 800, 1_600];
 
 /// The requests to the advisor without an answer. It handles those of one instance in turn.
 #[derive(Debug, Default)]
 pub(super) struct AdviceRequests {
     open: BTreeMap<u64, AdviceRequest>,
+    /// Number of failures since the last answer. Requests that fail during a backoff were sent
+    /// before it, and do not count.
+    failures: usize,
+    /// End of the backoff.
+    retry_ms: u64,
 }
 
 impl AdviceRequests {
@@ -30,8 +38,11 @@
         self.open.values().any(|request| request.step == step)
     }
 
-    /// Returns whether a request may be sent beside those that are open.
-    pub(super) fn may_send(&self, request: &AdviceRequest) -> bool {
+    /// Returns whether a request may be sent now, beside those that are open.
+    pub(super) fn may_send(&self, now_ms: u64, request: &AdviceRequest) -> bool {
+        if now_ms < self.retry_ms {
+            return false;
+        }
         let queue_ms = self.queue_ms() + request.takes_ms;
         let fits = queue_ms <= request.validity_ms * MAX_QUEUE_PERCENT / 100;
         self.open.is_empty() || (fits && self.open.len() < MAX_REQUESTS)
@@ -41,11 +52,23 @@
     /// the time for the requests before it.
     pub(super) fn add(&mut self, id: u64, request: AdviceRequest) -> u64 {
         self.open.insert(id, request);
-        self.queue_ms() * TIMEOUT_FACTOR + ORDER_TIMEOUT_MS
+        let factor = TIMEOUT_FACTOR << self.failures.min(RETRY_DELAYS_MS.len());
+        self.queue_ms() * factor + ORDER_TIMEOUT_MS
     }
 
-    /// Removes a request that has an answer, or gets none.
-    pub(super) fn remove(&mut self, id: u64) -> Option<AdviceRequest> {
+    /// Removes a request that was answered.
+    pub(super) fn answered(&mut self, id: u64) -> Option<AdviceRequest> {
+        self.failures = 0;
+        self.open.remove(&id)
+    }
+
+    /// Removes a request that was refused or not answered in time.
+    pub(super) fn failed(&mut self, now_ms: u64, id: u64) -> Option<AdviceRequest> {
+        if now_ms >= self.retry_ms {
+            let last = RETRY_DELAYS_MS.len() - 1;
+            self.retry_ms = now_ms + RETRY_DELAYS_MS[self.failures.min(last)];
+            self.failures += 1;
+        }
         self.open.remove(&id)
     }
 
--- a/tests/control/advice.rs
+++ b/tests/control/advice.rs
@@ -74,3 +74,34 @@
     }
     assert!(are_completed(&world, [100]));
 }
+
+/// Guards against a flood of requests to an advisor that refuses them.
+#[test]
+fn an_advisor_that_refuses_is_not_asked_again_at_once() {
+    let mut world = World::without_moves(845, 12, 2);
+    world.require_advice(SLOW);
+    world.advisor.refuses = true;
+    for id in 1..=10 {
+        world.submit(1, "quick", id, job(vec![step(4)]));
+    }
+    world.run_ms(4_000);
+    let asked = world.advisor.asked;
+    assert!(asked <= 20, "{asked} requests in 4 s");
+    world.advisor.refuses = false;
+    assert!(world.until(FINISH_MS, |w| are_completed(w, 1..=10)));
+}
+
+/// Guards against jobs that never start: each request to an advisor that takes five times as long
+/// as it states was given up before its answer came.
+#[test]
+fn an_advisor_that_is_slower_than_it_states_is_awaited() {
+    let mut world = World::without_moves(846, 12, 2);
+    world.require_advice(SLOW);
+    world.advisor.times = Advice {
+        decision_ms: 5 * SLOW.decision_ms,
+        per_worker_ms: 5 * SLOW.per_worker_ms,
+        ..SLOW
+    };
+    world.submit(1, "quick", 1, job(vec![step(4)]));
+    assert!(world.until(FINISH_MS, |w| are_completed(w, [1])));
+}
