Count a job as started only once a worker has begun one of its tasks

Cause: a job was marked as started when a placement was decided, before any worker was asked, and the withdrawal of the placement did not undo it. Evidence: the record has 503 as the answer to every start and the log `task: the worker rejected a start` with the reason unhealthy, while pending falls to 0 with the first placement and never rises. Ruled out: an old answer (the leader counts at each call) and a start of which the answer was lost (the worker has begun nothing).

To undo the mark with the placement would not do: a start that gets no answer keeps its placement for up to the longest lease, in which nothing has begun. A job now counts as started when a worker confirms a run: by its answer to the start, by listing the run, or by listing its end. The end records it in the replicated state. A run that goes on for a second is recorded by its placement, repeated, which earlier builds ignore; so the log carries nothing that they can't read, and short jobs need no change more. Until then the leader knows it, and a new leader learns it from the first listing. The time that is stored is still that of the placement, so waited_ms in the line of an ended job means what it meant, but for placements that were rejected, which it left out before.

The third guards the record: started jobs are not pending again with a new leader that can't reach their worker.

--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -21,6 +21,7 @@
 mod sent_order;
 mod starts;
 mod stops;
+mod unrecorded_starts;
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/src/control/node/applied.rs
+++ b/src/control/node/applied.rs
@@ -70,6 +70,7 @@
         }
         if let Some(job) = change.job() {
             lead.scheduler.touch(job);
+            lead.unrecorded_starts.update(&self.state, job);
         }
         match change {
             Change::Unplace {
--- a/src/control/node/calls.rs
+++ b/src/control/node/calls.rs
@@ -183,16 +183,24 @@
         };
         let workspace = workspace.map(|workspace| workspace.name);
         if place.path.len() <= queue.path_prefix.len() {
-            return Answer::Pending(self.state.pending(&queue.name));
+            let queued = self.state.queued(&queue.name);
+            let pending = queued.filter(|job| self.state_of(job) == JobState::Queued);
+            return Answer::Pending(pending.count());
         }
         let id = job_from_path(&place.path, &queue.path_prefix);
         let job = id.and_then(|id| self.state.job(id));
         match job.filter(|job| may_see(job, workspace.as_ref())) {
-            Some(job) => Answer::Job(job.state()),
+            Some(job) => Answer::Job(self.state_of(job)),
             None => Answer::Refused(Refusal::NotKnown),
         }
     }
 
+    /// Returns the state of a job that its caller sees.
+    fn state_of(&self, job: &Job) -> JobState {
+        let lead = self.leader_state.as_ref();
+        lead.map_or_else(|| job.state(), |lead| lead.unrecorded_starts.state_of(job))
+    }
+
     fn cancel(&mut self, caller: CallOrigin, credentials: Credentials, place: &Place) {
         let (_, workspace, job) = match self.job_at(credentials, place) {
             Ok(found) => found,
--- a/src/control/node/leader_state.rs
+++ b/src/control/node/leader_state.rs
@@ -6,6 +6,7 @@
 use super::advice_requests::AdviceRequests;
 use super::held_calls::HeldCalls;
 use super::sent_order::SentOrder;
+use super::unrecorded_starts::UnrecordedStarts;
 use super::{CallOrigin, ELECTION_TIMEOUT_MS, Node};
 use crate::control::replication::Pending;
 use crate::control::{
@@ -75,6 +76,7 @@
     pub(super) scheduler: Scheduler,
     pub(super) forecast: Forecast,
     pub(super) reports: Reports,
+    pub(super) unrecorded_starts: UnrecordedStarts,
     /// Speed control of best-effort tasks, by worker.
     pub(super) throttles: BTreeMap<InstanceName, Throttle>,
     /// Orders to workers without an outcome, by id.
@@ -177,6 +179,7 @@
             scheduler,
             forecast: Forecast::default(),
             reports: Reports::default(),
+            unrecorded_starts: UnrecordedStarts::default(),
             throttles: BTreeMap::new(),
             orders: BTreeMap::new(),
             carriers: Carriers::default(),
@@ -269,6 +272,7 @@
         self.update_leases(now_ms);
         self.check_silence(now_ms);
         self.create_due_occurrences(now_ms);
+        self.record_starts(now_ms);
         self.manage_machines(now_ms);
         self.forget_ended_jobs(now_ms);
         self.run_pass(now_ms);
@@ -370,6 +374,21 @@
         }
     }
 
+    /// Proposes to record the starts of jobs that have run for a while.
+    fn record_starts(&mut self, now_ms: u64) {
+        let Some(lead) = &mut self.leader_state else {
+            return;
+        };
+        for run in lead.unrecorded_starts.take_due(now_ms, &self.state) {
+            let change = Change::Place {
+                task: run.task,
+                attempt: run.attempt,
+                worker: run.worker,
+            };
+            lead.pending.add(change, None);
+        }
+    }
+
     fn forget_ended_jobs(&mut self, now_ms: u64) {
         let unix_ms = self.clock.unix_ms(now_ms);
         let remember_ms = self.settings.timing.remember_ms;
--- a/src/control/node/renewals.rs
+++ b/src/control/node/renewals.rs
@@ -119,6 +119,14 @@
                 "worker: responds"
             );
         }
+        for (task, attempt) in link.newly_confirmed(&running) {
+            let run = Placement {
+                task,
+                attempt,
+                worker: worker.clone(),
+            };
+            lead.unrecorded_starts.note(now_ms, &self.state, run);
+        }
         let missing_runs = link.listed(now_ms, sent_ms, clock_ms, &running, &ended);
         let new_ends: Vec<Ended> = ended
             .into_iter()
--- a/src/control/replication/change.rs
+++ b/src/control/replication/change.rs
@@ -53,7 +53,8 @@
         /// The occurrence.
         occurrence: u32,
     },
-    /// Places a task on a worker, before the worker is told to start it.
+    /// Places a task on a worker, before the worker is told to start it. Repeated while the
+    /// run is recorded, it records that the run has started. Earlier builds ignore that.
     Place {
         /// The task.
         task: TaskId,
--- a/src/control/replication/state.rs
+++ b/src/control/replication/state.rs
@@ -90,12 +90,17 @@
         rest.take(most).copied()
     }
 
-    /// Returns how many accepted, non-recurring jobs of a queue have not started.
-    pub fn pending(&self, queue: &str) -> usize {
+    /// Returns the accepted, non-recurring jobs of a queue whose start is not recorded.
+    pub fn queued(&self, queue: &str) -> impl Iterator<Item = &Job> {
         self.active()
-            .filter(|job| job.queue == queue && job.spec.recurrence.is_none())
+            .filter(move |job| job.queue == queue && job.spec.recurrence.is_none())
             .filter(|job| job.state() == JobState::Queued)
-            .count()
+    }
+
+    /// Returns whether a run is recorded.
+    pub fn has_run(&self, task: TaskId, attempt: u32, worker: &InstanceName) -> bool {
+        let task = self.job(task.job).and_then(|job| job.task(task));
+        task.is_some_and(|task| task.has_run(attempt, worker))
     }
 
     /// Returns the known workers by incarnation.
@@ -178,7 +183,8 @@
                 worker,
             } => {
                 let placed = self.update_job(at_unix_ms, task.job, |job| {
-                    job.place(at_unix_ms, *task, *attempt, worker)
+                    !job.record_start(*task, *attempt, worker)
+                        && job.place(at_unix_ms, *task, *attempt, worker)
                 });
                 if placed == Some(true) {
                     self.runs.add(worker, task.job);
--- a/src/control/workers/worker_link.rs
+++ b/src/control/workers/worker_link.rs
@@ -392,6 +392,13 @@
         self.last_renewal_unsent = true;
     }
 
+    /// Returns the runs of a listing that the worker had not confirmed before.
+    pub fn newly_confirmed(&self, running: &[Running]) -> Vec<(TaskId, u32)> {
+        let keys = running.iter().map(|run| (run.task, run.attempt));
+        keys.filter(|key| self.runs.get(key).is_some_and(|view| !view.confirmed))
+            .collect()
+    }
+
     /// Records the answer to the renewal that was sent at `sent_ms`. Returns the runs that
     /// provably are not on the worker and will not start there.
     pub fn listed(
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -30,7 +30,8 @@
     pub verdict: Option<JobState>,
     /// When it reached its final state, in milliseconds of Unix time.
     pub ended_unix_ms: Option<u64>,
-    /// When its first task was placed, in milliseconds of Unix time.
+    /// When the first of its runs that are known to have started was placed, in milliseconds
+    /// of Unix time. A placement alone starts nothing: its worker may reject it.
     pub started_unix_ms: Option<u64>,
     /// The number of times that a task of it was placed.
     pub placements: u32,
@@ -164,7 +165,6 @@
             worker: worker.clone(),
             placed_unix_ms: now_unix_ms,
         });
-        self.started_unix_ms.get_or_insert(now_unix_ms);
         self.placements += 1;
         true
     }
@@ -173,7 +173,23 @@
     /// `false` if the run is not recorded.
     pub fn cancel_placement(&mut self, id: TaskId, attempt: u32, worker: &InstanceName) -> bool {
         self.task_mut(id)
-            .is_some_and(|task| remove_run(task, attempt, worker))
+            .is_some_and(|task| task.remove_run(attempt, worker).is_some())
+    }
+
+    /// Records that a run has started. Returns `false` if the run is not recorded.
+    pub fn record_start(&mut self, id: TaskId, attempt: u32, worker: &InstanceName) -> bool {
+        let task = self.task(id);
+        let run = task.and_then(|task| task.runs.iter().find(|run| run.is(attempt, worker)));
+        let placed_unix_ms = run.map(|run| run.placed_unix_ms);
+        if let Some(placed_unix_ms) = placed_unix_ms {
+            self.set_started(placed_unix_ms);
+        }
+        placed_unix_ms.is_some()
+    }
+
+    fn set_started(&mut self, placed_unix_ms: u64) {
+        let started_unix_ms = self.started_unix_ms.get_or_insert(placed_unix_ms);
+        *started_unix_ms = placed_unix_ms.min(*started_unix_ms);
     }
 
     /// Records the end of a run. Returns `false` if the run is not recorded.
@@ -199,9 +215,9 @@
         let Some(task) = self.task_mut(id) else {
             return false;
         };
-        if !remove_run(task, attempt, worker) {
+        let Some(run) = task.remove_run(attempt, worker) else {
             return false;
-        }
+        };
         if !checkpoint.is_empty() {
             task.checkpoint = checkpoint.to_owned();
         }
@@ -216,6 +232,7 @@
             }
             _ => {}
         }
+        self.set_started(run.placed_unix_ms);
         if gang {
             self.apply_to_gang(id, ending, checkpoint);
         }
@@ -279,11 +296,3 @@
             .task_mut(id.step, id.index)
     }
 }
-
-/// Removes a run; returns `false` if the task has no such run.
-fn remove_run(task: &mut Task, attempt: u32, worker: &InstanceName) -> bool {
-    let count_before = task.runs.len();
-    task.runs
-        .retain(|run| run.attempt != attempt || run.worker != *worker);
-    task.runs.len() < count_before
-}
--- a/src/jobs/run.rs
+++ b/src/jobs/run.rs
@@ -13,3 +13,10 @@
     /// time.
     pub placed_unix_ms: u64,
 }
+
+impl Run {
+    /// Whether it is this attempt on this worker.
+    pub fn is(&self, attempt: u32, worker: &InstanceName) -> bool {
+        self.attempt == attempt && self.worker == *worker
+    }
+}
--- a/src/jobs/task.rs
+++ b/src/jobs/task.rs
@@ -1,6 +1,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Run;
+use crate::model::InstanceName;
 
 /// The progress of a task.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,7 +17,7 @@
     /// Runs that may be in progress.
     pub runs: Vec<Run>,
     /// The worker on which it last failed, which the next placement avoids.
-    pub failed_on: Option<crate::model::InstanceName>,
+    pub failed_on: Option<InstanceName>,
 }
 
 impl Task {
@@ -24,4 +25,15 @@
     pub fn is_waiting(&self) -> bool {
         !self.done && self.runs.is_empty()
     }
+
+    /// Whether a run may be in progress.
+    pub fn has_run(&self, attempt: u32, worker: &InstanceName) -> bool {
+        self.runs.iter().any(|run| run.is(attempt, worker))
+    }
+
+    /// Removes a run and returns it, if there is such a run.
+    pub fn remove_run(&mut self, attempt: u32, worker: &InstanceName) -> Option<Run> {
+        let position = self.runs.iter().position(|run| run.is(attempt, worker))?;
+        Some(self.runs.remove(position))
+    }
 }
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -25,6 +25,7 @@
 mod loop_meter;
 mod members;
 mod overload;
+mod pending;
 mod policy;
 mod pool;
 mod random;
--- a/tests/control/worker.rs
+++ b/tests/control/worker.rs
@@ -42,6 +42,8 @@
     /// Maximum delay of its answers.
     pub answer_late_ms: u64,
     pub fails_all: bool,
+    /// Whether it rejects all starts.
+    pub unhealthy: bool,
     pub stalls: bool,
     /// Rate of its clock relative to true time, in thousandths.
     pub clock_rate: u64,
@@ -80,6 +82,7 @@
             run_ms: 300,
             answer_late_ms: 0,
             fails_all: false,
+            unhealthy: false,
             stalls: false,
             clock_rate: 1_000,
             clock_base_ms: 77_000,
@@ -215,6 +218,9 @@
                         clock_ms: Some(clock_ms),
                     };
                 }
+                if self.unhealthy {
+                    return rejected(Rejection::Unhealthy);
+                }
                 if lease_end_ms <= clock_ms {
                     return rejected(Rejection::Late);
                 }
--- a/tests/control/world/calls.rs
+++ b/tests/control/world/calls.rs
@@ -53,6 +53,20 @@
         }
     }
 
+    /// How many jobs of a queue are pending, asked at an instance; none without a clear answer.
+    pub fn pending(&mut self, at: usize, queue: &str) -> Option<usize> {
+        let place = Place {
+            host: "h.example".into(),
+            path: format!("/{queue}/"),
+        };
+        let call = self.call(at, Call::Look { place });
+        self.run_ms(1_200);
+        match self.answers.get(&call) {
+            Some(Answer::Pending(count)) => Some(*count),
+            _ => None,
+        }
+    }
+
     pub fn start_wave(&mut self, at: usize, machines: &[&str], down_max: usize) -> u64 {
         let wave = Wave {
             number: 1,
