--- a/src/control/node/advice_requests.rs
+++ b/src/control/node/advice_requests.rs
@@ -13,6 +13,8 @@
 /// How much longer than stated an answer may take. It doubles with each failure: a slow advisor
 /// still handles the requests that were given up.
 const TIMEOUT_FACTOR: u64 = 2;
+/// Maximum number of times that the factor is doubled.
+const MAX_TIMEOUT_DOUBLINGS: usize = 3;
 /// Backoff after failures. An advisor that refuses fails each request within milliseconds.
 const RETRY_DELAYS_MS: [u64; 5] = [100, 200, 400, 800, 1_600];
 
@@ -52,7 +54,7 @@
     /// the time for the requests before it.
     pub(super) fn add(&mut self, id: u64, request: AdviceRequest) -> u64 {
         self.open.insert(id, request);
-        let factor = TIMEOUT_FACTOR << self.failures.min(RETRY_DELAYS_MS.len());
+        let factor = TIMEOUT_FACTOR << self.failures.min(MAX_TIMEOUT_DOUBLINGS);
         self.queue_ms() * factor + ORDER_TIMEOUT_MS
     }
 
--- a/tests/control/advice.rs
+++ b/tests/control/advice.rs
@@ -42,6 +42,32 @@
     }
 }
 
+/// Guards against the same where the leader is lost in the burst, and the next one asks anew.
+#[test]
+fn tickets_are_used_after_a_change_of_leader_in_a_burst() {
+    let mut world = World::without_moves(847, 12, 2);
+    world.require_advice(SLOW);
+    for id in 1..=20 {
+        world.submit(1 + id as usize % 3, "quick", id, job(vec![step(4)]));
+        world.run_ms(210);
+        if id == 14 {
+            let leader = world.leader().unwrap();
+            world.kill(&leader);
+            world.restart(&leader);
+        }
+    }
+    let stored = |world: &World| {
+        let leader = world.leader()?;
+        Some(world.state(&leader).queued("quick").count())
+    };
+    assert!(world.until(3_000, |w| stored(w).is_some()));
+    assert!(world.until(FINISH_MS, |w| stored(w) == Some(0)));
+    assert!(world.until(FINISH_MS, |w| {
+        let leader = w.leader().unwrap();
+        w.state(&leader).active_count() == 0
+    }));
+}
+
 /// Guards against jobs that never start where a request takes longer than its tickets are valid.
 #[test]
 fn tickets_are_used_though_their_request_took_longer_than_they_are_valid() {
