--- a/src/control/node/renewals.rs
+++ b/src/control/node/renewals.rs
@@ -125,7 +125,7 @@
                 attempt,
                 worker: worker.clone(),
             };
-            lead.unrecorded_starts.note(now_ms, &self.state, run);
+            lead.unrecorded_starts.note(now_ms, &self.state, &run);
         }
         let missing_runs = link.listed(now_ms, sent_ms, clock_ms, &running, &ended);
         let new_ends: Vec<Ended> = ended
--- a/src/control/node/starts.rs
+++ b/src/control/node/starts.rs
@@ -148,8 +148,7 @@
                     link.renewal_sent_ms = None;
                     link.renew_ms = now_ms;
                 }
-                lead.unrecorded_starts
-                    .note(now_ms, &self.state, start.clone());
+                lead.unrecorded_starts.note(now_ms, &self.state, start);
                 tracing::debug!(
                     task = %start.task, attempt = start.attempt, worker = %start.worker,
                     "task: started"
--- a/src/control/node/unrecorded_starts.rs
+++ b/src/control/node/unrecorded_starts.rs
@@ -25,15 +25,17 @@
 
 impl UnrecordedStarts {
     /// Notes that a worker has confirmed a run.
-    pub(super) fn note(&mut self, now_ms: u64, state: &State, run: Placement) {
+    pub(super) fn note(&mut self, now_ms: u64, state: &State, run: &Placement) {
         let job = state.job(run.task.job);
         if job.is_none_or(|job| job.state() != JobState::Queued) {
             return;
         }
         let noted = self.by_job.get(&run.task.job);
-        let record_ms = noted.map_or(now_ms + RECORD_DELAY_MS, |start| start.record_ms);
-        let start = UnrecordedStart { run, record_ms };
-        self.by_job.insert(start.run.task.job, start);
+        let start = UnrecordedStart {
+            run: run.clone(),
+            record_ms: noted.map_or(now_ms + RECORD_DELAY_MS, |start| start.record_ms),
+        };
+        self.by_job.insert(run.task.job, start);
     }
 
     /// Forgets a job that has changed, if the state has recorded its start or its end.
