Log what holds a step that waits beside room

A task whose placement stays proposed, whose run is recorded and not looked after, or that no pass reaches leaves no line: an accepted job may wait for a minute beside free workers, and nothing tells which of these holds it. The leader now names once a second and pool the step that has waited longest for something other than room, with what holds it, and counts these lines (step-held). It looks at jobs that a pass visits anyway, and at 64 steps a second at most.

Tests: held, 2. A step whose start is not answered is reported until it is done; steps that wait for room in a full pool are not.

--- a/src/control/messages/decision.rs
+++ b/src/control/messages/decision.rs
@@ -57,4 +57,8 @@
     /// A workspace reached its quota while it had waiting tasks.
     #[display("workspace-at-quota")]
     QuotaReached,
+    /// A step waited for long although a worker of its pool had room, counted once a second and
+    /// pool.
+    #[display("step-held")]
+    StepHeld,
 }
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -22,6 +22,7 @@
 mod starts;
 mod stops;
 mod unrecorded_starts;
+mod waiting_steps;
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/src/control/node/leader_state.rs
+++ b/src/control/node/leader_state.rs
@@ -7,6 +7,7 @@
 use super::held_calls::HeldCalls;
 use super::sent_order::SentOrder;
 use super::unrecorded_starts::UnrecordedStarts;
+use super::waiting_steps::WaitingSteps;
 use super::{CallOrigin, ELECTION_TIMEOUT_MS, Node};
 use crate::control::replication::Pending;
 use crate::control::{
@@ -77,6 +78,7 @@
     pub(super) forecast: Forecast,
     pub(super) reports: Reports,
     pub(super) unrecorded_starts: UnrecordedStarts,
+    pub(super) waiting_steps: WaitingSteps,
     /// Speed control of best-effort tasks, by worker.
     pub(super) throttles: BTreeMap<InstanceName, Throttle>,
     /// Orders to workers without an outcome, by id.
@@ -180,6 +182,7 @@
             forecast: Forecast::default(),
             reports: Reports::default(),
             unrecorded_starts: UnrecordedStarts::default(),
+            waiting_steps: WaitingSteps::default(),
             throttles: BTreeMap::new(),
             orders: BTreeMap::new(),
             carriers: Carriers::default(),
--- a/src/control/node/pass.rs
+++ b/src/control/node/pass.rs
@@ -1,9 +1,13 @@
 //! The scheduling pass: the leader's periodic look at changed jobs and waiting steps.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use super::Node;
 use super::leader_state::{LeaderState, Waiter};
+use crate::control::placement::{Hold, PoolRoom};
 use crate::control::{Change, Decision, Effect, RunPhase, RunView, SchedulerInput, State, Upkeep};
 use crate::jobs::JobId;
+use crate::model::PoolName;
 
 /// Minimum time between two scheduling passes. Run ends and arrivals accumulate in between.
 const MIN_PASS_INTERVAL_MS: u64 = 8;
@@ -80,11 +84,50 @@
         self.visited += lead.recurring.len() as u64;
         for job in changed {
             lead.update_after_change(now_ms, &self.state, job);
+            lead.waiting_steps
+                .update(now_ms, &self.state, &lead.fleet, job);
         }
+        self.report_waiting_steps(now_ms);
         self.send_stops(now_ms);
         self.request_advice(now_ms);
     }
 
+    /// Logs for each pool the step that has waited longest beside room for it, with what holds it.
+    fn report_waiting_steps(&mut self, now_ms: u64) {
+        let Some(lead) = &mut self.leader_state else {
+            return;
+        };
+        let world = SchedulerInput {
+            state: &self.state,
+            fleet: &lead.fleet,
+            estimates: &self.default_estimates,
+            policy: &self.settings.policy,
+        };
+        let mut rooms: BTreeMap<PoolName, PoolRoom> = BTreeMap::new();
+        let mut reported = BTreeSet::new();
+        for (step, waited_ms) in lead.waiting_steps.take_report(now_ms) {
+            let Some(pending) = lead.scheduler.pending_step(&self.state, step) else {
+                continue;
+            };
+            let pool = &pending.job.pool;
+            if !rooms.contains_key(pool) {
+                let room = lead.scheduler.pool_room(now_ms, &world, pool);
+                rooms.insert(pool.clone(), room);
+            }
+            let room = &rooms[pool];
+            let hold = lead.scheduler.hold(now_ms, &world, &pending, room);
+            if hold == Hold::Room || !reported.insert(pool.clone()) {
+                continue;
+            }
+            tracing::info!(
+                %step, %pool, waited_ms, ?hold, waiting = pending.waiting.len(),
+                taking = room.free.len(), closed = room.closed, unavailable = room.unavailable,
+                "task: a step waits beside room"
+            );
+            self.out.push(Effect::Count(Decision::StepHeld));
+        }
+    }
+
     /// Proposes the creation of occurrences that are due.
     pub(super) fn create_due_occurrences(&mut self, now_ms: u64) {
         let unix_ms = self.clock.unix_ms(now_ms);
--- a/src/control/placement/mod.rs
+++ b/src/control/placement/mod.rs
@@ -7,6 +7,7 @@
 mod backlog;
 mod candidate;
 mod candidates;
+mod hold;
 mod pending_step;
 mod placed_start;
 mod pool_pass;
@@ -24,3 +25,5 @@
 pub use scheduler_input::SchedulerInput;
 pub use service_class::{Remaining, ServiceClass, Timeliness};
 pub use workspace_shares::WorkspaceShares;
+
+pub(in crate::control) use hold::{Hold, PoolRoom};
--- a/src/control/placement/pending_step.rs
+++ b/src/control/placement/pending_step.rs
@@ -6,13 +6,13 @@
 use crate::model::InstanceName;
 
 /// A step of a job's occurrence with the tasks that are to be placed.
-pub(super) struct PendingStep<'a> {
-    pub(super) job: &'a Job,
+pub(in crate::control) struct PendingStep<'a> {
+    pub(in crate::control) job: &'a Job,
     pub(super) occurrence_index: u32,
     pub(super) step: usize,
     pub(super) occurrence: &'a Occurrence,
     /// Indices of the tasks that wait and have no proposed start.
-    pub(super) waiting: Vec<u16>,
+    pub(in crate::control) waiting: Vec<u16>,
     /// Number of runs of the step in each availability zone.
     pub(super) runs_by_zone: BTreeMap<&'a str, usize>,
 }
@@ -25,17 +25,33 @@
         entry: Entry,
         proposed: &BTreeMap<TaskId, Placement>,
     ) -> Option<Self> {
-        let job = state.job(entry.job)?;
+        let step = TaskId {
+            job: entry.job,
+            occurrence: entry.occurrence,
+            step: entry.step,
+            index: 0,
+        };
+        let mut pending = Self::of_step(state, step, proposed)?;
+        pending.runs_by_zone = pending.count_runs_by_zone(state);
+        Some(pending)
+    }
+
+    /// Returns a step, named by one of its tasks, without its runs by zone.
+    pub(super) fn of_step(
+        state: &'a State,
+        step: TaskId,
+        proposed: &BTreeMap<TaskId, Placement>,
+    ) -> Option<Self> {
+        let job = state.job(step.job)?;
         let mut pending = Self {
             job,
-            occurrence_index: entry.occurrence,
-            step: usize::from(entry.step),
-            occurrence: job.occurrence(entry.occurrence)?,
+            occurrence_index: step.occurrence,
+            step: usize::from(step.step),
+            occurrence: job.occurrence(step.occurrence)?,
             waiting: Vec::new(),
             runs_by_zone: BTreeMap::new(),
         };
         pending.waiting = pending.waiting_tasks(proposed);
-        pending.runs_by_zone = pending.count_runs_by_zone(state);
         Some(pending)
     }
 
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -19,6 +19,7 @@
 mod fleet_size;
 mod forecast;
 mod forgotten;
+mod held;
 mod lapsing;
 mod late_starts;
 mod leases;
