Show that work waits without bound beside free workers, in two ways

ineffective_starts, 3: a worker that answers its renewals and no start, or that rejects every start as late, old or malformed, is the first candidate again in the next pass. 0 of 7 tasks began in 10 s; with other jobs coming for a minute, 5 of 57 were not completed 14 s after the last.

late_work, 1: jobs that were late for longer than the time within which late work is to end get 7 of 20 machines while the others are idle. What their pool needs is the rest of the work over 10 s, counted from now at each look, so it shrinks with the rest.

--- a/tests/control/worker.rs
+++ b/tests/control/worker.rs
@@ -44,6 +44,8 @@
     pub fails_all: bool,
     /// Whether it rejects all starts.
     pub unhealthy: bool,
+    /// The reason for which it rejects all starts, if it does.
+    pub rejects: Option<Rejection>,
     pub stalls: bool,
     /// Rate of its clock relative to true time, in thousandths.
     pub clock_rate: u64,
@@ -83,6 +85,7 @@
             answer_late_ms: 0,
             fails_all: false,
             unhealthy: false,
+            rejects: None,
             stalls: false,
             clock_rate: 1_000,
             clock_base_ms: 77_000,
@@ -218,6 +221,9 @@
                         clock_ms: Some(clock_ms),
                     };
                 }
+                if let Some(reason) = self.rejects {
+                    return rejected(reason);
+                }
                 if self.unhealthy {
                     return rejected(Rejection::Unhealthy);
                 }
--- a/tests/control/world.rs
+++ b/tests/control/world.rs
@@ -66,6 +66,8 @@
     pub decisions: BTreeMap<String, u64>,
     /// Workers to which no short order gets its turn.
     pub crowded: BTreeSet<SocketAddr>,
+    /// Workers to which no start gets through, while everything else does.
+    pub startless: BTreeSet<SocketAddr>,
     /// Orders in a thousand that get no answer and arrive late.
     pub late_per_mille: u32,
     /// How long a write takes to be synced; it may only grow, so that writes keep their order.
@@ -175,6 +177,21 @@
         world.set_up(east, west)
     }
 
+    /// The same, but that the keeper of machines takes one order a second until
+    /// [`Self::accept_machine_orders`].
+    pub fn with_held_up_moves(seed: u64, east: u16, west: u16) -> Self {
+        let mut world = Self::bare(seed);
+        world.machine_orders_per_s = 0.0;
+        world.set_up(east, west)
+    }
+
+    /// The instances start again and learn that the keeper of machines takes more orders.
+    pub fn accept_machine_orders(&mut self) {
+        self.machine_orders_per_s = 600.0;
+        (1..=3).map(name).for_each(|at| self.kill(&at));
+        (1..=3).map(name).for_each(|at| self.restart(&at));
+    }
+
     fn set_up(mut self, east: u16, west: u16) -> Self {
         for place in 1..=3 {
             self.found(place);
@@ -207,6 +224,7 @@
             ordered: BTreeMap::new(),
             decisions: BTreeMap::new(),
             crowded: BTreeSet::new(),
+            startless: BTreeSet::new(),
             late_per_mille: 0,
             sync_ms: 5,
             answers: BTreeMap::new(),
--- a/tests/control/world/deliveries.rs
+++ b/tests/control/world/deliveries.rs
@@ -154,7 +154,9 @@
             };
             return self.fly(order.timeout_ms, ordered);
         }
-        if self.is_cut(from.as_str(), &there) {
+        let startless = matches!(order.kind, OrderKind::Start { .. })
+            && self.startless.contains(&order.address);
+        if startless || self.is_cut(from.as_str(), &there) {
             let outcome = OrderOutcome::Unanswered;
             let after_ms = order.timeout_ms;
             return self.fly(
