Put a worker on a growing cooldown after starts without effect

Callers saw tasks wait without bound beside free workers. A worker that answered its renewals and no start, or rejected every start as late, old or malformed, stayed a candidate with its room free: the task was withdrawn, and the next pass placed it there again. Only a lack of room and bad health had a cooldown.

A start that is given up or rejected now starts a cooldown of its worker that doubles from 150 ms to 4.8 s with each in a row and is forgotten at the first start that takes effect. So a worker that begins nothing is tried once in some seconds, and other tasks and the next attempt go elsewhere. Rejections for a ticket or an incarnation say nothing about the worker and cost it nothing.

--- a/src/control/node/starts.rs
+++ b/src/control/node/starts.rs
@@ -18,9 +18,6 @@
 
 /// How often a start is sent again before the run is given up.
 const MAX_START_RETRIES: u32 = 2;
-/// Cooldown of a worker that had less room than it reported. The next end of a run there
-/// frees some.
-const NO_ROOM_COOLDOWN_MS: u64 = 150;
 /// Cooldown of a worker that reports that it is unhealthy.
 const UNHEALTHY_COOLDOWN_MS: u64 = 1_000;
 /// Cooldown of a worker to which a start could not be sent because other requests are
@@ -148,6 +145,7 @@
                     link.renewal_sent_ms = None;
                     link.renew_ms = now_ms;
                 }
+                link.start_effective();
                 lead.unrecorded_starts.note(now_ms, &self.state, start);
                 tracing::debug!(
                     task = %start.task, attempt = start.attempt, worker = %start.worker,
@@ -177,6 +175,7 @@
                 self.out.push(Effect::Count(Decision::StartSentAgain));
                 if unanswered + 1 > MAX_START_RETRIES {
                     request_stop(now_ms, Some(view));
+                    link.start_ineffective(now_ms);
                 } else {
                     // The lease is not extended: if the worker is lost, its tasks would wait
                     // longer for the end of the lease.
@@ -192,14 +191,23 @@
                 self.out
                     .push(Effect::Count(Decision::StartRejected(*reason)));
                 // An earlier copy of the same start may still arrive.
-                if unanswered > 0 || *reason == Rejection::Fence {
+                let may_arrive = unanswered > 0 || *reason == Rejection::Fence;
+                if may_arrive {
                     request_stop(now_ms, Some(view));
-                } else {
-                    match reason {
-                        Rejection::Room => link.start_cooldown(now_ms, NO_ROOM_COOLDOWN_MS),
-                        Rejection::Unhealthy => link.start_cooldown(now_ms, UNHEALTHY_COOLDOWN_MS),
-                        _ => {}
-                    }
+                }
+                match reason {
+                    Rejection::Unhealthy => link.start_cooldown(now_ms, UNHEALTHY_COOLDOWN_MS),
+                    // Says something about the ticket of the step and nothing about the worker.
+                    Rejection::Ticket => {}
+                    // The incarnation is removed.
+                    Rejection::Incarnation => {}
+                    Rejection::Fence
+                    | Rejection::Old
+                    | Rejection::Late
+                    | Rejection::Room
+                    | Rejection::Malformed => link.start_ineffective(now_ms),
+                }
+                if !may_arrive {
                     if *reason == Rejection::Ticket {
                         let step = TaskId {
                             index: 0,
--- a/src/control/workers/worker_link.rs
+++ b/src/control/workers/worker_link.rs
@@ -49,6 +49,8 @@
     /// End of the cooldown after refused orders or many failures; until then the worker
     /// gets no work.
     cooldown_until_ms: u64,
+    /// Consecutive starts that had no effect.
+    ineffective_starts: u32,
     /// Recent failures of distinct runs, decaying with time.
     failures: f64,
     failures_at_ms: u64,
@@ -70,6 +72,9 @@
 /// Time beyond the long poll of a renewal after which a silent worker gets no work. An
 /// answer normally takes a fraction of it.
 const MAX_SILENCE_MS: u64 = 1_200;
+/// Cooldowns after consecutive starts without effect. The first is the time that an end takes to
+/// be listed; the last lets a worker that answers everything but starts hold few tasks.
+const INEFFECTIVE_START_COOLDOWNS_MS: [u64; 6] = [150, 300, 600, 1_200, 2_400, 4_800];
 /// Time that the answer to a renewal may take beyond its wait.
 pub(in crate::control) const RENEWAL_SLACK_MS: u64 = 500;
 /// Maximum number of ends that a worker lists in one answer; set by the platform.
@@ -99,6 +104,7 @@
             unanswered_renewals: 0,
             last_renewal_unsent: false,
             cooldown_until_ms: 0,
+            ineffective_starts: 0,
             failures: 0.0,
             failures_at_ms: now_ms,
             runs: Runs::default(),
@@ -176,6 +182,7 @@
         *self = Self {
             started_unix_ms: Some(started_unix_ms),
             cooldown_until_ms: self.cooldown_until_ms,
+            ineffective_starts: self.ineffective_starts,
             restarts: self.restarts + 1,
             lease_arrival_ms: self.lease_arrival_ms,
             unknown_lease_ms: self.limits.accepted_ms,
@@ -465,6 +472,26 @@
         self.cooldown_until_ms = self.cooldown_until_ms.max(now_ms + for_ms);
     }
 
+    /// Records that a start was rejected or not answered, and starts a cooldown that grows with
+    /// the number of such starts in a row.
+    ///
+    /// Nothing else takes a worker out that answers its renewals and begins no run: its room stays
+    /// free, so the next pass would place the same tasks there again.
+    pub fn start_ineffective(&mut self, now_ms: u64) {
+        let last = INEFFECTIVE_START_COOLDOWNS_MS.len() - 1;
+        let step = (self.ineffective_starts as usize).min(last);
+        // Starts that were sent together count once.
+        if now_ms >= self.cooldown_until_ms {
+            self.ineffective_starts = self.ineffective_starts.saturating_add(1);
+            self.start_cooldown(now_ms, INEFFECTIVE_START_COOLDOWNS_MS[step]);
+        }
+    }
+
+    /// Records that the worker has begun a run.
+    pub fn start_effective(&mut self) {
+        self.ineffective_starts = 0;
+    }
+
     /// Records that a run failed on the worker.
     ///
     /// A worker on which every run fails at once always has the most free room and attracts
