Bound the time for which late work waits beside idle machines

Callers saw jobs that were accepted in the first second of a peak wait for 45 s and more while half of the machines were idle. Late work counted as its rest over 10 s, and that time began anew at each look.

A second need now counts the time of late work from when it became late, down to the run time that is left. Machines that no pool needs serve it before they serve an expectation or go off. Where machines are scarce the allotments decide as before: late work takes nothing from work that is on time.

--- a/src/control/capacity/demand.rs
+++ b/src/control/capacity/demand.rs
@@ -17,7 +17,10 @@
 pub struct PoolDemand<'a> {
     /// Resources that complete the present work in time, without lasting tasks.
     pub work: Load,
-    /// The same by class.
+    /// The same, but that late work ends within the policy's time for it, counted from when it
+    /// became late.
+    pub overdue_work: Load,
+    /// Resources that complete the present work in time, by class.
     pub work_by_class: BTreeMap<ServiceClass, Load>,
     /// Work of the jobs that arrived lately, in core-milliseconds.
     pub arrived_work: f64,
@@ -77,11 +80,17 @@
     /// Returns the resources that are needed to complete the present, arriving and forecast
     /// work in time.
     pub fn needed(&self, offer: &OfferedLoad, policy: &NeedsPolicy) -> Load {
+        self.needed_beside(&self.work, offer, policy)
+    }
+
+    /// Returns the resources that are needed beside the lasting tasks' for `work`, or for the
+    /// arriving or forecast work if that is more, and theirs.
+    fn needed_beside(&self, work: &Load, offer: &OfferedLoad, policy: &NeedsPolicy) -> Load {
         let arriving = match policy.arrivals {
             true => offer.load.times(1.0 + offer.rise),
             false => Load::default(),
         };
-        let work = self.work.max(&arriving).max(&offer.foreseen);
+        let work = work.max(&arriving).max(&offer.foreseen);
         let margin = Load::of_cores(policy.deviations * offer.deviation);
         self.lasting.plus(&work).plus(&margin)
     }
@@ -113,8 +122,23 @@
 
     /// Returns the number of machines of capacity `size` that are needed.
     pub fn needed_machines(&self, size: &Load, offer: &OfferedLoad, policy: &NeedsPolicy) -> usize {
-        let machines = self.needed(offer, policy).count(size);
-        (machines.ceil() as usize).max(self.min_workers)
+        self.machines(&self.needed(offer, policy), size)
+    }
+
+    /// Returns the number of machines of capacity `size` that are needed if late work is to end
+    /// within the policy's time for it, counted from when it became late.
+    pub fn overdue_machines(
+        &self,
+        size: &Load,
+        offer: &OfferedLoad,
+        policy: &NeedsPolicy,
+    ) -> usize {
+        let needed = self.needed_beside(&self.overdue_work, offer, policy);
+        self.machines(&needed, size)
+    }
+
+    fn machines(&self, needed: &Load, size: &Load) -> usize {
+        (needed.count(size).ceil() as usize).max(self.min_workers)
     }
 }
 
@@ -227,6 +251,13 @@
         };
         let resources = work.times(1.0 / within_ms);
         pool.work = pool.work.plus(&resources);
+        // Over a time that begins anew with every look, the need shrinks with the rest of the
+        // work, and the last jobs wait without bound.
+        let left_of_late_ms = within_ms + slack_ms.min(0.0);
+        let overdue_within_ms = left_of_late_ms
+            .max(left_ms.max(policy.needs.shortest_ms as f64))
+            .min(within_ms);
+        pool.overdue_work = pool.overdue_work.plus(&work.times(1.0 / overdue_within_ms));
         if work == Load::default() {
             continue;
         }
--- a/src/control/capacity/planner.rs
+++ b/src/control/capacity/planner.rs
@@ -177,6 +177,7 @@
         };
         let needs = demand.needed_machines(&size, &certain, &world.policy.needs);
         let (moves, standby) = (&world.policy.moves, &world.policy.standby);
+        let overdue = demand.overdue_machines(&size, &certain, &world.policy.needs);
         let peaks = self.peaks.entry(pool.clone()).or_default();
         peaks.record(now_ms, needs, moves.surplus_ms);
         let keep = peaks.peak(now_ms, moves.surplus_ms).max(moves.fewest);
@@ -184,12 +185,13 @@
         let awaited = world.awaited.get(pool).copied().unwrap_or(0.0);
         let awaited = Load::of_cores(awaited).count(&size).ceil() as usize;
         let standby_surplus_ms = standby.surplus_over_ms(world.round_ms);
-        peaks.record(now_ms, expects, standby_surplus_ms);
+        peaks.record(now_ms, expects.max(overdue), standby_surplus_ms);
         Balance {
             name: pool.clone(),
             has: demand.workers.len() - leaving.min(demand.workers.len()),
             incoming: self.transit.count_incoming(pool),
             needs,
+            overdue: overdue.max(needs),
             expects,
             keep,
             keep_powered: match peaks.covers(now_ms, standby.watch_ms) {
@@ -235,6 +237,7 @@
             let demand = world.demand.get(&pool.name);
             tracing::info!(
                 pool = %pool.name, has = pool.has, coming = pool.incoming, needs = pool.needs,
+                overdue = pool.overdue,
                 expects = pool.expects,
                 off = self.standby.len(),
                 idle = demand.map_or(0, PoolDemand::idle),
@@ -262,10 +265,12 @@
         world: &CapacityInput,
         moves_max: usize,
     ) -> Vec<Move> {
-        let needs = self.fill(now_ms, pools, world, Purpose::Need, moves_max);
-        let moves_max = moves_max - needs.len();
-        let expectations = self.fill(now_ms, pools, world, Purpose::Expectation, moves_max);
-        needs.into_iter().chain(expectations).collect()
+        let mut moves = Vec::new();
+        for purpose in Purpose::ALL {
+            let moves_left = moves_max - moves.len();
+            moves.extend(self.fill(now_ms, pools, world, purpose, moves_left));
+        }
+        moves
     }
 
     fn fill(
--- a/src/control/capacity/planner/balance.rs
+++ b/src/control/capacity/planner/balance.rs
@@ -11,6 +11,8 @@
     pub(super) incoming: usize,
     /// Machines that the pool's accepted and arriving work needs.
     pub(super) needs: usize,
+    /// Machines that it needs if its late work is to end within a bounded time; at least `needs`.
+    pub(super) overdue: usize,
     /// Machines that it needs if its turn is as it is expected to be; at least `needs`.
     pub(super) expects: usize,
     /// Machines that the pool does not release to the needs of another pool.
@@ -21,20 +23,28 @@
     pub(super) allotment: Option<Allotment>,
 }
 
-/// What a machine is moved for. What pools need goes before what they are expected to need:
-/// where machines are scarce, an expectation would otherwise take them from work that waits.
+/// What a machine is moved for, the most urgent first. Late work that has waited long takes only
+/// what no pool needs. What pools are expected to need comes last: where machines are scarce, an
+/// expectation would otherwise take them from work that waits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Purpose {
     Need,
+    Overdue,
     Expectation,
 }
 
+impl Purpose {
+    /// All purposes, the most urgent first.
+    pub(super) const ALL: [Self; 3] = [Self::Need, Self::Overdue, Self::Expectation];
+}
+
 impl Balance {
     /// Returns how many machines may move to other pools.
     pub(super) fn surplus(&self, purpose: Purpose) -> usize {
         let keep = match purpose {
             Purpose::Need => self.keep,
-            Purpose::Expectation => self.keep.max(self.expects),
+            Purpose::Overdue => self.keep.max(self.overdue),
+            Purpose::Expectation => self.keep.max(self.overdue).max(self.expects),
         };
         (self.has + self.incoming).saturating_sub(keep)
     }
@@ -59,6 +69,7 @@
     /// the last moments, so that no machine leaves because of a lull between two arrivals.
     pub(super) fn limit(&mut self, allotment: Allotment, kept: usize) {
         self.needs = self.needs.min(allotment.machines);
+        self.overdue = self.needs;
         self.expects = self.needs;
         self.keep = kept;
         self.allotment = Some(allotment);
@@ -75,6 +86,7 @@
     fn wanted(&self, purpose: Purpose) -> usize {
         match purpose {
             Purpose::Need => self.needs,
+            Purpose::Overdue => self.overdue,
             Purpose::Expectation => self.expects,
         }
     }
--- a/tests/control/late_work.rs
+++ b/tests/control/late_work.rs
@@ -19,7 +19,7 @@
     for worker in world.workers.values_mut() {
         worker.run_ms = RUN_MS;
     }
-    for id in 1..=100 {
+    for id in 1..=400 {
         world.submit(1, "quick", id, job(vec![step(16)]));
     }
     world.run_ms(HELD_MS);
