Apply a long log in parts, so that a new leader keeps its quorum

Callers got no answer for 2.5 s after control instances were back from a loss of all power: two elections instead of one. With 1,800 commands that took 671 ms on the leader and 466 and 597 ms on two followers (the longest event of their loops), more than an election timeout of 450 ms. The leader began, found that it had not heard a quorum, and stepped down 22 ms later; the next one began 1.2 s after it.

An input now commits and applies 256 KiB at most, as much as a message of the leader carries; heartbeats and their answers come in between. As before, a replica's commit index never runs ahead of what it has applied, so a leader still begins only with the whole state, and a view is recent only with all that its leader had committed.

--- a/src/consensus/follower.rs
+++ b/src/consensus/follower.rs
@@ -105,12 +105,12 @@
     }
 
     fn advance_follower_commit(&mut self, now_ms: u64, beat: &Heartbeat, matched: u64) {
-        self.commit_index = self.commit_index.max(beat.commit_index.min(matched));
-        self.apply();
-        // The view lease is renewed only if the log has every entry that was committed
+        self.commit(beat.commit_index.min(matched));
+        // The view lease is renewed only if the state has every entry that was committed
         // when the leader sent this message.
+        let is_current = beat.commit_index <= matched.min(self.applied_index);
         let heard = beat.heard.filter(|h| h.start == self.start_id);
-        if let Some(stamp) = heard.filter(|_| beat.commit_index <= matched) {
+        if let Some(stamp) = heard.filter(|_| is_current) {
             self.view_confirmed_ms = self.view_confirmed_ms.max(Some(stamp.at_ms.min(now_ms)));
         }
     }
--- a/src/consensus/leader.rs
+++ b/src/consensus/leader.rs
@@ -210,8 +210,7 @@
         // A leader of a later term can still replace an entry of an earlier term that a
         // quorum has, unless an entry of this leader's term follows it on the quorum.
         if index > self.commit_index && index >= leader.first_index {
-            self.commit_index = index;
-            self.apply();
+            self.commit(index);
         }
     }
 
@@ -264,7 +263,8 @@
                 }
                 return;
             }
-            let entries = self.log.batch(next, MAX_BATCH_BYTES);
+            let last = self.log.last_index();
+            let entries = self.log.batch(next, last, MAX_BATCH_BYTES);
             peer.record_sent(next + entries.len() as u64 - 1);
             let prev = self.entry_before(next);
             self.send_append(now_ms, to, prev, entries);
--- a/src/consensus/log.rs
+++ b/src/consensus/log.rs
@@ -71,11 +71,11 @@
         (from..=to).map_while(|index| self.get(index))
     }
 
-    /// Returns entries from `from` on, up to `limit_bytes` in total but at least one if
-    /// there is any.
-    pub(super) fn batch(&self, from: u64, limit_bytes: usize) -> Vec<Entry> {
+    /// Returns entries from `from` up to and including `to`, up to `limit_bytes` in total but
+    /// at least one if there is any.
+    pub(super) fn batch(&self, from: u64, to: u64, limit_bytes: usize) -> Vec<Entry> {
         let mut size = 0;
-        self.range(from, self.last_index())
+        self.range(from, to)
             .take_while(|entry| {
                 let first = size == 0;
                 size += entry.size_bytes();
--- a/src/consensus/replica.rs
+++ b/src/consensus/replica.rs
@@ -16,6 +16,10 @@
     Snapshot, VoterChange,
 };
 
+/// Bounds the entries that are applied at once: as much as one message of a leader carries, so
+/// that a replica applies as fast as it receives.
+const MAX_APPLIED_BYTES: usize = 256 << 10;
+
 /// An entry instance's copy of the replicated log: a voter if the membership lists its
 /// data folder, else a learner.
 ///
@@ -312,13 +316,20 @@
             .is_some_and(|at| now_ms < at + timeout_ms)
     }
 
-    /// Applies the committed entries that are not applied yet.
-    pub(super) fn apply(&mut self) {
-        if self.commit_index <= self.applied_index {
+    /// Commits the entries up to `index` and applies them, at most [`MAX_APPLIED_BYTES`] at
+    /// once. The rest follows with the next inputs.
+    ///
+    /// After a restart of all voters, a new leader and its followers apply what the log holds
+    /// beyond the latest snapshot. In one go that can take longer than an election timeout, in
+    /// which a leader sends no heartbeats, and it loses its quorum before it has begun.
+    pub(super) fn commit(&mut self, index: u64) {
+        let entries = self
+            .log
+            .batch(self.applied_index + 1, index, MAX_APPLIED_BYTES);
+        if entries.is_empty() {
             return;
         }
-        let range = self.log.range(self.applied_index + 1, self.commit_index);
-        let entries = range.cloned().collect();
+        self.commit_index = self.applied_index + entries.len() as u64;
         self.applied_index = self.commit_index;
         self.actions.push(Action::Apply { entries });
         self.request_snapshot_if_due();
--- a/tests/consensus_replica.rs
+++ b/tests/consensus_replica.rs
@@ -523,3 +523,77 @@
     }
     assert_eq!(requested, [EVERY, 2 * EVERY, 3 * EVERY]);
 }
+
+/// Returns replica `name` with a log of several megabytes that is not applied yet.
+fn replica_with_long_log(name: &str) -> Replica {
+    let mut log = entries(LONG_LOG_ENTRIES);
+    for entry in &mut log {
+        entry.command = vec![1; LONG_LOG_ENTRY_BYTES];
+    }
+    replica(name, log)
+}
+
+const LONG_LOG_ENTRIES: u64 = 64;
+const LONG_LOG_ENTRY_BYTES: usize = 64 << 10;
+/// The most that a replica may apply before it handles its next input: twice what one message
+/// of a leader carries.
+const APPLIED_MAX_BYTES: usize = 512 << 10;
+
+/// Hands a replica the same input until it has applied a long log, and returns how often. No
+/// single input may make it apply much, or make its state count as recent before it is.
+fn inputs_until_applied(replica: &mut Replica, at_ms: u64, last: u64, input: &Input) -> usize {
+    for inputs in 1..1_000 {
+        let actions = replica.handle(at_ms, input.clone());
+        let applied = actions.iter().filter_map(|action| match action {
+            Action::Apply { entries } => Some(entries.iter().map(Entry::size_bytes).sum::<usize>()),
+            _ => None,
+        });
+        let bytes: usize = applied.sum();
+        assert!(bytes <= APPLIED_MAX_BYTES, "{bytes} bytes at once");
+        let status = replica.status(at_ms);
+        assert_eq!(status.applied_index, status.commit_index);
+        assert_eq!(status.fresh, status.applied_index == last, "{status:?}");
+        if status.applied_index == last {
+            return inputs;
+        }
+    }
+    panic!("{:?}", replica.status(at_ms));
+}
+
+/// Guards against a leader that is lost as soon as it is elected. All voters have restarted, and
+/// it applies its whole log in one go, for longer than an election timeout. Meanwhile it sends
+/// no heartbeat and reads no answer, so it steps down, and callers wait for another election.
+#[test]
+fn a_new_leader_stays_responsive_while_it_applies_a_long_log() {
+    let mut replica = replica_with_long_log("b");
+    let at_ms = elect(&mut replica);
+    feed(&mut replica, at_ms, Input::Persisted { token: 2 });
+    let last = LONG_LOG_ENTRIES + 1;
+    let answer = message_from("a", reply(at_ms, Some(INCARNATION), last));
+    let inputs = inputs_until_applied(&mut replica, at_ms, last, &answer);
+    assert!(inputs < 40, "{inputs} inputs");
+}
+
+/// Guards against followers that do the same: they answer no heartbeat, and their leader loses
+/// its quorum.
+#[test]
+fn a_follower_stays_responsive_while_it_applies_a_long_log() {
+    let mut replica = replica_with_long_log("b");
+    let at_ms = 1_000;
+    let heartbeat = |heard, commit_index| {
+        let message = Message::Append {
+            beat: beat(LED_TERM, heard, commit_index),
+            prev_index: LONG_LOG_ENTRIES,
+            prev_term: 1,
+            entries: vec![],
+        };
+        message_from("a", message)
+    };
+    let sent = feed(&mut replica, at_ms, heartbeat(None, 0));
+    let [Message::Reply(Reply { stamp, .. })] = sent[..] else {
+        panic!("{sent:?}");
+    };
+    let heartbeat = heartbeat(Some(stamp), LONG_LOG_ENTRIES);
+    let inputs = inputs_until_applied(&mut replica, at_ms, LONG_LOG_ENTRIES, &heartbeat);
+    assert!(inputs < 40, "{inputs} inputs");
+}
