Give up a run whose stop gets no answer once its start has expired

A task stayed held by a recorded run for as long as its worker answered renewals and no stop. A start without an answer is stopped, and only an answered stop let the run go: rejected, unanswered and unsent stops were repeated without end, and no listing without the run counted.

A worker rejects a start whose lease end has passed by its clock. So a run that is to be stopped and is missing from a listing which the worker made after that lease end is not there and can't begin: its placement is withdrawn. Runs whose start an earlier leader sent wait for the answer as before.

Also a test for the queue of forwarded calls.

--- a/src/control/node/starts.rs
+++ b/src/control/node/starts.rs
@@ -85,6 +85,7 @@
             let clock_ms = link.clock_ms();
             if let Some(view) = link.run_mut(start.task, start.attempt) {
                 view.start_clock_ms = clock_ms;
+                view.start_lease_end_ms = view.start_lease_end_ms.max(Some(lease_end_ms));
             }
         }
         let checkpoint = job.task(start.task).map(|t| t.checkpoint.clone());
--- a/src/control/workers/worker_link.rs
+++ b/src/control/workers/worker_link.rs
@@ -451,7 +451,9 @@
                 RunPhase::Inherited => true,
                 RunPhase::Running { since_ms } => since_ms < sent_ms,
                 RunPhase::Stopped { at_ms } => at_ms < sent_ms,
-                RunPhase::Starting { .. } | RunPhase::Stopping { .. } => false,
+                // Stops may fail for as long as the worker answers nothing but renewals.
+                RunPhase::Stopping { .. } => view.is_start_expired(clock_ms),
+                RunPhase::Starting { .. } => false,
             };
             settled && !listed(key)
         };
--- a/tests/control/driver.rs
+++ b/tests/control/driver.rs
@@ -1,13 +1,14 @@
 //! The event loop and the other work of its thread.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use rosemarygauge::consensus::Recovered;
 use rosemarygauge::control::{
-    CallBridge, Driver, ExternalSystems, Links, LocalFuture, Machine, MachineOrder, MachineOutcome,
-    Node, NodeSettings, Order, OrderOutcome, PeerMessage, Policy, Signal, WallClock, boottime_ms,
+    Call, CallBridge, Driver, ExternalSystems, Links, LocalFuture, Machine, MachineOrder,
+    MachineOutcome, Node, NodeSettings, Order, OrderOutcome, PeerMessage, Policy, Signal,
+    WallClock, boottime_ms,
 };
 use rosemarygauge::jobs::TaskId;
 use rosemarygauge::model::{EntryName, InstanceName};
@@ -124,3 +125,55 @@
     });
     assert!(yields >= HELLOS / 10, "only {yields} yields");
 }
+
+/// Links that record what kind of message is sent.
+struct RecordingLinks(Rc<RefCell<Vec<bool>>>);
+
+impl Links for RecordingLinks {
+    fn send(&self, _to: &EntryName, message: &PeerMessage) {
+        let is_answer = matches!(message, PeerMessage::Answer { .. });
+        self.0.borrow_mut().push(is_answer);
+    }
+}
+
+/// Guards against messages between control instances that wait behind all calls which other
+/// instances have forwarded: in a peak these are thousands, and each step of the log waits.
+#[test]
+fn forwarded_calls_do_not_hold_up_other_messages() {
+    const CALLS: u64 = 500;
+    let sent = Rc::new(RefCell::new(Vec::new()));
+    let (bridge, calls) = CallBridge::new(1);
+    let (signals, signalled) = unbounded_channel();
+    let send = |message| {
+        let signal = Signal::Peer("127.0.0.1:7002".into(), message);
+        signals.send(signal).unwrap();
+    };
+    for id in 0..CALLS {
+        let call = Call::ReadConfiguration;
+        send(PeerMessage::Call { id, call });
+    }
+    send(PeerMessage::Hello { has_folder: true });
+    let driver = Driver::new(bridge, calls, signalled, RecordingLinks(Rc::clone(&sent)));
+    let (disk, _jobs) = std::sync::mpsc::channel();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let node = node("127.0.0.1:7001");
+        let outside = Rc::new(UnreachableSystems);
+        let running = driver.run_control(node, disk, outside, WallClock::default());
+        let answered = async {
+            while sent.borrow().iter().filter(|is_answer| **is_answer).count() < CALLS as usize {
+                tokio::task::yield_now().await;
+            }
+        };
+        tokio::select! {
+            _ = running => panic!("the loop ended"),
+            () = answered => {}
+        }
+    });
+    let sent = sent.borrow();
+    let before = sent.iter().take_while(|is_answer| **is_answer).count();
+    assert!(before <= 2, "{before} calls are answered before");
+}
--- a/tests/control/late_starts.rs
+++ b/tests/control/late_starts.rs
@@ -2,7 +2,7 @@
 
 use rosemarygauge::jobs::{JobId, JobState};
 
-use crate::world::{World, address, job, name, step};
+use crate::world::{TIMING, World, address, job, name, step};
 
 /// Duration of a disk sync with which queued changes take seconds to become durable, while
 /// the leader still hears its voters in time.
@@ -84,3 +84,37 @@
         world.submit(place, "long", 10 + id, job(vec![step(1)]));
     }
 }
+
+/// Guards against a task that waits for as long as no stop reaches the worker. The start of its
+/// run was not answered, and the worker lists its runs without it long after the lease of that
+/// start has expired.
+#[test]
+fn a_run_whose_stop_is_never_sent_is_given_up_after_its_lease() {
+    let mut world = World::without_moves(5, 2, 1);
+    let leader = world.leader().unwrap();
+    for port in [1_000, 1_001] {
+        let worker = address(port).to_string();
+        world.cut.insert((leader.to_string(), worker));
+    }
+    world.submit(1, "quick", 7, job(vec![step(1)]));
+    world.run_ms(300);
+    let run = |world: &World| {
+        let job = world.state(&leader).job(JobId::from(7))?;
+        let run = job.runs().next()?.1;
+        Some(run.worker.to_string())
+    };
+    let placed_on = run(&world).unwrap();
+    let placed = world.workers.values().find(|w| w.name == placed_on);
+    let placed = placed.unwrap().address;
+    world.cut.clear();
+    world.crowded.insert(placed);
+    let ended = world.until(2 * TIMING.lease_max_ms, |world| {
+        let job = world.state(&leader).job(JobId::from(7));
+        job.is_some_and(|job| job.verdict.is_some())
+    });
+    assert!(
+        ended,
+        "the task is still held by a run on {placed_on}: {:?}",
+        run(&world)
+    );
+}
