Take the queue of forwarded calls back

Tried: calls that other instances forward wait apart from the log and from outcomes, and the loop serves the three in turn. Conclusion: without a bound on the age of a waiting call, refused at once beyond it, the queue does harm. That is not built here.

--- a/src/control/node/waiting_steps.rs
+++ b/src/control/node/waiting_steps.rs
@@ -1,3 +1,4 @@
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::control::{Fleet, RunPhase, State};
@@ -36,8 +37,8 @@
             }
         }
         for step in waiting {
-            if !self.since_ms.contains_key(&step) {
-                self.since_ms.insert(step, now_ms);
+            if let Entry::Vacant(entry) = self.since_ms.entry(step) {
+                entry.insert(now_ms);
                 self.by_age.insert((now_ms, step));
             }
         }
--- a/src/control/runtime/driver.rs
+++ b/src/control/runtime/driver.rs
@@ -1,8 +1,7 @@
 //! The event loops of control and entry instances: they feed events to the decision logic
 //! and carry out its effects.
 
-use std::collections::VecDeque;
-use std::future::{Future, ready};
+use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -117,9 +116,6 @@
     bridge: Arc<CallBridge>,
     calls: UnboundedReceiver<Incoming>,
     signals: UnboundedReceiver<Signal>,
-    /// Calls that other instances forwarded. They wait apart from the other signals: callers send
-    /// any number, and each step of the log and each outcome of an order would wait behind them.
-    forwarded: VecDeque<Event>,
     links: L,
     last_batch_ms: u64,
 }
@@ -136,7 +132,6 @@
             bridge,
             calls,
             signals,
-            forwarded: VecDeque::new(),
             links,
             last_batch_ms: boottime_ms(),
         }
@@ -161,15 +156,8 @@
         let mut meter = LoopMeter::new(Instant::now());
         let runtime = tokio::runtime::Handle::current().metrics();
         loop {
-            let mut queue = EventQueue::Calls;
             let mut event = tokio::select! {
-                Some(signal) = self.signals.recv() => match self.sort_signal(signal)? {
-                    None => self.next_queued(&mut queue, &mut outcomes)?,
-                    event => event,
-                },
-                () = ready(()), if !self.forwarded.is_empty() => {
-                    self.next_queued(&mut queue, &mut outcomes)?
-                }
+                Some(signal) = self.signals.recv() => signal_event(signal)?,
                 Some(outcome) = outcomes.recv() => Some(outcome),
                 Some(call) = self.calls.recv() => Some(call_event(call)),
                 due = tick.tick() => {
@@ -180,13 +168,13 @@
                 () = sleep(OUTCOME_FLUSH_DELAY), if node.has_queued_outcomes() => Some(Event::Tick),
                 else => return Ok(()),
             };
-            let calls = self.calls.len() + self.forwarded.len();
-            meter.record_queue_length(self.signals.len() + outcomes.len() + calls);
+            meter.record_queue_length(self.signals.len() + outcomes.len() + self.calls.len());
             if boottime_ms() > self.last_batch_ms + STALL_THRESHOLD_MS {
                 let effects = node.handle(boottime_ms(), Event::Tick);
                 self.carry_out(effects, &disk, &outside, &completions);
             }
             let batch_began = Instant::now();
+            let mut queue = EventQueue::Calls;
             while let Some(next) = event.take() {
                 let kind = EventKind::from(&next);
                 let began = Instant::now();
@@ -242,11 +230,11 @@
             *last = last.next();
             let event = match last {
                 EventQueue::Outcomes => outcomes.try_recv().ok(),
-                EventQueue::Signals => self.next_signal()?,
-                EventQueue::Calls => match self.calls.try_recv() {
-                    Ok(call) => Some(call_event(call)),
-                    Err(_) => self.forwarded.pop_front(),
+                EventQueue::Signals => match self.signals.try_recv() {
+                    Ok(signal) => signal_event(signal)?,
+                    Err(_) => None,
                 },
+                EventQueue::Calls => self.calls.try_recv().ok().map(call_event),
             };
             if event.is_some() {
                 return Ok(event);
@@ -255,28 +243,6 @@
         Ok(None)
     }
 
-    /// Returns the next signal that is no forwarded call, as an event.
-    fn next_signal(&mut self) -> Result<Option<Event>, StorageError> {
-        while let Ok(signal) = self.signals.try_recv() {
-            if let Some(event) = self.sort_signal(signal)? {
-                return Ok(Some(event));
-            }
-        }
-        Ok(None)
-    }
-
-    /// Returns the event of a signal. A forwarded call is queued with the calls instead.
-    fn sort_signal(&mut self, signal: Signal) -> Result<Option<Event>, StorageError> {
-        let event = signal_event(signal)?;
-        match event {
-            Some(event) if is_forwarded_call(&event) => {
-                self.forwarded.push_back(event);
-                Ok(None)
-            }
-            event => Ok(event),
-        }
-    }
-
     /// Carries out effects. Returns `true` at the end of a planned stop.
     fn carry_out(
         &self,
@@ -400,10 +366,6 @@
     });
 }
 
-fn is_forwarded_call(event: &Event) -> bool {
-    matches!(event, Event::Peer { message, .. } if matches!(**message, PeerMessage::Call { .. }))
-}
-
 fn call_event(call: Incoming) -> Event {
     Event::Call {
         id: call.id,
