Take back that an expired start ends a run whose stop gets no answer

The protocol does not say it, and a copy that begins after the run was let go runs a task twice. The cooldown after a lack of room is 150 ms again: a worker that is full is no worker that begins nothing.

--- a/src/control/node/starts.rs
+++ b/src/control/node/starts.rs
@@ -18,6 +18,9 @@
 
 /// How often a start is sent again before the run is given up.
 const MAX_START_RETRIES: u32 = 2;
+/// Cooldown of a worker that had less room than it reported. The next end of a run there
+/// frees some.
+const NO_ROOM_COOLDOWN_MS: u64 = 150;
 /// Cooldown of a worker that reports that it is unhealthy.
 const UNHEALTHY_COOLDOWN_MS: u64 = 1_000;
 /// Cooldown of a worker to which a start could not be sent because other requests are
@@ -85,7 +88,6 @@
             let clock_ms = link.clock_ms();
             if let Some(view) = link.run_mut(start.task, start.attempt) {
                 view.start_clock_ms = clock_ms;
-                view.start_lease_end_ms = view.start_lease_end_ms.max(Some(lease_end_ms));
             }
         }
         let checkpoint = job.task(start.task).map(|t| t.checkpoint.clone());
@@ -197,16 +199,15 @@
                     request_stop(now_ms, Some(view));
                 }
                 match reason {
+                    Rejection::Room => link.start_cooldown(now_ms, NO_ROOM_COOLDOWN_MS),
                     Rejection::Unhealthy => link.start_cooldown(now_ms, UNHEALTHY_COOLDOWN_MS),
                     // Says something about the ticket of the step and nothing about the worker.
                     Rejection::Ticket => {}
                     // The incarnation is removed.
                     Rejection::Incarnation => {}
-                    Rejection::Fence
-                    | Rejection::Old
-                    | Rejection::Late
-                    | Rejection::Room
-                    | Rejection::Malformed => link.start_ineffective(now_ms),
+                    Rejection::Fence | Rejection::Old | Rejection::Late | Rejection::Malformed => {
+                        link.start_ineffective(now_ms)
+                    }
                 }
                 if !may_arrive {
                     if *reason == Rejection::Ticket {
--- a/src/control/workers/run_view.rs
+++ b/src/control/workers/run_view.rs
@@ -30,9 +30,6 @@
     pub confirmed: bool,
     /// The worker's clock as it was known when the start was last sent.
     pub start_clock_ms: u64,
-    /// The lease end that this leader sent with the start, on the worker's clock. From then on the
-    /// worker rejects the start.
-    pub start_lease_end_ms: Option<u64>,
 }
 
 /// The last change in a run's progress.
@@ -81,7 +78,6 @@
             saves: false,
             confirmed: false,
             start_clock_ms: 0,
-            start_lease_end_ms: None,
             percent: 0,
             gauge: None,
             listed_ms: None,
@@ -105,13 +101,6 @@
         self.percent = percent;
     }
 
-    /// Returns whether the worker rejects every copy of the run's start that arrives once its clock
-    /// shows `clock_ms`.
-    pub(super) fn is_start_expired(&self, clock_ms: u64) -> bool {
-        self.start_lease_end_ms
-            .is_some_and(|lease_end_ms| clock_ms > lease_end_ms)
-    }
-
     /// Returns whether the run is to be stopped or was stopped.
     pub fn is_stopping(&self) -> bool {
         matches!(
--- a/src/control/workers/worker_link.rs
+++ b/src/control/workers/worker_link.rs
@@ -72,8 +72,8 @@
 /// Time beyond the long poll of a renewal after which a silent worker gets no work. An
 /// answer normally takes a fraction of it.
 const MAX_SILENCE_MS: u64 = 1_200;
-/// Cooldowns after consecutive starts without effect. The first is the time that an end takes to
-/// be listed; the last lets a worker that answers everything but starts hold few tasks.
+/// Cooldowns after consecutive starts without effect. The first hardly delays a worker that was
+/// only once out of reach; after the last, a worker that begins nothing holds few tasks.
 const INEFFECTIVE_START_COOLDOWNS_MS: [u64; 6] = [150, 300, 600, 1_200, 2_400, 4_800];
 /// Time that the answer to a renewal may take beyond its wait.
 pub(in crate::control) const RENEWAL_SLACK_MS: u64 = 500;
@@ -451,9 +451,7 @@
                 RunPhase::Inherited => true,
                 RunPhase::Running { since_ms } => since_ms < sent_ms,
                 RunPhase::Stopped { at_ms } => at_ms < sent_ms,
-                // Stops may fail for as long as the worker answers nothing but renewals.
-                RunPhase::Stopping { .. } => view.is_start_expired(clock_ms),
-                RunPhase::Starting { .. } => false,
+                RunPhase::Starting { .. } | RunPhase::Stopping { .. } => false,
             };
             settled && !listed(key)
         };
