Look for steps that are held beside room in a rotation of their own

A look now visits 256 jobs a second, and a step is reported if two looks find it held. Steps that wait for room no longer hide others.

--- a/src/control/node/pass.rs
+++ b/src/control/node/pass.rs
@@ -84,15 +84,13 @@
         self.visited += lead.recurring.len() as u64;
         for job in changed {
             lead.update_after_change(now_ms, &self.state, job);
-            lead.waiting_steps
-                .update(now_ms, &self.state, &lead.fleet, job);
         }
         self.report_waiting_steps(now_ms);
         self.send_stops(now_ms);
         self.request_advice(now_ms);
     }
 
-    /// Logs for each pool the step that has waited longest beside room for it, with what holds it.
+    /// Logs for each pool the step that was held longest by something other than room.
     fn report_waiting_steps(&mut self, now_ms: u64) {
         let Some(lead) = &mut self.leader_state else {
             return;
@@ -103,9 +101,15 @@
             estimates: &self.default_estimates,
             policy: &self.settings.policy,
         };
+        let due = lead
+            .waiting_steps
+            .take_due(now_ms, &self.state, &lead.fleet);
+        let Some(due) = due else {
+            return;
+        };
         let mut rooms: BTreeMap<PoolName, PoolRoom> = BTreeMap::new();
-        let mut reported = BTreeSet::new();
-        for (step, waited_ms) in lead.waiting_steps.take_report(now_ms) {
+        let mut holds = BTreeMap::new();
+        for step in due {
             let Some(pending) = lead.scheduler.pending_step(&self.state, step) else {
                 continue;
             };
@@ -114,13 +118,21 @@
                 let room = lead.scheduler.pool_room(now_ms, &world, pool);
                 rooms.insert(pool.clone(), room);
             }
-            let room = &rooms[pool];
-            let hold = lead.scheduler.hold(now_ms, &world, &pending, room);
-            if hold == Hold::Room || !reported.insert(pool.clone()) {
+            let hold = lead.scheduler.hold(now_ms, &world, &pending, &rooms[pool]);
+            if hold != Hold::Room {
+                holds.insert(step, (pool, hold));
+            }
+        }
+        let held = holds.keys().copied().collect();
+        let mut reported = BTreeSet::new();
+        for (step, waited_ms) in lead.waiting_steps.record_held(now_ms, held) {
+            let (pool, hold) = &holds[&step];
+            if !reported.insert(*pool) {
                 continue;
             }
+            let room = &rooms[*pool];
             tracing::info!(
-                %step, %pool, waited_ms, ?hold, waiting = pending.waiting.len(),
+                %step, %pool, waited_ms, ?hold,
                 taking = room.free.len(), closed = room.closed, unavailable = room.unavailable,
                 "task: a step waits beside room"
             );
--- a/src/control/node/waiting_steps.rs
+++ b/src/control/node/waiting_steps.rs
@@ -1,69 +1,71 @@
-use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::control::{Fleet, RunPhase, State};
 use crate::jobs::{Job, JobId, Occurrence, TaskId};
 
-/// Time for which a step must wait before it is reported. A start takes a fraction of it.
-const REPORTED_AFTER_MS: u64 = 2_000;
-/// Interval at which steps that wait are reported.
-const REPORT_INTERVAL_MS: u64 = 1_000;
-/// Maximum number of steps that a report looks at, those that wait longest.
-const REPORTED_STEPS_MAX: usize = 64;
+/// Interval between two looks.
+const LOOK_INTERVAL_MS: u64 = 1_000;
+/// Number of jobs that a look visits in rotation.
+const JOBS_PER_LOOK: usize = 256;
+/// Maximum number of steps that are remembered from one look to the next.
+const SUSPECTS_MAX: usize = 256;
 
-/// The steps whose turn has come and of which no run is at work, each with the time at which it
-/// was first seen so. A step is named by its task with index 0.
+/// The steps whose turn has come, of which no run is at work and which something other than
+/// room holds, each with the time at which it was first seen so. A step is named by its task
+/// with index 0.
+///
+/// A look visits a part of the active jobs in rotation, so its cost does not grow with the
+/// backlog.
 #[derive(Debug, Default)]
 pub(super) struct WaitingSteps {
-    since_ms: BTreeMap<TaskId, u64>,
-    by_age: BTreeSet<(u64, TaskId)>,
-    next_report_ms: u64,
+    suspects: BTreeMap<TaskId, u64>,
+    last_visited: Option<JobId>,
+    next_look_ms: u64,
 }
 
 impl WaitingSteps {
-    /// Looks at the steps of a job again.
-    pub(super) fn update(&mut self, now_ms: u64, state: &State, fleet: &Fleet, id: JobId) {
-        let job = state.job(id).filter(|job| job.verdict.is_none());
-        let waiting = job.map_or_else(BTreeSet::new, |job| waiting_steps(job, fleet));
-        let known: Vec<(TaskId, u64)> = self
-            .since_ms
-            .range(first_step(id)..=last_step(id))
-            .map(|(step, since_ms)| (*step, *since_ms))
-            .collect();
-        for (step, since_ms) in known {
-            if !waiting.contains(&step) {
-                self.since_ms.remove(&step);
-                self.by_age.remove(&(since_ms, step));
-            }
-        }
-        for step in waiting {
-            if let Entry::Vacant(entry) = self.since_ms.entry(step) {
-                entry.insert(now_ms);
-                self.by_age.insert((now_ms, step));
-            }
+    /// Returns the steps to look at, those of the last look and of the next jobs of which no run is
+    /// at work; `None` if no look is due.
+    pub(super) fn take_due(
+        &mut self,
+        now_ms: u64,
+        state: &State,
+        fleet: &Fleet,
+    ) -> Option<Vec<TaskId>> {
+        if now_ms < self.next_look_ms {
+            return None;
         }
+        self.next_look_ms = now_ms + LOOK_INTERVAL_MS;
+        let next = state.active_after(self.last_visited, JOBS_PER_LOOK);
+        let next: Vec<JobId> = next.collect();
+        self.last_visited = next.last().copied().filter(|_| next.len() == JOBS_PER_LOOK);
+        let mut jobs: BTreeSet<JobId> = self.suspects.keys().map(|step| step.job).collect();
+        jobs.extend(next);
+        let jobs = jobs.into_iter().filter_map(|id| state.job(id));
+        let active = jobs.filter(|job| job.verdict.is_none());
+        Some(active.flat_map(|job| waiting_steps(job, fleet)).collect())
     }
 
-    /// Returns the steps that have waited for long, the longest first, with their waiting times
-    /// in milliseconds, if a report is due.
-    pub(super) fn take_report(&mut self, now_ms: u64) -> Vec<(TaskId, u64)> {
-        if now_ms < self.next_report_ms {
-            return Vec::new();
-        }
-        self.next_report_ms = now_ms + REPORT_INTERVAL_MS;
-        let waited = self
-            .by_age
-            .iter()
-            .map(|(since_ms, step)| (*step, now_ms.saturating_sub(*since_ms)));
-        let long = waited.take_while(|(_, waited_ms)| *waited_ms >= REPORTED_AFTER_MS);
-        long.take(REPORTED_STEPS_MAX).collect()
+    /// Remembers the steps that a look found held. Returns those that were held at an earlier look
+    /// too, each with the time since then in milliseconds, the longest first.
+    pub(super) fn record_held(&mut self, now_ms: u64, held: Vec<TaskId>) -> Vec<(TaskId, u64)> {
+        let held = held.into_iter().take(SUSPECTS_MAX);
+        let before = std::mem::take(&mut self.suspects);
+        self.suspects = held
+            .map(|step| (step, before.get(&step).copied().unwrap_or(now_ms)))
+            .collect();
+        let known = self.suspects.iter();
+        let known = known.filter(|(_, since_ms)| **since_ms < now_ms);
+        let mut known: Vec<_> = known.map(|(step, ms)| (*step, now_ms - ms)).collect();
+        known.sort_by_key(|(_, waited_ms)| std::cmp::Reverse(*waited_ms));
+        known
     }
 }
 
 /// Returns the steps of a job whose turn has come, that are not done and of which no run is
 /// confirmed.
-fn waiting_steps(job: &Job, fleet: &Fleet) -> BTreeSet<TaskId> {
-    let mut waiting = BTreeSet::new();
+fn waiting_steps(job: &Job, fleet: &Fleet) -> Vec<TaskId> {
+    let mut waiting = Vec::new();
     for (number, occurrence) in job.occurrences() {
         for step in 0..job.spec.steps.len() {
             let id = TaskId {
@@ -76,7 +78,7 @@
                 && occurrence.may_start(&job.spec, step)
                 && !is_at_work(occurrence, id, fleet)
             {
-                waiting.insert(id);
+                waiting.push(id);
             }
         }
     }
@@ -96,21 +98,3 @@
         view.is_some_and(|view| matches!(view.phase, RunPhase::Running { .. }))
     })
 }
-
-fn first_step(job: JobId) -> TaskId {
-    TaskId {
-        job,
-        occurrence: 0,
-        step: 0,
-        index: 0,
-    }
-}
-
-fn last_step(job: JobId) -> TaskId {
-    TaskId {
-        job,
-        occurrence: u32::MAX,
-        step: u16::MAX,
-        index: u16::MAX,
-    }
-}
