Share the walk over a step's runs and the bound of a batch, and pass only what a hold reads

From reading the whole change again; behaviour stays. Occurrence::runs replaces two walks of the new log line, MAX_BATCH_BYTES bounds what is applied as well as a message, and the look for held steps no longer makes up a SchedulerInput with estimates that it does not use.

--- a/src/consensus/leader.rs
+++ b/src/consensus/leader.rs
@@ -15,7 +15,7 @@
 /// Bounds the entries, or the snapshot chunk, in one message. Together with one command
 /// of [`COMMAND_LIMIT_BYTES`], a message stays below a frame of 1 MiB, which also bounds
 /// what a heartbeat can queue behind on a slow link.
-const MAX_BATCH_BYTES: usize = 256 << 10;
+pub(super) const MAX_BATCH_BYTES: usize = 256 << 10;
 
 /// The largest command, in bytes. A larger one is dropped when it is proposed.
 pub const COMMAND_LIMIT_BYTES: usize = 512 << 10;
--- a/src/consensus/replica.rs
+++ b/src/consensus/replica.rs
@@ -8,7 +8,7 @@
 
 use super::bootstrap::Bootstrap;
 use super::journal::{Deferred, Journal};
-use super::leader::LeaderState;
+use super::leader::{LeaderState, MAX_BATCH_BYTES};
 use super::log::Log;
 use super::snapshots::IncomingSnapshot;
 use super::{
@@ -16,10 +16,6 @@
     Snapshot, VoterChange,
 };
 
-/// Bounds the entries that are applied at once: as much as one message of a leader carries, so
-/// that a replica applies as fast as it receives.
-const MAX_APPLIED_BYTES: usize = 256 << 10;
-
 /// An entry instance's copy of the replicated log: a voter if the membership lists its
 /// data folder, else a learner.
 ///
@@ -316,8 +312,8 @@
             .is_some_and(|at| now_ms < at + timeout_ms)
     }
 
-    /// Commits the entries up to `index` and applies them, at most [`MAX_APPLIED_BYTES`] at
-    /// once. The rest follows with the next inputs.
+    /// Commits the entries up to `index` and applies them, at most [`MAX_BATCH_BYTES`] at
+    /// once, as much as a message of a leader carries. The rest follows with the next inputs.
     ///
     /// After a restart of all voters, a new leader and its followers apply what the log holds
     /// beyond the latest snapshot. In one go that can take longer than an election timeout, in
@@ -325,7 +321,7 @@
     pub(super) fn commit(&mut self, index: u64) {
         let entries = self
             .log
-            .batch(self.applied_index + 1, index, MAX_APPLIED_BYTES);
+            .batch(self.applied_index + 1, index, MAX_BATCH_BYTES);
         if entries.is_empty() {
             return;
         }
--- a/src/control/node/pass.rs
+++ b/src/control/node/pass.rs
@@ -95,16 +95,8 @@
         let Some(lead) = &mut self.leader_state else {
             return;
         };
-        let world = SchedulerInput {
-            state: &self.state,
-            fleet: &lead.fleet,
-            estimates: &self.default_estimates,
-            policy: &self.settings.policy,
-        };
-        let due = lead
-            .waiting_steps
-            .take_due(now_ms, &self.state, &lead.fleet);
-        let Some(due) = due else {
+        let looks = &mut lead.waiting_steps;
+        let Some(due) = looks.take_due(now_ms, &self.state, &lead.fleet) else {
             return;
         };
         let mut rooms: BTreeMap<PoolName, PoolRoom> = BTreeMap::new();
@@ -115,10 +107,14 @@
             };
             let pool = &pending.job.pool;
             if !rooms.contains_key(pool) {
-                let room = lead.scheduler.pool_room(now_ms, &world, pool);
+                let room = lead
+                    .scheduler
+                    .pool_room(now_ms, &self.state, &lead.fleet, pool);
                 rooms.insert(pool.clone(), room);
             }
-            let hold = lead.scheduler.hold(now_ms, &world, &pending, &rooms[pool]);
+            let hold = lead
+                .scheduler
+                .hold(now_ms, &lead.fleet, &pending, &rooms[pool]);
             if hold != Hold::Room {
                 holds.insert(step, (pool, hold));
             }
--- a/src/control/node/waiting_steps.rs
+++ b/src/control/node/waiting_steps.rs
@@ -87,13 +87,9 @@
 
 /// Returns whether a worker has confirmed a run of the step that is not being stopped.
 fn is_at_work(occurrence: &Occurrence, step: TaskId, fleet: &Fleet) -> bool {
-    let tasks = occurrence.step(usize::from(step.step)).iter().enumerate();
-    let mut runs = tasks.flat_map(|(index, task)| task.runs.iter().map(move |run| (index, run)));
+    let mut runs = occurrence.runs(usize::from(step.step));
     runs.any(|(index, run)| {
-        let task = TaskId {
-            index: index as u16,
-            ..step
-        };
+        let task = TaskId { index, ..step };
         let view = fleet.run(&run.worker, task, run.attempt);
         view.is_some_and(|view| matches!(view.phase, RunPhase::Running { .. }))
     })
--- a/src/control/placement/hold.rs
+++ b/src/control/placement/hold.rs
@@ -1,7 +1,6 @@
 use super::pending_step::PendingStep;
 use super::scheduler::Scheduler;
-use super::scheduler_input::SchedulerInput;
-use crate::control::{RunPhase, State};
+use crate::control::{Fleet, RunPhase, State};
 use crate::jobs::{Resources, TaskId};
 use crate::model::{InstanceName, PoolName};
 
@@ -45,11 +44,12 @@
     pub(in crate::control) fn pool_room(
         &self,
         now_ms: u64,
-        world: &SchedulerInput,
+        state: &State,
+        fleet: &Fleet,
         pool: &PoolName,
     ) -> PoolRoom {
         let mut room = PoolRoom::default();
-        for (name, worker, link) in world.fleet.linked_workers(world.state) {
+        for (name, worker, link) in fleet.linked_workers(state) {
             if worker.report.pool != *pool {
                 continue;
             }
@@ -69,11 +69,11 @@
     pub(in crate::control) fn hold(
         &self,
         now_ms: u64,
-        world: &SchedulerInput,
+        fleet: &Fleet,
         pending: &PendingStep,
         room: &PoolRoom,
     ) -> Hold {
-        if let Some(hold) = recorded_run(now_ms, world, pending) {
+        if let Some(hold) = recorded_run(now_ms, fleet, pending) {
             return hold;
         }
         if pending.waiting.is_empty() {
@@ -103,14 +103,11 @@
 }
 
 /// Returns a recorded run of the step, if there is one.
-fn recorded_run(now_ms: u64, world: &SchedulerInput, pending: &PendingStep) -> Option<Hold> {
-    let tasks = pending.occurrence.step(pending.step).iter().enumerate();
-    let (index, run) = tasks
-        .flat_map(|(index, task)| task.runs.iter().map(move |run| (index, run)))
-        .next()?;
-    let link = world.fleet.link(&run.worker);
-    let task = pending.task(index as u16);
-    let view = world.fleet.run(&run.worker, task, run.attempt);
+fn recorded_run(now_ms: u64, fleet: &Fleet, pending: &PendingStep) -> Option<Hold> {
+    let (index, run) = pending.occurrence.runs(pending.step).next()?;
+    let link = fleet.link(&run.worker);
+    let task = pending.task(index);
+    let view = fleet.run(&run.worker, task, run.attempt);
     let heard_ms = link.and_then(|link| link.heard_ms());
     Some(Hold::Recorded {
         worker: run.worker.clone(),
--- a/src/control/placement/pending_step.rs
+++ b/src/control/placement/pending_step.rs
@@ -12,7 +12,7 @@
     pub(super) step: usize,
     pub(super) occurrence: &'a Occurrence,
     /// Indices of the tasks that wait and have no proposed start.
-    pub(in crate::control) waiting: Vec<u16>,
+    pub(super) waiting: Vec<u16>,
     /// Number of runs of the step in each availability zone.
     pub(super) runs_by_zone: BTreeMap<&'a str, usize>,
 }
--- a/src/jobs/occurrence.rs
+++ b/src/jobs/occurrence.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use super::{JobSpec, Task};
+use super::{JobSpec, Run, Task};
 use crate::model::InstanceName;
 
 /// One occurrence of a job: the progress of its tasks, by step.
@@ -23,6 +23,12 @@
         self.steps.get(step).map_or(&[], Vec::as_slice)
     }
 
+    /// The runs of a step, each with the index of its task.
+    pub fn runs(&self, step: usize) -> impl Iterator<Item = (u16, &Run)> {
+        let tasks = self.step(step).iter().enumerate();
+        tasks.flat_map(|(index, task)| task.runs.iter().map(move |run| (index as u16, run)))
+    }
+
     /// Returns a task, if it exists.
     pub fn task(&self, step: u16, index: u16) -> Option<&Task> {
         self.step(usize::from(step)).get(usize::from(index))
