Find out what holds for a whole job once when its steps are ranked

Callers saw: after some jobs of the largest size, each with 10,000 steps, no job was accepted any more and every call ended as unknown.

Cause: for each waiting step the order of a pool's work was given the longest chain, the work left and whether the job lasts, each found by a walk over all steps of the job. The cost was quadratic in the steps of a job.

Evidence: ticks of 1.4 s with one such job and 2.7 s with two in the leader's statistics of its loop, and its stack in `JobSpec::lasts` and `work_left` below `Backlog::refresh` in all of 6 samples.

The three are now found once for a job or an occurrence and handed on. The results are the same.

--- a/src/control/capacity/demand.rs
+++ b/src/control/capacity/demand.rs
@@ -265,11 +265,12 @@
             chain_ms,
             left_ms: left_ms as u64,
             work: work.cores,
+            lasts: job.spec.lasts(),
             beyond_share,
         };
         let due_unix_ms = job.due_unix_ms(k);
         let order = &policy.order;
-        let (class, _) = ServiceClass::of(now_unix_ms, job, queue, due_unix_ms, &remaining, order);
+        let (class, _) = ServiceClass::of(now_unix_ms, queue, due_unix_ms, &remaining, order);
         let by_class = pool.work_by_class.entry(class).or_default();
         *by_class = by_class.plus(&resources);
         if passed_ms <= policy.needs.window_ms as f64 {
--- a/src/control/placement/backlog.rs
+++ b/src/control/placement/backlog.rs
@@ -173,22 +173,27 @@
 ) -> (Vec<(Entry, StepDemand)>, Option<u64>) {
     let mut entries = Vec::new();
     let mut class_change_unix_ms: Option<u64> = None;
+    // What holds for the whole job is found out once: a job may have thousands of steps.
     let mut times = None;
+    let lasts = job.spec.lasts();
     for (occurrence, tasks) in job.occurrences() {
+        let mut work = None;
         for (step, spec) in job.spec.steps.iter().enumerate() {
             let waiting = tasks.step(step).iter().filter(|t| t.is_waiting()).count();
             if waiting == 0 || !tasks.may_start(&job.spec, step) {
                 continue;
             }
-            let (takes_ms, chains_ms) = times.get_or_insert_with(|| {
+            let (takes_ms, chains_ms, chain_ms) = times.get_or_insert_with(|| {
                 let takes_ms = world.estimates.run_times_ms(job);
                 let chains_ms = job.spec.critical_paths_ms(&takes_ms);
-                (takes_ms, chains_ms)
+                let chain_ms = chains_ms.iter().copied().max().unwrap_or(0);
+                (takes_ms, chains_ms, chain_ms)
             });
             let remaining = Remaining {
-                chain_ms: chains_ms.iter().copied().max().unwrap_or(0),
+                chain_ms: *chain_ms,
                 left_ms: chains_ms[step],
-                work: work_left(job, tasks, takes_ms),
+                work: *work.get_or_insert_with(|| work_left(job, tasks, takes_ms)),
+                lasts,
                 beyond_share: world.shares.is_beyond(job.id),
             };
             let due_unix_ms = job.due_unix_ms(occurrence);
--- a/src/control/placement/ranking.rs
+++ b/src/control/placement/ranking.rs
@@ -32,9 +32,9 @@
     policy: &OrderPolicy,
 ) -> (Rank, Option<u64>) {
     let (class, until_unix_ms) =
-        ServiceClass::of(now_unix_ms, job, queue, due_unix_ms, remaining, policy);
+        ServiceClass::of(now_unix_ms, queue, due_unix_ms, remaining, policy);
     let key = match policy.least_work {
-        _ if job.spec.lasts() => job.accepted_unix_ms as f64,
+        _ if remaining.lasts => job.accepted_unix_ms as f64,
         true if job.placements > 0 => remaining.work * policy.begun_part,
         true => remaining.work,
         false => due_unix_ms as f64,
--- a/src/control/placement/service_class.rs
+++ b/src/control/placement/service_class.rs
@@ -6,7 +6,6 @@
 //! share of the caller's workspace, and whether the result can still be of use.
 
 use crate::control::{OrderPolicy, Queue};
-use crate::jobs::Job;
 
 /// Class of a job by what room is worth to it; the smallest comes first in a pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -41,6 +40,8 @@
     pub left_ms: u64,
     /// Core-milliseconds that remain.
     pub work: f64,
+    /// Whether a step of the job runs until the job is cancelled.
+    pub lasts: bool,
     /// Whether the job is beyond its workspace's share.
     pub beyond_share: bool,
 }
@@ -50,13 +51,12 @@
     /// though nothing of the job does, if it ever does.
     pub fn of(
         now_unix_ms: u64,
-        job: &Job,
         queue: Option<&Queue>,
         due_unix_ms: u64,
         remaining: &Remaining,
         policy: &OrderPolicy,
     ) -> (Self, Option<u64>) {
-        if job.spec.lasts() {
+        if remaining.lasts {
             let lasting = Self {
                 priority: 0,
                 beyond_share: false,
--- a/src/control/preemption/preemptor.rs
+++ b/src/control/preemption/preemptor.rs
@@ -177,13 +177,14 @@
         chain_ms: chains_ms.iter().copied().max().unwrap_or(0),
         left_ms: left_ms as u64 + after_ms,
         work: 0.0,
+        lasts: job.spec.lasts(),
         beyond_share: world.shares.is_beyond(job.id),
     };
     let due_unix_ms = job.due_unix_ms(task.occurrence);
     let queue = configuration.queue(&job.queue);
     let order = &world.policy.order;
     let (class, until_unix_ms) =
-        ServiceClass::of(now_unix_ms, job, queue, due_unix_ms, &remaining, order);
+        ServiceClass::of(now_unix_ms, queue, due_unix_ms, &remaining, order);
     let slack_ms = until_unix_ms.map_or(0, |until| until.saturating_sub(now_unix_ms));
     Some((class, slack_ms))
 }
--- a/tests/control/scheduler.rs
+++ b/tests/control/scheduler.rs
@@ -79,6 +79,7 @@
         chain_ms: 300,
         left_ms: 300,
         work: 500.0,
+        lasts: false,
         beyond_share: false,
     };
     let policy = OrderPolicy::default();
