Stop decoding a job at the first step beyond those that a job may have

Callers saw: an instance that ran out of memory. A step may be empty, three bytes with its comma, and takes some 200 bytes decoded and as much again while it is converted, so a body of 1 MiB made the entry instance hold 45 MB. Sent on, it was too long for a link, and its caller got no answer in time.

A job has at most 10,000 tasks and each step at least one, so a list of more steps is none of a job. Decoding ends there.

--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -27,7 +27,7 @@
 pub use recurrence::Recurrence;
 pub use room::Resources;
 pub use run::Run;
-pub use spec::{JobSpec, PAYLOAD_LIMIT_BYTES};
+pub use spec::{JobSpec, MAX_TASKS, PAYLOAD_LIMIT_BYTES};
 pub use spec_fault::SpecFault;
 pub use step::Step;
 pub use task::Task;
--- a/src/jobs/spec.rs
+++ b/src/jobs/spec.rs
@@ -11,7 +11,7 @@
 
 /// Largest number of tasks of one occurrence. One command of the log has to hold them;
 /// it is several hundred times the number of today's largest job.
-const MAX_TASKS: usize = 10_000;
+pub const MAX_TASKS: usize = 10_000;
 
 /// A job as its caller submits it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -69,6 +69,12 @@
         crate::codec::encode(self).len()
     }
 
+    /// Its size in memory, in bytes, without what the allocator adds.
+    pub fn memory_bytes(&self) -> usize {
+        let steps = self.steps.iter().map(Step::memory_bytes);
+        size_of::<Self>() + self.payload.len() + steps.sum::<usize>()
+    }
+
     /// The number of tasks of one occurrence.
     pub fn tasks(&self) -> usize {
         self.steps.iter().map(|s| usize::from(s.tasks)).sum()
--- a/src/jobs/step.rs
+++ b/src/jobs/step.rs
@@ -40,6 +40,17 @@
 }
 
 impl Step {
+    /// Its size in memory, in bytes, without what the allocator adds.
+    pub fn memory_bytes(&self) -> usize {
+        let texts = [
+            self.label.as_ref(),
+            self.data_rack.as_ref(),
+            Some(&self.image),
+        ];
+        let texts = texts.into_iter().flatten().map(String::len);
+        size_of::<Self>() + texts.sum::<usize>() + size_of_val(self.after.as_slice())
+    }
+
     /// The resources that a task reserves on a worker; a best-effort task reserves no
     /// processor.
     pub fn reserved(&self) -> Resources {
--- a/src/platform/jobs.rs
+++ b/src/platform/jobs.rs
@@ -2,7 +2,8 @@
 
 use serde::Deserialize;
 
-use crate::jobs::{JobSpec, Recurrence, Resources, Step};
+use super::BoundedList;
+use crate::jobs::{JobSpec, MAX_TASKS, Recurrence, Resources, Step};
 
 /// A job. Fields that are 0, false or empty are omitted on the wire.
 #[derive(Deserialize)]
@@ -10,8 +11,9 @@
     /// Payload that is passed to the tasks unchanged.
     #[serde(default)]
     spec: String,
-    /// Steps of the job.
-    phases: Vec<WireStep>,
+    /// Steps of the job, each with one task at least. An empty one takes a hundred times its
+    /// encoded size.
+    phases: BoundedList<WireStep, MAX_TASKS>,
     #[serde(default)]
     times: u32,
     #[serde(default)]
@@ -66,7 +68,8 @@
 /// Decodes a job.
 ///
 /// # Errors
-/// The body is not JSON, or a field is missing or has a wrong type.
+/// The body is not JSON, a field is missing or has a wrong type, or there are more steps than
+/// a job may have tasks.
 pub fn read_job(body: &[u8]) -> Result<JobSpec, serde_json::Error> {
     let job: WireJob = serde_json::from_slice(body)?;
     let recurrence = (job.times > 0).then_some(Recurrence {
@@ -74,9 +77,11 @@
         start_unix_ms: job.start_at_ms,
         interval_ms: job.interval_ms,
     });
+    let mut steps: Vec<_> = job.phases.0.into_iter().map(read_step).collect();
+    steps.shrink_to_fit();
     Ok(JobSpec {
         payload: job.spec,
-        steps: job.phases.into_iter().map(read_step).collect(),
+        steps,
         recurrence,
     })
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,6 +4,7 @@
 //! encodes outgoing data from them. No other module uses the platform's names.
 
 mod advisor;
+mod bounded_list;
 mod caught_signals;
 mod cell;
 mod client;
@@ -22,6 +23,7 @@
 mod status_page;
 mod workers;
 
+use bounded_list::BoundedList;
 pub use caught_signals::CaughtSignals;
 pub use client::{Client, ClientError};
 pub use configuration::read_configuration;
