Refuse reports and waves that do not fit into a command of the log

Callers and workers saw: after a few reports with many labels no job was accepted, no worker's report acknowledged and nothing started, for good.

Cause: the log drops a command above its limit, and the leader waits for it. Two of them are all that may be in flight. A report of 4 MiB with 1.4 million labels and a wave with as many machines made such a command.

A worker has a kind and a rack as labels: a report with more than 1,024 labels, or with names and labels of more than 64 KiB, is malformed. A wave may take half of a command, enough for 21,000 machines.

Before: control::whole_reports_of_many_labels got no ordinary job accepted within 60 s.

--- a/src/control/node/calls.rs
+++ b/src/control/node/calls.rs
@@ -5,6 +5,7 @@
 use super::held_calls::HeldCall;
 use super::leader_state::Waiter;
 use super::{CallOrigin, Node};
+use crate::consensus::COMMAND_LIMIT_BYTES;
 use crate::control::messages::job_from_path;
 use crate::control::{
     Answer, Call, Change, Configuration, ConfigurationFault, ConfigurationPart, ConfigurationParts,
@@ -14,6 +15,9 @@
 use crate::jobs::{Job, JobId, JobSpec, JobState};
 use crate::model::WorkspaceName;
 
+/// Largest wave, in bytes as it is stored: half of what one command of the log holds.
+const MAX_WAVE_BYTES: usize = COMMAND_LIMIT_BYTES / 2;
+
 impl Node {
     pub(super) fn answer_call(&mut self, now_ms: u64, caller: CallOrigin, call: Call) {
         match call {
@@ -311,6 +315,11 @@
         if self.state.waves().contains_key(&wave.number) {
             return self.answer(&caller, Answer::Done);
         }
+        let size_bytes = crate::codec::encode(&wave).len();
+        if size_bytes > MAX_WAVE_BYTES {
+            let why = format!("the wave takes {size_bytes} bytes: {MAX_WAVE_BYTES} are the most");
+            return self.answer(&caller, Answer::Refused(Refusal::Wrong(why)));
+        }
         let wave = Wave {
             accepted_unix_ms: self.clock.unix_ms(now_ms),
             ..wave
--- a/src/platform/reports.rs
+++ b/src/platform/reports.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 
+use super::BoundedList;
 use crate::control::{Phase, Report};
 use crate::jobs::Resources;
 use crate::model::InstanceName;
@@ -17,7 +18,7 @@
     capacity: WireResources,
     /// The machine's kind, followed by its rack.
     #[serde(default)]
-    labels: Vec<String>,
+    labels: BoundedList<String, MAX_LABELS>,
     machine: Option<String>,
     /// Start of the worker's process, in milliseconds since 1970.
     born: Option<u64>,
@@ -36,6 +37,10 @@
     gpu: u32,
 }
 
+/// Maximum number of labels of a worker, which has a kind and a rack.
+const MAX_LABELS: usize = 1_024;
+/// Maximum size of all names and labels of a worker, which are stored.
+const MAX_TEXT_BYTES: usize = 64 << 10;
 /// Index of the rack among the labels.
 const RACK_LABEL_INDEX: usize = 1;
 
@@ -55,7 +60,8 @@
     if worker.is_empty() {
         return Err("the path names no worker".to_owned());
     }
-    let rack = wire.labels.get(RACK_LABEL_INDEX).cloned();
+    let labels = wire.labels.0;
+    let rack = labels.get(RACK_LABEL_INDEX).cloned();
     let report = Report {
         worker: InstanceName::from(worker),
         machine: wire.machine,
@@ -63,7 +69,7 @@
         address: wire.address,
         zone: wire.zone.into(),
         rack: rack.map(Into::into),
-        labels: wire.labels,
+        labels,
         capacity: Resources {
             cpu_milli: wire.capacity.cpu,
             memory_mb: wire.capacity.mem_mb,
@@ -72,9 +78,26 @@
         phase,
         sequence: wire.seq,
     };
+    let text_bytes = text_bytes(&report);
+    if text_bytes > MAX_TEXT_BYTES {
+        return Err(format!(
+            "names and labels have {text_bytes} bytes: {MAX_TEXT_BYTES} are the most"
+        ));
+    }
     Ok((wire.born, report))
 }
 
+fn text_bytes(report: &Report) -> usize {
+    let names = [
+        report.worker.as_str(),
+        report.machine.as_deref().unwrap_or_default(),
+        report.pool.as_str(),
+        report.zone.as_str(),
+    ];
+    let labels = report.labels.iter().map(String::as_str);
+    names.into_iter().chain(labels).map(str::len).sum()
+}
+
 /// Returns the start time of a worker's process that a departure says, if it says one.
 pub(super) fn read_leave(body: &[u8]) -> Option<u64> {
     serde_json::from_slice::<WireLeave>(body)
