Account for what clients make a process hold, on all of its listeners

Callers saw: an instance that ran out of memory under clients that each stayed within the limits: many large bodies at once, whole, piece by piece or up to the last byte but one, in large chunks or in chunks of one byte.

Cause: each body was collected for itself, up to the limit of its listener, and nothing counted the bodies of a listener or of a process together. The parts of a body were kept one by one, each with the read buffer that it came in. A job was decoded whole, and held until its answer also if its caller had left. Bytes behind an open request piled up in the kernel. The listeners for health checks and metrics collected bodies that they ignore, on places outside the budget of descriptors. An answer that was not read was held for ever.

Every listener now takes from one account, `Intake`. The place of a connection covers its buffers, its unread bytes, which the size of the receive buffer bounds, and a request of ordinary size, so that these are served whatever else is held. What a request holds beyond is counted by its `Hold`: the one buffer of its body as it grows, what is decoded from it, and a configuration that is read back until it is sent. The hold goes with the call into the queue of the event loop and is given back at the answer. What does not fit is refused with 503 and has had no effect. Under a shortage the client that has stalled for longest is evicted. A body over the limit is refused as soon as its head says so, and the rest is discarded for a second, so that the refusal is not lost in a reset. An entry instance checks a job before it sends it on; a longer timeout than 10 minutes is shortened.

Half of the memory is for connections, a quarter for their requests. Links, log and state take from neither.

--- a/src/cmd/measure_lead.rs
+++ b/src/cmd/measure_lead.rs
@@ -238,7 +238,7 @@
         version: 1,
         queues: (0..POOLS).map(queue).collect(),
         pools,
-        document: Vec::new(),
+        document: Default::default(),
         access: None,
     }
 }
--- a/src/control/configurations/configuration.rs
+++ b/src/control/configurations/configuration.rs
@@ -1,4 +1,5 @@
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
@@ -28,7 +29,7 @@
     pub pools: BTreeMap<PoolName, bool>,
     /// The document as it was sent.
     #[debug("{} bytes", document.len())]
-    pub document: Vec<u8>,
+    pub document: Arc<Vec<u8>>,
     /// Who may call which queue; `None` if the deployment has no workspaces and anyone may
     /// call every queue.
     #[serde(with = "no_access")]
--- a/src/control/node/calls.rs
+++ b/src/control/node/calls.rs
@@ -70,7 +70,7 @@
             Call::ConfigureParts(parts) => self.configure_parts(now_ms, caller, &parts),
             Call::ReadConfiguration => {
                 let answer = match self.state.configuration() {
-                    Some(c) => Answer::Configuration(Arc::new(c.document.clone())),
+                    Some(c) => Answer::Configuration(Arc::clone(&c.document)),
                     None => Answer::Refused(Refusal::NoConfiguration),
                 };
                 self.answer(&caller, answer);
--- a/src/control/runtime/call_bridge.rs
+++ b/src/control/runtime/call_bridge.rs
@@ -5,6 +5,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::control::{Answer, Call, Metrics, QuorumStatus};
+use crate::intake::Hold;
 use crate::model::EntryName;
 
 /// Connects an instance's listeners with its event loop: listeners submit calls and await
@@ -43,7 +44,14 @@
 #[derive(Debug, Default)]
 struct OpenCalls {
     next_id: u64,
-    answers: HashMap<u64, oneshot::Sender<Answer>>,
+    answers: HashMap<u64, OpenCall>,
+}
+
+#[derive(Debug)]
+struct OpenCall {
+    caller: oneshot::Sender<(Answer, Hold)>,
+    /// What the call makes the process hold until it is answered, also if its caller leaves.
+    hold: Hold,
 }
 
 impl CallBridge {
@@ -66,15 +74,16 @@
         (Arc::new(bridge), rx)
     }
 
-    /// Submits a call and waits for its answer.
-    pub async fn call(&self, call: Call, patience_ms: u64) -> Answer {
+    /// Submits a call and waits for its answer. Returns also what the call holds; `None` if
+    /// that is gone, because the instance ends.
+    pub async fn call(&self, call: Call, patience_ms: u64, hold: Hold) -> (Answer, Option<Hold>) {
         let began = Instant::now();
         let (tx, rx) = oneshot::channel();
         let id = {
             let mut open = lock(&self.open);
             open.next_id += 1;
             let id = open.next_id;
-            open.answers.insert(id, tx);
+            open.answers.insert(id, OpenCall { caller: tx, hold });
             id
         };
         let incoming = Incoming {
@@ -83,19 +92,23 @@
             patience_ms,
         };
         if self.calls.send(incoming).is_err() {
-            return Answer::Unknown;
+            return (Answer::Unknown, None);
         }
         // The loop ends without an answer only when the process ends.
-        let answer = rx.await.unwrap_or(Answer::Unknown);
+        let (answer, hold) = match rx.await {
+            Ok((answer, hold)) => (answer, Some(hold)),
+            Err(_) => (Answer::Unknown, None),
+        };
         self.metrics
             .record_answer(&answer, began.elapsed().as_secs_f64());
-        answer
+        (answer, hold)
     }
 
     /// Answers a call. Its caller may have left already.
     pub fn answer(&self, id: u64, answer: Answer) {
-        if let Some(waiting) = lock(&self.open).answers.remove(&id)
-            && waiting.send(answer).is_err()
+        let open = lock(&self.open).answers.remove(&id);
+        if let Some(OpenCall { caller, hold }) = open
+            && caller.send((answer, hold)).is_err()
         {
             tracing::debug!(id, "calls: the caller left before its answer");
         }
@@ -113,9 +126,9 @@
                 "calls: open calls are given up at a planned stop"
             );
         }
-        for caller in waiting.into_values() {
+        for OpenCall { caller, hold } in waiting.into_values() {
             // A caller that left needs no answer.
-            let _ = caller.send(Answer::Unknown);
+            let _ = caller.send((Answer::Unknown, hold));
         }
     }
 
--- a/src/control/runtime/connection_budget.rs
+++ b/src/control/runtime/connection_budget.rs
@@ -1,4 +1,4 @@
-//! Divides the file descriptors of an instance among its kinds of connections.
+//! Divides the file descriptors and the memory of an instance among its kinds of connections.
 //!
 //! Links, callers and calls to workers share one descriptor table. With independent limits,
 //! their sum may exceed the table, and a surge of callers would leave no descriptor for the
@@ -10,18 +10,36 @@
 
 use tokio::sync::Semaphore;
 
+use crate::http::REFUSALS_MAX;
+use crate::intake::{Intake, ORDINARY_REQUEST_BYTES};
 use crate::link::LinkLimits;
 use crate::places::Places;
 
+/// Places of the load balancer's health checks, and of those who read the metrics.
+const SERVICE_CONNECTIONS: usize = 32;
+/// Listeners for callers, health checks and metrics.
+const LISTENERS: usize = 3;
 /// Descriptors that are reserved for everything else: listeners, the log and snapshots, the
 /// runtime, calls to the machine manager and the advisor, and what the system itself
 /// reserves.
-const RESERVED_FILES: usize = 320;
+const RESERVED_FILES: usize = 256 + 2 * SERVICE_CONNECTIONS + LISTENERS * REFUSALS_MAX;
 /// Kinds that need few connections get one share in this many.
 const SMALL_SHARE_DIVISOR: usize = 16;
-/// Memory that a caller's connection takes at most, for the buffer of its request head and
-/// its task.
-const MAX_CALLER_CONNECTION_BYTES: usize = 24 * 1024;
+/// Memory that a caller's connection takes at most beside its unread bytes: the buffer of its
+/// request head, its task, and a request of ordinary size.
+const MAX_CALLER_CONNECTION_BYTES: usize = (24 << 10) + ORDINARY_REQUEST_BYTES;
+/// Unread bytes of a caller's connection at an entry instance.
+const ENTRY_UNREAD_BYTES: usize = 32 << 10;
+/// Unread bytes of a connection at a control instance. Reports and configurations are larger
+/// than jobs, and have to arrive within a second from any zone.
+const CONTROL_UNREAD_BYTES: usize = 64 << 10;
+/// Part of the memory that callers' connections may take.
+const CONNECTIONS_DIVISOR: usize = 2;
+/// Part of the memory that callers' requests may take beside that. The rest belongs to the
+/// links, the log and the state.
+const REQUESTS_DIVISOR: usize = 4;
+/// Memory for callers' requests if the settings name no limit.
+const DEFAULT_REQUEST_BYTES: usize = 64 << 20;
 
 /// The resource limits of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,6 +61,10 @@
     pub incoming: usize,
     /// Incoming connections of callers, workers and operators.
     pub callers: usize,
+    /// Unread bytes of each of them.
+    pub unread_bytes: usize,
+    /// Memory for their requests, in bytes, beside what each connection may take.
+    pub request_bytes: usize,
     /// Outgoing connections to workers.
     pub workers: usize,
     /// Connections that incoming links, callers and workers may use in addition to their
@@ -59,8 +81,14 @@
     pub incoming: Places,
     /// Permits for callers.
     pub callers: Places,
+    /// Permits for health checks.
+    pub health: Places,
+    /// Permits for those who read the metrics.
+    pub metrics: Places,
     /// Permits for connections to workers.
     pub workers: Places,
+    /// The account of what callers make the instance hold.
+    pub intake: Arc<Intake>,
 }
 
 impl ConnectionBudget {
@@ -73,7 +101,9 @@
             unproved: small_share,
             outgoing: small_share,
             incoming: small_share,
-            callers: grant.callers(small_share),
+            callers: grant.callers(small_share, CONTROL_UNREAD_BYTES),
+            unread_bytes: CONTROL_UNREAD_BYTES,
+            request_bytes: grant.request_bytes(),
             workers: files / 2,
             shared: files / 2 - 4 * small_share,
         }
@@ -87,7 +117,9 @@
             unproved: small_share,
             outgoing: small_share,
             incoming: small_share,
-            callers: grant.callers(files - 3 * small_share),
+            callers: grant.callers(files - 3 * small_share, ENTRY_UNREAD_BYTES),
+            unread_bytes: ENTRY_UNREAD_BYTES,
+            request_bytes: grant.request_bytes(),
             workers: 0,
             shared: 0,
         }
@@ -103,7 +135,10 @@
             },
             incoming: Places::sharing(self.incoming, &shared),
             callers: Places::sharing(self.callers, &shared),
+            health: Places::only(SERVICE_CONNECTIONS),
+            metrics: Places::only(SERVICE_CONNECTIONS),
             workers: Places::sharing(self.workers, &shared),
+            intake: Intake::new(self.request_bytes),
         }
     }
 }
@@ -115,12 +150,18 @@
         files.clamp(2 * SMALL_SHARE_DIVISOR, Semaphore::MAX_PERMITS)
     }
 
-    /// Returns `wanted`, or the number of connections that fit into half of the memory if
-    /// that is less.
-    fn callers(self, wanted: usize) -> usize {
+    /// Returns `wanted`, or the number of connections that fit into their part of the memory
+    /// if that is less.
+    fn callers(self, wanted: usize, unread_bytes: usize) -> usize {
+        let connection_bytes = MAX_CALLER_CONNECTION_BYTES + unread_bytes;
         let fit = self
             .memory_bytes
-            .map(|bytes| bytes / 2 / MAX_CALLER_CONNECTION_BYTES);
+            .map(|bytes| bytes / CONNECTIONS_DIVISOR / connection_bytes);
         fit.map_or(wanted, |fit| wanted.min(fit).max(1))
     }
+
+    fn request_bytes(self) -> usize {
+        self.memory_bytes
+            .map_or(DEFAULT_REQUEST_BYTES, |bytes| bytes / REQUESTS_DIVISOR)
+    }
 }
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -5,7 +5,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 use super::{Effect, Event, Node, NodeSettings, PeerFrame};
 use crate::consensus::Recovered;
@@ -13,6 +13,7 @@
     Callers, HealthBoard, HttpServer, Limits, OperatorKeys, Operators, Outgoing, OutgoingError,
     Upstreams,
 };
+use crate::intake::Intake;
 use crate::link::{Directory, LinkError, LinkLimits, Links, LinksConfig, PeerClass, PeerKey};
 use crate::model::EntryName;
 use crate::places::Places;
@@ -25,6 +26,13 @@
 /// Events processed before the time is checked again.
 const MAX_EVENTS_PER_BATCH: usize = 256;
 
+/// Connections that each listener has for itself, and those that all of them share. Together
+/// with [`REQUEST_BYTES`] they keep the memory for clients below 192 MiB.
+const OWN_CONNECTIONS: usize = 256;
+const SHARED_CONNECTIONS: usize = 1_280;
+/// Memory for the requests of all clients, beside what their connections take.
+const REQUEST_BYTES: usize = 64 << 20;
+
 /// Error that keeps an entry instance from starting or ends it.
 #[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
 pub enum DriverError {
@@ -136,17 +144,18 @@
         })?;
         let (stop_callers, callers_stopped) = watch::channel(false);
         let (stop_all, all_stopped) = watch::channel(false);
+        let intakes = Intakes::new();
         let http = serve_http(vec![
             (
-                server("callers", listeners.callers, callers.handler()),
+                intakes.server("callers", listeners.callers, callers.handler()),
                 callers_stopped,
             ),
             (
-                server("upstreams", listeners.upstreams, upstreams.handler()),
+                intakes.server("upstreams", listeners.upstreams, upstreams.handler()),
                 all_stopped.clone(),
             ),
             (
-                server("operators", listeners.operators, operators.handler()),
+                intakes.server("operators", listeners.operators, operators.handler()),
                 all_stopped,
             ),
         ])?;
@@ -206,8 +215,30 @@
     Ok(tx)
 }
 
-fn server(name: &'static str, listener: TcpListener, handler: crate::http::Handler) -> HttpServer {
-    HttpServer::new(name, listener, Limits::default(), handler)
+/// The places and the account that the three listeners share.
+struct Intakes {
+    intake: Arc<Intake>,
+    shared: Arc<Semaphore>,
+}
+
+impl Intakes {
+    fn new() -> Self {
+        Self {
+            intake: Intake::new(REQUEST_BYTES),
+            shared: Arc::new(Semaphore::new(SHARED_CONNECTIONS)),
+        }
+    }
+
+    fn server(
+        &self,
+        name: &'static str,
+        listener: TcpListener,
+        handler: crate::http::Handler,
+    ) -> HttpServer {
+        HttpServer::new(name, listener, Limits::default(), handler)
+            .with_places(Places::sharing(OWN_CONNECTIONS, &self.shared))
+            .with_intake(&self.intake)
+    }
 }
 
 fn serve_http(
--- a/src/http/callers.rs
+++ b/src/http/callers.rs
@@ -54,16 +54,20 @@
         })
     }
 
-    async fn handle(&self, incoming: Incoming) -> Reply {
-        let path = incoming.head.uri.path();
-        let method = &incoming.head.method;
-        if (method, path) == (&Method::GET, "/health") {
+    async fn handle(&self, mut incoming: Incoming) -> Reply {
+        let path = incoming.head.uri.path().to_owned();
+        let method = &incoming.head.method.clone();
+        if (method, path.as_str()) == (&Method::GET, "/health") {
             return self.health.reply();
         }
         let job = path.strip_prefix("/job/").map(str::to_owned);
         match (method, path.strip_prefix("/call/"), job) {
             (&Method::POST, Some(service), _) => match parse_call(service, &incoming) {
-                Ok(call) => self.ask(|id| Event::Call { id, call }).await,
+                Ok(call) => {
+                    // The call has a copy of its own, which `hold` counts until the answer.
+                    incoming.body.clear();
+                    self.ask(|id| Event::Call { id, call }).await
+                }
                 Err(message) => bad_request(&message),
             },
             (&Method::GET, _, Some(job)) => self.ask(|id| Event::JobQuery { id, job }).await,
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -4,24 +4,26 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::StatusCode;
 use http::request::Parts;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming as Body;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use prometheus::core::Collector;
-use prometheus::{IntCounter, Opts};
+use prometheus::{IntCounter, IntCounterVec, Opts};
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, watch};
 use tokio::time::timeout;
 
 use super::Limits;
-use super::reply::{Reply, set, text};
+use super::client_stream::ClientStream;
+use super::receive::{no_room, receive};
+use super::reply::Reply;
+use crate::intake::{Client, Hold, Intake, Shortage};
 use crate::places::Places;
 
 /// A whole request.
@@ -31,15 +33,22 @@
     pub head: Parts,
     /// Its body.
     pub body: Bytes,
+    /// What it makes the process hold.
+    pub hold: Hold,
 }
 
 impl Incoming {
     /// A header's text, if it is there and is text.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.head.headers.get(name)?.to_str().ok()
+        text_header(&self.head, name)
     }
 }
 
+/// A header's text, if it is there and is text.
+pub fn text_header<'a>(head: &'a Parts, name: &str) -> Option<&'a str> {
+    head.headers.get(name)?.to_str().ok()
+}
+
 /// What answers requests. The future is dropped when the peer goes away first.
 pub type Handler =
     Arc<dyn Fn(Incoming) -> Pin<Box<dyn Future<Output = Reply> + Send>> + Send + Sync>;
@@ -58,29 +67,46 @@
 
 /// One listener and its handler.
 pub struct HttpServer {
-    /// For logs.
-    name: &'static str,
     /// Where it listens.
     listener: TcpListener,
+    /// How its connections are served.
+    service: Service,
+}
+
+/// How the connections of a listener are served.
+struct Service {
+    /// For logs.
+    name: &'static str,
     /// What it lets in.
     limits: Limits,
     /// What answers.
     handler: Handler,
     /// Places for connections.
     places: Places,
+    /// What its clients make the process hold, together with those of other listeners.
+    intake: Arc<Intake>,
     /// Connections that were refused.
     refused: IntCounter,
+    /// Requests whose body was refused, by the reason.
+    refused_bodies: IntCounterVec,
 }
 
-/// Connections that are being told that there is no room, at once; further ones are reset.
-const REFUSALS_MAX: usize = 64;
-/// When a caller that found no room may come again, in seconds.
-const REFUSED_RETRY_S: &str = "1";
-/// How long a connection without room has for its request and answer.
+/// Connections that wait for a place or are being told that there is none; further ones are
+/// reset.
+pub const REFUSALS_MAX: usize = 32;
+/// How long a connection without a place has to get one, or to send its request and take the
+/// refusal.
 const REFUSAL: Duration = Duration::from_secs(1);
+/// How long an evicted client has to take an answer.
+const EVICTION: Duration = Duration::from_millis(100);
+/// Memory for requests of a server that shares no account with others.
+const REQUEST_BYTES: usize = 64 << 20;
+/// The kernel doubles the size that is set, for its own overhead.
+const KERNEL_BUFFER_FACTOR: usize = 2;
 
 impl HttpServer {
-    /// A server with a name for logs and metrics. It has as many places as its limits say.
+    /// A server with a name for logs and metrics. It has as many places as its limits say,
+    /// and an account of its own.
     pub fn new(
         name: &'static str,
         listener: TcpListener,
@@ -92,35 +118,58 @@
             "Connections that were refused, as all were taken",
         );
         let refused = refused.const_label("listener", name);
-        Self {
+        let refused_bodies = Opts::new(
+            "rosemarygauge_bodies_refused_total",
+            "Requests whose body was refused, by the reason",
+        );
+        let refused_bodies = refused_bodies.const_label("listener", name);
+        let service = Service {
             name,
-            listener,
             places: Places::only(limits.connections),
+            intake: Intake::new(REQUEST_BYTES),
             limits,
             handler,
             refused: IntCounter::with_opts(refused).expect("a plain name and label"),
-        }
+            refused_bodies: IntCounterVec::new(refused_bodies, &["reason"])
+                .expect("a plain name and label"),
+        };
+        Self { listener, service }
     }
 
     /// The same server with other places.
-    pub fn with_places(self, places: Places) -> Self {
-        Self { places, ..self }
+    pub fn with_places(mut self, places: Places) -> Self {
+        self.service.places = places;
+        self
+    }
+
+    /// The same server with an account that it may share with other listeners.
+    pub fn with_intake(mut self, intake: &Arc<Intake>) -> Self {
+        self.service.intake = Arc::clone(intake);
+        self
     }
 
     /// What a registry takes.
     pub fn collectors(&self) -> Vec<Box<dyn Collector>> {
-        vec![Box::new(self.refused.clone())]
+        vec![
+            Box::new(self.service.refused.clone()),
+            Box::new(self.service.refused_bodies.clone()),
+        ]
     }
 
     /// Serves until `stop` turns true, then takes no more connections, lets open
     /// requests end and returns.
     pub async fn run(self, mut stop: watch::Receiver<bool>) {
-        let Ok(listener) = self
-            .listener
+        let Self { listener, service } = self;
+        let service = Arc::new(service);
+        let buffer_bytes = service.limits.unread_bytes / KERNEL_BUFFER_FACTOR;
+        if let Err(err) = set_socket_recv_buffer_size(&listener, buffer_bytes) {
+            tracing::warn!(%err, listener = service.name, "http: unread bytes are not bounded");
+        }
+        let Ok(listener) = listener
             .set_nonblocking(true)
-            .and_then(|()| tokio::net::TcpListener::from_std(self.listener))
+            .and_then(|()| tokio::net::TcpListener::from_std(listener))
         else {
-            tracing::error!("http: the {} listener cannot be used", self.name);
+            tracing::error!("http: the {} listener cannot be used", service.name);
             return;
         };
         let refusals = Arc::new(Semaphore::new(REFUSALS_MAX));
@@ -131,58 +180,78 @@
                 _ = stop.wait_for(|stop| *stop) => break,
             };
             match accepted {
-                Ok((stream, _)) => match self.places.try_take() {
+                Ok((stream, _)) => match service.places.try_take() {
                     Some(place) => {
-                        let handler = Arc::clone(&self.handler);
-                        let served = connection(stream, self.limits, handler, stop.clone());
-                        open.spawn(async move {
-                            served.await;
-                            drop(place);
-                        });
+                        let client = service
+                            .intake
+                            .open(Instant::now(), service.name, Some(place));
+                        open.spawn(connection(
+                            stream,
+                            client,
+                            Arc::clone(&service),
+                            stop.clone(),
+                        ));
                     }
                     None => {
-                        self.refused.inc();
-                        tracing::info!(
-                            listener = self.name,
-                            "http: a connection is refused, all are taken"
-                        );
                         if let Ok(permit) = Arc::clone(&refusals).try_acquire_owned() {
-                            let refusal = connection(stream, self.limits, no_room(), stop.clone());
+                            let late = late_connection(stream, Arc::clone(&service), stop.clone());
                             open.spawn(async move {
-                                // It is refused either way; its caller may be too slow to hear.
-                                let _ = timeout(REFUSAL, refusal).await;
+                                late.await;
                                 drop(permit);
                             });
+                        } else {
+                            service.count_refused_connection();
                         }
                     }
                 },
                 Err(err) => {
                     // Out of descriptors, most likely: going on at once would spin.
-                    tracing::warn!("http: accept on {} failed: {err}", self.name);
+                    tracing::warn!("http: accept on {} failed: {err}", service.name);
                     tokio::time::sleep(Duration::from_millis(50)).await;
                 }
             }
             while open.try_join_next().is_some() {}
         }
         for stream in waiting(listener) {
-            let handler = Arc::clone(&self.handler);
-            open.spawn(connection(stream, self.limits, handler, stop.clone()));
+            let client = service.intake.open(Instant::now(), service.name, None);
+            open.spawn(connection(
+                stream,
+                client,
+                Arc::clone(&service),
+                stop.clone(),
+            ));
         }
         while open.join_next().await.is_some() {}
     }
 }
 
-/// Tells a caller that there is no room for its connection.
-fn no_room() -> Handler {
-    Arc::new(|_| {
-        Box::pin(async {
-            let line = "no room for another connection; nothing was done: come again\n";
-            let mut reply = text(StatusCode::SERVICE_UNAVAILABLE, line);
-            set(&mut reply, "retry-after", REFUSED_RETRY_S);
-            set(&mut reply, "connection", "close");
-            reply
-        })
-    })
+impl Service {
+    fn count_refused_connection(&self) {
+        self.refused.inc();
+        tracing::info!(
+            listener = self.name,
+            "http: a connection is refused, all are taken"
+        );
+    }
+}
+
+/// Serves a connection for which there was no place once a stalled client has made room, or
+/// tells its caller that there is none.
+async fn late_connection(stream: TcpStream, service: Arc<Service>, stop: watch::Receiver<bool>) {
+    let shortage = Shortage::Places(service.name);
+    let place = match service.intake.evict(Instant::now(), shortage) {
+        true => timeout(REFUSAL, service.places.take()).await.ok(),
+        false => None,
+    };
+    let is_refused = place.is_none();
+    let client = service.intake.open(Instant::now(), service.name, place);
+    if !is_refused {
+        return connection(stream, client, service, stop).await;
+    }
+    client.discard();
+    service.count_refused_connection();
+    // It is refused either way; its caller may be too slow to hear.
+    let _ = timeout(REFUSAL, connection(stream, client, service, stop)).await;
 }
 
 /// How long a connection that was taken just before a stop has for its first request,
@@ -211,27 +280,37 @@
 
 async fn connection(
     stream: TcpStream,
-    limits: Limits,
-    handler: Handler,
+    client: Arc<Client>,
+    service: Arc<Service>,
     mut stop: watch::Receiver<bool>,
 ) {
     let _ = stream.set_nodelay(true);
+    let limits = service.limits;
+    let stream = ClientStream::new(stream, Arc::clone(&client), limits.write_timeout);
     let begun = Arc::new(AtomicBool::new(false));
     let first = Arc::clone(&begun);
-    let service = service_fn(move |request: http::Request<Body>| {
+    let requests = Arc::clone(&client);
+    let answers = service_fn(move |request: http::Request<Body>| {
         first.store(true, Ordering::Relaxed);
-        let handler = Arc::clone(&handler);
-        async move { Ok::<_, Infallible>(answer(request, limits, handler).await) }
+        let (service, client) = (Arc::clone(&service), Arc::clone(&requests));
+        async move { Ok::<_, Infallible>(answer(request, &service, &client).await) }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.head_bytes.max(8192))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(stream), answers);
     let mut conn = std::pin::pin!(conn);
-    tokio::select! {
+    let is_evicted = tokio::select! {
         _ = conn.as_mut() => return,
-        _ = stop.wait_for(|stop| *stop) => {}
+        () = client.evicted() => true,
+        _ = stop.wait_for(|stop| *stop) => false,
+    };
+    if is_evicted {
+        conn.as_mut().graceful_shutdown();
+        // Its room is needed, whether it takes an answer or not.
+        let _ = timeout(EVICTION, conn).await;
+        return;
     }
     if !begun.load(Ordering::Relaxed) && timeout(FIRST_REQUEST, conn.as_mut()).await.is_ok() {
         return;
@@ -242,24 +321,30 @@
     let _ = conn.await;
 }
 
-async fn answer(request: http::Request<Body>, limits: Limits, handler: Handler) -> Reply {
+async fn answer(request: http::Request<Body>, service: &Service, client: &Arc<Client>) -> Reply {
     let (head, body) = request.into_parts();
-    let body = Limited::new(body, limits.body_bytes).collect();
-    match timeout(limits.body_timeout, body).await {
-        Ok(Ok(body)) => {
-            let body = body.to_bytes();
-            handler(Incoming { head, body }).await
+    if client.discards() {
+        return no_room("connection");
+    }
+    let mut hold = client.hold();
+    match receive(body, &service.limits, &mut hold).await {
+        Ok(body) => {
+            client.set_served(Instant::now(), true);
+            let reply = (service.handler)(Incoming { head, body, hold }).await;
+            client.set_served(Instant::now(), false);
+            reply
+        }
+        Err(fault) => {
+            service
+                .refused_bodies
+                .with_label_values(&[&fault.to_string()])
+                .inc();
+            tracing::info!(
+                listener = service.name, %fault, held_bytes = service.intake.held_bytes(),
+                "http: a request's body is refused"
+            );
+            client.discard();
+            fault.reply(&service.limits)
         }
-        Ok(Err(_)) => text(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            format!(
-                "body: cut short or over {} bytes: send a whole, smaller one\n",
-                limits.body_bytes
-            ),
-        ),
-        Err(_) => text(
-            StatusCode::REQUEST_TIMEOUT,
-            "body: did not come in time: send it again\n",
-        ),
     }
 }
--- a/src/lab/workload.rs
+++ b/src/lab/workload.rs
@@ -105,7 +105,7 @@
             version: 1,
             queues: self.queues.iter().map(Self::queue).collect(),
             pools,
-            document: Vec::new(),
+            document: Default::default(),
             access: None,
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod control;
 pub mod entry;
 pub mod http;
+pub mod intake;
 pub mod jobs;
 pub mod lab;
 pub mod link;
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -1,5 +1,7 @@
 //! Decoding of the configurations that operators submit.
 
+use std::sync::Arc;
+
 use secrecy::SecretString;
 use serde::Deserialize;
 
@@ -101,7 +103,7 @@
         access,
         queues: wire.routes.into_iter().map(read_queue).collect(),
         pools: pools.map(|p| (PoolName::from(p.name), p.standby)).collect(),
-        document: document.to_vec(),
+        document: Arc::new(document.to_vec()),
     })
 }
 
--- a/src/platform/control_calls.rs
+++ b/src/platform/control_calls.rs
@@ -6,16 +6,21 @@
 use serde::Deserialize;
 use serde_json::json;
 
-use super::replies::{refused, success, unknown_outcome};
+use super::replies::{no_room, refused, success, unknown_outcome};
 use super::reports::read_leave;
 use super::{Settings, read_configuration, read_report};
 use crate::control::{Answer, Call, CallBridge, Refusal, Wave};
 use crate::http::{Handler, Incoming, Reply, handler, text, with_type};
+use crate::intake::Hold;
 use crate::model::InstanceName;
 
 /// Timeout of a call. Workers and operators stop waiting for an answer after a second.
 const CALL_TIMEOUT_MS: u64 = 900;
 
+/// Forms in which a configuration is held until it is answered: its document, decoded, encoded,
+/// and in parts for the log.
+const CONFIGURATION_FORMS: usize = 4;
+
 /// A wave as an operator submits it.
 #[derive(Deserialize)]
 struct WireWave {
@@ -45,8 +50,13 @@
     }
 
     async fn answer(self: Arc<Self>, incoming: Incoming) -> Reply {
-        let path = incoming.head.uri.path();
-        let call = match parse_call(&incoming.head.method, path, &incoming.body) {
+        let Incoming {
+            head,
+            body,
+            mut hold,
+        } = incoming;
+        let path = head.uri.path();
+        let call = match parse_call(&head.method, path, &body) {
             Ok(Some(call)) => call,
             Ok(None) => return text(StatusCode::NOT_FOUND, "no such call\n"),
             Err(why) => {
@@ -54,14 +64,21 @@
                 return refused(&Refusal::Wrong(why), StatusCode::NOT_FOUND);
             }
         };
+        drop(body);
+        if !hold.resize(held_bytes(&call)) {
+            return no_room(path);
+        }
         let reporter = reporter(&call);
-        match self.bridge.call(call, CALL_TIMEOUT_MS).await {
+        let (answer, hold) = self.bridge.call(call, CALL_TIMEOUT_MS, hold).await;
+        match answer {
             Answer::Done => reporter.map_or_else(|| success(&json!({})), |w| self.report_reply(&w)),
-            Answer::Configuration(document) => with_type(
-                StatusCode::OK,
-                "application/json",
-                Bytes::from(document.to_vec()),
-            ),
+            Answer::Configuration(document) => match HeldDocument::new(document, hold) {
+                Some(held) => {
+                    let body = Bytes::from_owner(held);
+                    with_type(StatusCode::OK, "application/json", body)
+                }
+                None => no_room(path),
+            },
             Answer::Wave { completed: true } => success(&json!({ "state": "completed" })),
             Answer::Wave { completed: false } => success(&json!({ "state": "running" })),
             Answer::Refused(refusal) => refused(&refusal, StatusCode::NOT_FOUND),
@@ -86,6 +103,52 @@
     }
 }
 
+/// A document that is counted until it has been sent.
+struct HeldDocument {
+    document: Arc<Vec<u8>>,
+    _hold: Hold,
+}
+
+impl HeldDocument {
+    /// Returns `None` if there is no memory for it.
+    fn new(document: Arc<Vec<u8>>, hold: Option<Hold>) -> Option<Self> {
+        let mut hold = hold?;
+        let fits = hold.resize(document.len());
+        fits.then_some(Self {
+            document,
+            _hold: hold,
+        })
+    }
+}
+
+impl AsRef<[u8]> for HeldDocument {
+    fn as_ref(&self) -> &[u8] {
+        &self.document
+    }
+}
+
+/// Returns what a call holds until it is answered, in bytes.
+fn held_bytes(call: &Call) -> usize {
+    match call {
+        Call::Configure(configuration) => CONFIGURATION_FORMS * configuration.document.len(),
+        Call::StartWave(wave) => wave
+            .machines
+            .iter()
+            .map(|m| size_of::<String>() + m.len())
+            .sum(),
+        Call::Since { call, .. } | Call::Authorized { call, .. } => held_bytes(call),
+        // Their size is within that of an ordinary request, or bounded when they are decoded.
+        Call::Report(_)
+        | Call::Submit { .. }
+        | Call::Look { .. }
+        | Call::Cancel { .. }
+        | Call::Leave { .. }
+        | Call::ReadConfiguration
+        | Call::LookAtWave { .. }
+        | Call::ConfigureParts(_) => 0,
+    }
+}
+
 /// Returns the worker whose report a call is.
 fn reporter(call: &Call) -> Option<InstanceName> {
     match call {
--- a/src/platform/entry_calls.rs
+++ b/src/platform/entry_calls.rs
@@ -7,10 +7,10 @@
 use serde_json::json;
 
 use super::read_job;
-use super::replies::{refused, success, unknown_outcome};
-use crate::control::{Answer, Call, CallBridge, Credentials, KeyDigest, Place, outcome};
-use crate::http::{Handler, Incoming, Reply, handler, text};
-use crate::jobs::JobState;
+use super::replies::{no_room, refused, success, unknown_outcome};
+use crate::control::{Answer, Call, CallBridge, Credentials, KeyDigest, Place, Refusal, outcome};
+use crate::http::{Handler, Incoming, Reply, handler, text, text_header};
+use crate::jobs::{JobSpec, JobState};
 
 /// Header with the caller's id of a request, which is logged.
 const REQUEST_HEADER: &str = "request-id";
@@ -20,6 +20,11 @@
 const KEY_SCHEME: &str = "Bearer";
 /// Timeout of a caller that sends none: the shortest timeout that queues usually allow.
 const DEFAULT_TIMEOUT_MS: u64 = 2_500;
+/// Longest timeout that a caller may ask for; a longer one is shortened to it.
+const MAX_TIMEOUT_MS: u64 = 600_000;
+/// Forms in which a job is held until it is answered: as decoded, and as encoded for its link,
+/// which is smaller.
+const FORMS: usize = 2;
 /// Part of the caller's timeout that is reserved for the transfer of the answer.
 const ANSWER_RESERVE_MS: u64 = 150;
 
@@ -40,14 +45,16 @@
         handler(Arc::new(self), Self::answer)
     }
 
-    async fn answer(self: Arc<Self>, incoming: Incoming) -> Reply {
+    async fn answer(self: Arc<Self>, mut incoming: Incoming) -> Reply {
         let patience_ms = incoming
             .header(DEADLINE_HEADER)
             .and_then(|text| text.parse::<u64>().ok())
             .unwrap_or(DEFAULT_TIMEOUT_MS);
         let patience_ms = patience_ms
+            .min(MAX_TIMEOUT_MS)
             .saturating_sub(ANSWER_RESERVE_MS)
             .max(ANSWER_RESERVE_MS);
+        let mut fault = None;
         let place = Place {
             host: host(&incoming),
             path: incoming.head.uri.path().to_owned(),
@@ -56,7 +63,16 @@
         let call = match method {
             Method::POST => Call::Submit {
                 place,
-                spec: read_spec(&incoming.body),
+                spec: match read_spec(&incoming.body) {
+                    Ok(spec) if incoming.hold.resize(FORMS * spec.memory_bytes()) => {
+                        Some(Arc::new(spec))
+                    }
+                    Ok(_) => return no_room(incoming.head.uri.path()),
+                    Err(why) => {
+                        fault = Some(why);
+                        None
+                    }
+                },
             },
             Method::GET => Call::Look { place },
             Method::DELETE => Call::Cancel { place },
@@ -70,9 +86,15 @@
             },
         };
         let began = Instant::now();
-        let answer = self.bridge.call(call, patience_ms).await;
+        incoming.body.clear();
+        let Incoming { head, hold, .. } = incoming;
+        let (answer, _hold) = self.bridge.call(call, patience_ms, hold).await;
+        let answer = match (answer, fault) {
+            (Answer::Refused(Refusal::Wrong(_)), Some(why)) => Answer::Refused(Refusal::Wrong(why)),
+            (answer, _) => answer,
+        };
         tracing::info!(
-            request = incoming.header(REQUEST_HEADER), %method, path = incoming.head.uri.path(),
+            request = text_header(&head, REQUEST_HEADER), %method, path = head.uri.path(),
             outcome = outcome(&answer), patience_ms, took_ms = began.elapsed().as_millis() as u64,
             "call: answered"
         );
@@ -80,14 +102,12 @@
     }
 }
 
-fn read_spec(body: &[u8]) -> Option<Arc<crate::jobs::JobSpec>> {
-    match read_job(body) {
-        Ok(spec) => Some(Arc::new(spec)),
-        Err(err) => {
-            tracing::info!(%err, "entry: cannot decode a job");
-            None
-        }
-    }
+/// Decodes and checks a job, so that none is sent on that the leader refuses for its size.
+fn read_spec(body: &[u8]) -> Result<JobSpec, String> {
+    let spec = read_job(body).map_err(|err| err.to_string());
+    let spec = spec.and_then(|spec| spec.check().map(|()| spec).map_err(|err| err.to_string()));
+    spec.inspect_err(|why| tracing::info!(why, "entry: cannot accept a job"))
+        .map_err(|why| format!("the job cannot be accepted: {why}"))
 }
 
 /// Reads the key of the authorization header, of which only the digest is kept.
--- a/src/platform/replies.rs
+++ b/src/platform/replies.rs
@@ -12,6 +12,18 @@
     crate::http::json(status, &json!({ "error": error }))
 }
 
+/// When a caller may come again whose request found no memory.
+const NO_ROOM_RETRY_MS: u64 = 1_000;
+
+/// Returns the reply to a request for whose content there is no memory. It had no effect.
+pub(super) fn no_room(path: &str) -> Reply {
+    tracing::info!(path, "call: refused, there is no memory for it");
+    let refusal = Refusal::Busy {
+        retry_after_ms: NO_ROOM_RETRY_MS,
+    };
+    refused(&refusal, StatusCode::NOT_FOUND)
+}
+
 /// Returns the reply to a request that was refused and had no effect. The status
 /// `not_known_status` stands for [`Refusal::NotKnown`].
 pub(super) fn refused(refusal: &Refusal, not_known_status: StatusCode) -> Reply {
--- a/src/platform/serve.rs
+++ b/src/platform/serve.rs
@@ -20,8 +20,10 @@
     PeerMessage, Policy, PolicyFault, Signal, WallClock, boottime_ms,
 };
 use crate::http::{Handler, HttpServer, Limits, text};
+use crate::intake::Intake;
 use crate::link::{Directory, LinkError, Links, LinksConfig, PeerClass, PeerKey};
 use crate::model::EntryName;
+use crate::places::Places;
 use crate::storage::{self, Disk, DiskEvent, StorageError};
 
 /// Key of the links. The platform provides no secret that only instances share, so the key
@@ -128,15 +130,25 @@
         let (stop, stopped) = watch::channel(false);
         let limits = Limits {
             body_bytes: MAX_CONTROL_BODY_BYTES,
+            unread_bytes: budget.unread_bytes,
             head_timeout: IDLE_TIMEOUT,
             ..Limits::default()
         };
         let listener = listen("listen.control", settings.bind_address(control))?;
         let server = HttpServer::new("control", listener, limits, handler);
-        let server = server.with_places(places.callers);
+        let server = server
+            .with_places(places.callers)
+            .with_intake(&places.intake);
         bridge.metrics().register(server.collectors());
         let server = spawn_local(server.run(stopped.clone()));
-        serve_metrics(&settings, &bridge, stopped.clone());
+        serve_metrics(
+            &settings,
+            &bridge,
+            limits,
+            &places.metrics,
+            &places.intake,
+            stopped.clone(),
+        );
         tracing::info!(%control, ?budget, grant = ?settings.grant, "serve: a control instance is up");
         let driver = Driver::new(bridge, calls, received_signals, links);
         driver.run_control(node, disk, outside, wall).await?;
@@ -170,6 +182,7 @@
     run(async move {
         let (stop, stopped) = watch::channel(false);
         let limits = Limits {
+            unread_bytes: budget.unread_bytes,
             head_timeout: IDLE_TIMEOUT,
             ..Limits::default()
         };
@@ -177,12 +190,26 @@
         let health = health(Arc::clone(&bridge));
         let listener = listen("listen.front", settings.bind_address(front))?;
         let callers = HttpServer::new("callers", listener, limits, callers);
-        let callers = callers.with_places(places.callers);
+        let callers = callers
+            .with_places(places.callers)
+            .with_intake(&places.intake);
         bridge.metrics().register(callers.collectors());
         let callers = spawn_local(callers.run(stopped.clone()));
         let listener = listen("listen.ready", settings.bind_address(ready))?;
-        spawn_local(HttpServer::new("health", listener, limits, health).run(stopped.clone()));
-        serve_metrics(&settings, &bridge, stopped.clone());
+        let health = HttpServer::new("health", listener, limits.without_bodies(), health);
+        let health = health
+            .with_places(places.health)
+            .with_intake(&places.intake);
+        bridge.metrics().register(health.collectors());
+        spawn_local(health.run(stopped.clone()));
+        serve_metrics(
+            &settings,
+            &bridge,
+            limits,
+            &places.metrics,
+            &places.intake,
+            stopped.clone(),
+        );
         tracing::info!(%front, ?budget, grant = ?settings.grant, "serve: an entry instance is up");
         let driver = Driver::new(bridge, calls, received_signals, links);
         driver.run_entry(gateway, grace_ms).await;
@@ -236,7 +263,14 @@
 
 /// Serves the metrics at [`METRICS_PORT`]. If the port is in use, the instance runs without
 /// metrics.
-fn serve_metrics(settings: &Settings, bridge: &Arc<CallBridge>, stopped: watch::Receiver<bool>) {
+fn serve_metrics(
+    settings: &Settings,
+    bridge: &Arc<CallBridge>,
+    limits: Limits,
+    places: &Places,
+    intake: &Arc<Intake>,
+    stopped: watch::Receiver<bool>,
+) {
     let address = settings.bind_address((settings.ip, METRICS_PORT).into());
     let listener = match listen("metrics", address) {
         Ok(listener) => listener,
@@ -245,15 +279,17 @@
             return;
         }
     };
-    let bridge = Arc::clone(bridge);
+    let metrics = Arc::clone(bridge);
     let handler: Handler = Arc::new(move |incoming| {
         let reply = match incoming.head.uri.path() {
-            STATUS_PATH => status_page(&bridge),
-            _ => text(StatusCode::OK, bridge.metrics().text(bridge.waiting())),
+            STATUS_PATH => status_page(&metrics),
+            _ => text(StatusCode::OK, metrics.metrics().text(metrics.waiting())),
         };
         Box::pin(async move { reply })
     });
-    let server = HttpServer::new("metrics", listener, Limits::default(), handler);
+    let server = HttpServer::new("metrics", listener, limits.without_bodies(), handler);
+    let server = server.with_places(places.clone()).with_intake(intake);
+    bridge.metrics().register(server.collectors());
     spawn_local(server.run(stopped));
 }
 
--- a/tests/control/calls.rs
+++ b/tests/control/calls.rs
@@ -126,7 +126,7 @@
         ConfigurationFault::SamePlace { .. }
     ));
     assert!(matches!(
-        with(|c| c.document = vec![0; CONFIGURATION_LIMIT_BYTES]),
+        with(|c| c.document = vec![0; CONFIGURATION_LIMIT_BYTES].into()),
         ConfigurationFault::TooLarge { .. }
     ));
 }
@@ -137,13 +137,13 @@
 fn other_content_under_the_version_held_changes_nothing() {
     let mut world = World::new(6, 1, 1);
     let mut other = configuration(1);
-    other.document = b"other".to_vec();
+    other.document = b"other".to_vec().into();
     let id = world.call(2, Call::Configure(Arc::new(other)));
     world.run_ms(500);
     assert_eq!(world.answers.get(&id), Some(&Answer::Done));
     let leader = world.leader().unwrap();
     let held = world.state(&leader).configuration().unwrap();
-    assert_eq!(held.document, b"document 1");
+    assert_eq!(*held.document, b"document 1");
 }
 
 #[test]
@@ -201,7 +201,7 @@
     let leader = world.leader().unwrap();
     let place = (1..=3).find(|place| name(*place) == leader).unwrap();
     let large = |version| Configuration {
-        document: vec![b'x'; 300 << 10],
+        document: vec![b'x'; 300 << 10].into(),
         ..configuration(version)
     };
     let calls: Vec<u64> = (2..8)
@@ -227,7 +227,7 @@
         large.queues.push(queue(&format!("queue-{number}"), "east"));
     }
     let words = (0..1_200_000).map(|n: u32| (n * 31 % 251) as u8);
-    large.document = words.collect();
+    large.document = Arc::new(words.collect());
     let large = Arc::new(large);
     let leader = world.leader().unwrap();
     let first = (1..=3).find(|place| name(*place) != leader).unwrap();
@@ -238,7 +238,7 @@
     world.restart(&leader);
     world.run_ms(2_000);
     let other = Configuration {
-        document: vec![b'y'; 400 << 10],
+        document: vec![b'y'; 400 << 10].into(),
         ..configuration(3)
     };
     let again = world.call(first, Call::Configure(Arc::clone(&large)));
@@ -257,11 +257,11 @@
 #[test]
 fn parts_of_a_lost_configuration_are_in_no_later_one() {
     let large = Configuration {
-        document: vec![b'x'; 700 << 10],
+        document: vec![b'x'; 700 << 10].into(),
         ..configuration(2)
     };
     let other = Configuration {
-        document: vec![b'y'; 500 << 10],
+        document: vec![b'y'; 500 << 10].into(),
         ..configuration(3)
     };
     let lost = ConfigurationPart::split(&large);
--- a/tests/control/reconfigured.rs
+++ b/tests/control/reconfigured.rs
@@ -96,7 +96,7 @@
         let leader = world.leader().unwrap();
         let mut next = renamed(2);
         if seed % 2 == 0 {
-            next.document = vec![b'x'; 900 << 10];
+            next.document = vec![b'x'; 900 << 10].into();
         }
         let other = (1..=3).find(|place| name(*place) != leader).unwrap();
         let configured = world.call(other, Call::Configure(Arc::new(next.clone())));
--- a/tests/control/workspaces.rs
+++ b/tests/control/workspaces.rs
@@ -225,7 +225,7 @@
 #[test]
 fn no_debug_output_shows_a_key() {
     let mut configuration = two_workspaces(2);
-    configuration.document = b"{\"api_keys\":[\"n1-secret\"]}".to_vec();
+    configuration.document = b"{\"api_keys\":[\"n1-secret\"]}".to_vec().into();
     let bytes = format!("{:?}", configuration.document);
     let call = Call::Configure(Arc::new(configuration.clone()));
     let texts = [
--- a/tests/control/world/samples.rs
+++ b/tests/control/world/samples.rs
@@ -29,7 +29,7 @@
             ("west".into(), false),
             ("spare".into(), true),
         ]),
-        document: format!("document {version}").into_bytes(),
+        document: format!("document {version}").into_bytes().into(),
         access: None,
     }
 }
--- a/tests/platform/formats.rs
+++ b/tests/platform/formats.rs
@@ -112,7 +112,7 @@
     })
     .to_string();
     let read = read_configuration(text.as_bytes()).unwrap();
-    assert_eq!(read.document, text.as_bytes());
+    assert_eq!(*read.document, text.as_bytes());
     assert_eq!(read.version, 7);
     assert_eq!(read.queues[0].attempts_max, 4);
     assert_eq!(read.queues[0].advice.unwrap().validity_ms, 3_000);
