Bound the memory that accepted jobs may take

Callers saw: 23 jobs of the largest size, accepted within a second, made a control instance hold 295 MB of 128 MB. Each is within all limits and takes some 11 MB there: its description twice, ten thousand tasks, and their places in the order of the pool's work.

Cause: nothing counted the accepted jobs together.

The state now keeps an estimate of the memory of its jobs, from their descriptions and tasks, and the leader adds those that it has proposed. A job that does not fit into a quarter of the memory is refused with 503 and never runs; jobs above 256 KiB get three quarters of that, so that they do not keep the ordinary ones out. Ended jobs count for their description until they are forgotten.

--- a/src/control/messages/decision.rs
+++ b/src/control/messages/decision.rs
@@ -51,6 +51,9 @@
     /// A caller was not identified.
     #[display("call-unauthorized-{_0}")]
     CallUnauthorized(CredentialsFault),
+    /// A job was refused because the memory for jobs is used up.
+    #[display("job-without-memory")]
+    JobWithoutMemory,
     /// The disk had no room.
     #[display("disk-full")]
     DiskFull,
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -141,10 +141,21 @@
     /// Run time estimates that are used if the policy turns learning off.
     default_estimates: Estimates,
     visited: u64,
+    /// Memory that all jobs may take, in bytes.
+    job_limit_bytes: usize,
     out: Vec<Effect>,
 }
 
 impl Node {
+    /// Returns the same instance with a limit on the memory that all jobs may take. While it
+    /// leads, it refuses jobs beyond.
+    pub fn with_job_limit(self, job_limit_bytes: usize) -> Self {
+        Self {
+            job_limit_bytes,
+            ..self
+        }
+    }
+
     /// Creates an instance that resumes from the contents of its data folder.
     pub fn new(settings: NodeSettings, recovered: Recovered, unix_ms: u64, now_ms: u64) -> Self {
         let replica = Replica::new(settings.replica(), recovered, now_ms);
@@ -175,6 +186,7 @@
             stopping_since_ms: None,
             default_estimates: Estimates::default(),
             visited: 0,
+            job_limit_bytes: usize::MAX,
             out: Vec::new(),
         }
     }
--- a/src/control/node/applied.rs
+++ b/src/control/node/applied.rs
@@ -186,7 +186,11 @@
                 caller,
                 job,
                 workspace,
+                memory_bytes,
             } => {
+                if let Some(lead) = &mut self.leader_state {
+                    lead.proposed_job_bytes -= memory_bytes;
+                }
                 // A job that was proposed before may have taken the id.
                 let stored = self.state.job(job);
                 let answer = stored.map_or(Answer::Unknown, |stored| {
--- a/src/control/node/calls.rs
+++ b/src/control/node/calls.rs
@@ -9,8 +9,8 @@
 use crate::control::messages::job_from_path;
 use crate::control::{
     Answer, Call, Change, Configuration, ConfigurationFault, ConfigurationPart, ConfigurationParts,
-    Credentials, Decision, Effect, Phase, Place, Queue, Refusal, Report, ResourceTotals, Wave,
-    WorkerStart, Workspace,
+    Credentials, Decision, Effect, JobMemory, Phase, Place, Queue, Refusal, Report, ResourceTotals,
+    Wave, WorkerStart, Workspace,
 };
 use crate::jobs::{Job, JobId, JobSpec, JobState};
 use crate::model::WorkspaceName;
@@ -18,6 +18,11 @@
 /// Largest wave, in bytes as it is stored: half of what one command of the log holds.
 const MAX_WAVE_BYTES: usize = COMMAND_LIMIT_BYTES / 2;
 
+/// Memory that a job of ordinary size takes at most: some hundred tasks.
+const ORDINARY_JOB_BYTES: usize = 256 << 10;
+/// When a caller may come again whose job found no memory. Ends of jobs make room.
+const NO_ROOM_RETRY_MS: u64 = 1_000;
+
 impl Node {
     pub(super) fn answer_call(&mut self, now_ms: u64, caller: CallOrigin, call: Call) {
         match call {
@@ -154,6 +159,13 @@
             let refusal = Refusal::Wrong(fault.to_string());
             return self.answer(&caller, Answer::Refused(refusal));
         }
+        let memory_bytes = JobMemory::of_active(&spec);
+        if !self.has_room_for(job, memory_bytes) {
+            let refusal = Refusal::Busy {
+                retry_after_ms: NO_ROOM_RETRY_MS,
+            };
+            return self.answer(&caller, Answer::Refused(refusal));
+        }
         let change = match workspace {
             Some(workspace) => {
                 if let Some(why) = never_fits(&workspace, &spec) {
@@ -176,10 +188,35 @@
             caller,
             job,
             workspace: submitter,
+            memory_bytes,
         };
+        if let Some(lead) = &mut self.leader_state {
+            lead.proposed_job_bytes += memory_bytes;
+        }
         self.propose(change, Some(waiter));
     }
 
+    /// Returns whether the memory for jobs has room for one more. Jobs far above the ordinary
+    /// size get only a part of it, so that they do not keep the others out.
+    fn has_room_for(&mut self, job: JobId, memory_bytes: usize) -> bool {
+        let lead = self.leader_state.as_ref();
+        let proposed_bytes = lead.map_or(0, |lead| lead.proposed_job_bytes);
+        let held_bytes = self.state.job_memory().bytes() + proposed_bytes;
+        let limit_bytes = match memory_bytes > ORDINARY_JOB_BYTES {
+            true => self.job_limit_bytes / 4 * 3,
+            false => self.job_limit_bytes,
+        };
+        let fits = held_bytes + memory_bytes <= limit_bytes;
+        if !fits {
+            tracing::warn!(
+                %job, memory_bytes, held_bytes, limit_bytes,
+                "job: refused, the memory for jobs is used up"
+            );
+            self.out.push(Effect::Count(Decision::JobWithoutMemory));
+        }
+        fits
+    }
+
     fn look_up(&mut self, credentials: Credentials, place: &Place) -> Answer {
         let (queue, workspace) = match self.queue_at(credentials, place) {
             Ok(found) => found,
--- a/src/control/replication/state.rs
+++ b/src/control/replication/state.rs
@@ -8,8 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::control::{
-    Change, Command, Configuration, ConfigurationParts, History, Queue, Report, RunsByWorker, Wave,
-    Worker, WorkerIndex, WorkspaceUsage,
+    Change, Command, Configuration, ConfigurationParts, History, JobMemory, Queue, Report,
+    RunsByWorker, Wave, Worker, WorkerIndex, WorkspaceUsage,
 };
 use crate::jobs::{Job, JobId, JobSpec, JobState, RunResult, TaskId};
 use crate::model::{InstanceName, PoolName, WorkspaceName};
@@ -24,6 +24,8 @@
     /// Jobs of which a task may still start or run.
     active: BTreeSet<JobId>,
     #[serde(skip)]
+    memory: JobMemory,
+    #[serde(skip)]
     runs: RunsByWorker,
     workers: BTreeMap<InstanceName, Worker>,
     #[serde(skip)]
@@ -74,6 +76,11 @@
         self.active.iter().filter_map(|id| self.jobs.get(id))
     }
 
+    /// Returns an estimate of the memory that all jobs take.
+    pub fn job_memory(&self) -> JobMemory {
+        self.memory
+    }
+
     /// Returns the number of active jobs.
     pub fn active_count(&self) -> usize {
         self.active.len()
@@ -258,8 +265,14 @@
             }
             Change::Forget { before_unix_ms } => {
                 let active = &self.active;
+                let memory = &mut self.memory;
                 self.jobs.retain(|id, job| {
-                    active.contains(id) || job.ended_unix_ms.is_none_or(|at| at >= *before_unix_ms)
+                    let is_kept = active.contains(id)
+                        || job.ended_unix_ms.is_none_or(|at| at >= *before_unix_ms);
+                    if !is_kept {
+                        memory.forget(&job.spec);
+                    }
+                    is_kept
                 });
                 let configuration = self.configuration.as_deref();
                 self.history
@@ -318,6 +331,7 @@
         if job.spec.recurrence.is_none() && !job.spec.lasts() {
             self.history.record_arrival(at_unix_ms, &job);
         }
+        self.memory.add(spec);
         self.jobs.insert(id, job);
         self.active.insert(id);
     }
@@ -392,8 +406,8 @@
         let job = self.jobs.get_mut(&id)?;
         let outcome = change(job);
         job.settle(at_unix_ms);
-        if job.verdict.is_some() && job.has_no_runs() {
-            self.active.remove(&id);
+        if job.verdict.is_some() && job.has_no_runs() && self.active.remove(&id) {
+            self.memory.end(&job.spec);
         }
         Some(outcome)
     }
--- a/src/control/replication/state/snapshot.rs
+++ b/src/control/replication/state/snapshot.rs
@@ -6,7 +6,7 @@
 
 use super::State;
 use crate::codec::CodecError;
-use crate::control::{Access, Configuration, RunsByWorker, WorkspaceUsage};
+use crate::control::{Access, Configuration, JobMemory, RunsByWorker, WorkspaceUsage};
 use crate::jobs::JobId;
 use crate::model::WorkspaceName;
 
@@ -65,6 +65,9 @@
                 }
             }
         }
+        let jobs = state.jobs.iter();
+        let jobs = jobs.map(|(id, job)| (job, state.active.contains(id)));
+        state.memory = JobMemory::of(jobs);
         state.runs = RunsByWorker::of(state.active());
         let workers = state.workers.iter();
         let addresses = workers.map(|(name, worker)| (worker.report.address, name.clone()));
--- a/src/control/runtime/connection_budget.rs
+++ b/src/control/runtime/connection_budget.rs
@@ -38,6 +38,8 @@
 /// Part of the memory that callers' requests may take beside that. The rest belongs to the
 /// links, the log and the state.
 const REQUESTS_DIVISOR: usize = 4;
+/// Part of the memory that the jobs in the replicated state may take.
+const JOBS_DIVISOR: usize = 4;
 /// Memory for callers' requests if the settings name no limit.
 const DEFAULT_REQUEST_BYTES: usize = 64 << 20;
 
@@ -160,6 +162,12 @@
         fit.map_or(wanted, |fit| wanted.min(fit).max(1))
     }
 
+    /// Returns the memory that jobs may take in the replicated state, in bytes.
+    pub fn job_bytes(self) -> usize {
+        self.memory_bytes
+            .map_or(usize::MAX, |bytes| bytes / JOBS_DIVISOR)
+    }
+
     fn request_bytes(self) -> usize {
         self.memory_bytes
             .map_or(DEFAULT_REQUEST_BYTES, |bytes| bytes / REQUESTS_DIVISOR)
--- a/src/platform/serve.rs
+++ b/src/platform/serve.rs
@@ -122,7 +122,8 @@
     };
     let wall = WallClock::default();
     wall.set_offset_ms(settings.clock_offset_ms);
-    let node = Node::new(node, recovered, wall.unix_ms(), boottime_ms());
+    let node = Node::new(node, recovered, wall.unix_ms(), boottime_ms())
+        .with_job_limit(settings.grant.job_bytes());
     let outside = Rc::new(Platform::new(&settings, places.workers));
     let handler = ControlCalls::new(Arc::clone(&bridge), settings.clone()).handler();
     caught.forward(signals, wall.clone())?;
