Bound the bytes that wait behind the links and before the event loop

A queue of a link was bounded by 1,024 frames, and a call may take 256 KiB, so an entry instance whose leader reads nothing could hold 256 MiB for it, resent copies among them.

A link's queue now takes 16 MiB as well; what does not fit is dropped and counted as before, and the log and callers send again. Forwarded calls that wait for the loop are counted on an account of their own, 16 MiB; one beyond is dropped and logged, and its sender sends it again or ends it as unknown. Messages of the log are never dropped there, and no crowd of clients takes their part.

Tests of control, links and platform pass.

--- a/src/control/messages/call.rs
+++ b/src/control/messages/call.rs
@@ -15,6 +15,12 @@
     pub path: String,
 }
 
+impl Place {
+    fn memory_bytes(&self) -> usize {
+        self.host.len() + self.path.len()
+    }
+}
+
 /// A request to the leader. Every call is idempotent and may be sent again, to any
 /// instance.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -74,7 +80,32 @@
     },
 }
 
+/// Memory of a call itself, without its content.
+const BASE_CALL_BYTES: usize = 256;
+
 impl Call {
+    /// Returns its size in memory, in bytes, without what the allocator adds.
+    pub fn memory_bytes(&self) -> usize {
+        let content = match self {
+            Self::Submit { place, spec } => {
+                place.memory_bytes() + spec.as_ref().map_or(0, |spec| spec.memory_bytes())
+            }
+            Self::Look { place } | Self::Cancel { place } => place.memory_bytes(),
+            Self::Report(report) => report.text_bytes(),
+            Self::Leave { worker } => worker.as_str().len(),
+            // The document, and what is decoded of it.
+            Self::Configure(configuration) => 2 * configuration.document.len(),
+            Self::ConfigureParts(parts) => parts.iter().map(ConfigurationPart::size_bytes).sum(),
+            Self::StartWave(wave) => {
+                let machines = wave.machines.iter();
+                machines.map(|name| size_of::<String>() + name.len()).sum()
+            }
+            Self::Authorized { call, .. } | Self::Since { call, .. } => call.memory_bytes(),
+            Self::ReadConfiguration | Self::LookAtWave { .. } => 0,
+        };
+        BASE_CALL_BYTES + content
+    }
+
     /// Splits off the time at which the calling worker's process started, if it said it.
     pub fn split_start(self) -> (Option<u64>, Self) {
         match self {
--- a/src/control/replication/report.rs
+++ b/src/control/replication/report.rs
@@ -28,6 +28,20 @@
     pub sequence: u64,
 }
 
+impl Report {
+    /// Returns the size of all names and labels, in bytes.
+    pub fn text_bytes(&self) -> usize {
+        let names = [
+            self.worker.as_str(),
+            self.machine.as_deref().unwrap_or_default(),
+            self.pool.as_str(),
+            self.zone.as_str(),
+        ];
+        let labels = self.labels.iter().map(String::as_str);
+        names.into_iter().chain(labels).map(str::len).sum()
+    }
+}
+
 /// Whether a worker takes work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
 #[serde(rename_all = "kebab-case")]
--- a/src/control/runtime/driver.rs
+++ b/src/control/runtime/driver.rs
@@ -15,9 +15,10 @@
 use super::call_bridge::{CallBridge, Incoming, ListenerStatus};
 use crate::control::boottime_ms;
 use crate::control::{
-    Effect, Event, EventKind, Gateway, GatewayEffect, LoopMeter, Machine, MachineOrder,
+    Call, Effect, Event, EventKind, Gateway, GatewayEffect, LoopMeter, Machine, MachineOrder,
     MachineOutcome, Node, Order, OrderOutcome, PeerMessage, WallClock,
 };
+use crate::intake::Hold;
 use crate::jobs::TaskId;
 use crate::model::{EntryName, InstanceName};
 use crate::storage::{self, StorageError};
@@ -77,6 +78,17 @@
 pub enum Signal {
     /// A peer sent a message.
     Peer(EntryName, PeerMessage),
+    /// A peer forwarded a call.
+    Call {
+        /// The peer.
+        from: EntryName,
+        /// The id that the answer repeats.
+        id: u64,
+        /// The call.
+        call: Call,
+        /// What the call holds while it is queued.
+        hold: Hold,
+    },
     /// The write with this token is synced to disk.
     Persisted(u64),
     /// The disk has no room; writes wait.
@@ -323,7 +335,8 @@
                         stop_by_ms = Some(now_ms + grace_ms.saturating_sub(STOP_RESERVE_MS));
                         Vec::new()
                     }
-                    Signal::Persisted(_)
+                    Signal::Call { .. }
+                    | Signal::Persisted(_)
                     | Signal::DiskFull(_)
                     | Signal::DiskHasRoom
                     | Signal::DiskFailed(_) => Vec::new(),
@@ -379,6 +392,15 @@
             from,
             message: Box::new(message),
         },
+        Signal::Call {
+            from,
+            id,
+            call,
+            hold: _,
+        } => Event::Peer {
+            from,
+            message: Box::new(PeerMessage::Call { id, call }),
+        },
         Signal::Persisted(token) => Event::Persisted { token },
         Signal::Found(members) => Event::Found { members },
         Signal::DiskFull(err) => {
--- a/src/intake/client.rs
+++ b/src/intake/client.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::Notify;
 
-use super::{Hold, Intake, Shortage};
+use super::{Hold, Intake, ORDINARY_REQUEST_BYTES, Shortage};
 use crate::places::Place;
 
 /// The account of one connection.
@@ -65,7 +65,11 @@
 
     /// Begins a request, which holds nothing yet.
     pub fn hold(self: &Arc<Self>) -> Hold {
-        Hold::new(Arc::clone(self))
+        let covered_bytes = match self.place {
+            Some(_) => ORDINARY_REQUEST_BYTES,
+            None => 0,
+        };
+        Hold::new(Arc::clone(self), covered_bytes)
     }
 
     /// Records that it sent or took a byte.
--- a/src/intake/hold.rs
+++ b/src/intake/hold.rs
@@ -10,14 +10,17 @@
 #[derive(Debug)]
 pub struct Hold {
     client: Arc<Client>,
-    /// Counted bytes, those beyond [`ORDINARY_REQUEST_BYTES`].
+    /// Bytes that the client's place covers.
+    covered_bytes: usize,
+    /// Counted bytes, those beyond.
     counted_bytes: usize,
 }
 
 impl Hold {
-    pub(super) fn new(client: Arc<Client>) -> Self {
+    pub(super) fn new(client: Arc<Client>, covered_bytes: usize) -> Self {
         Self {
             client,
+            covered_bytes,
             counted_bytes: 0,
         }
     }
@@ -25,7 +28,7 @@
     /// Sets what the request holds. Returns `false`, and changes nothing, if there is no room.
     #[must_use]
     pub fn resize(&mut self, bytes: usize) -> bool {
-        let counted_bytes = bytes.saturating_sub(ORDINARY_REQUEST_BYTES);
+        let counted_bytes = bytes.saturating_sub(self.covered_bytes);
         let fits = self.client.resize(self.counted_bytes, counted_bytes);
         if fits {
             self.counted_bytes = counted_bytes;
--- a/src/link/queues.rs
+++ b/src/link/queues.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
 use crate::model::EntryName;
 
@@ -9,8 +9,24 @@
 /// too slow or unreachable, and that the queued frames are out of date.
 const MAX_QUEUED_FRAMES: usize = 1024;
 
+/// Maximum size of the frames queued for one peer. A frame has 4 MiB at most, a message of the
+/// log 1 MiB.
+const MAX_QUEUED_BYTES: usize = 16 << 20;
+
 /// An encoded message that waits to be sent.
-pub(super) type Frame = Vec<u8>;
+#[derive(Debug, derive_more::Deref)]
+pub(super) struct Frame {
+    #[deref(forward)]
+    bytes: Vec<u8>,
+    /// Its part of the queue's size; `None` for one that was never queued.
+    _room: Option<OwnedSemaphorePermit>,
+}
+
+impl From<Vec<u8>> for Frame {
+    fn from(bytes: Vec<u8>) -> Self {
+        Self { bytes, _room: None }
+    }
+}
 
 /// The send queues, one for each peer that has a link.
 #[derive(Clone, Debug, Default)]
@@ -19,11 +35,25 @@
 #[derive(Debug)]
 struct Queue {
     frames: mpsc::Sender<Frame>,
+    /// Bytes that may still be queued.
+    room: Arc<Semaphore>,
     /// Id of the incoming connection that the frames are sent on, or `None` for a link that
     /// this instance opened.
     connection_id: Option<u64>,
 }
 
+impl Queue {
+    fn new(connection_id: Option<u64>) -> (Self, mpsc::Receiver<Frame>) {
+        let (frames, queued) = mpsc::channel(MAX_QUEUED_FRAMES);
+        let queue = Self {
+            frames,
+            room: Arc::new(Semaphore::new(MAX_QUEUED_BYTES)),
+            connection_id,
+        };
+        (queue, queued)
+    }
+}
+
 /// Result of queueing a frame.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum PushOutcome {
@@ -37,11 +67,19 @@
 
 impl Queues {
     /// Queues a frame if there is a link to the peer.
-    pub fn push(&self, to: &EntryName, frame: Frame) -> PushOutcome {
+    pub fn push(&self, to: &EntryName, bytes: Vec<u8>) -> PushOutcome {
         let queues = self.lock();
         let Some(queue) = queues.get(to) else {
             return PushOutcome::NoLink;
         };
+        let length = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
+        let Ok(room) = Arc::clone(&queue.room).try_acquire_many_owned(length) else {
+            return PushOutcome::Full;
+        };
+        let frame = Frame {
+            bytes,
+            _room: Some(room),
+        };
         match queue.frames.try_send(frame) {
             Ok(()) => PushOutcome::Accepted,
             Err(mpsc::error::TrySendError::Full(_)) => PushOutcome::Full,
@@ -67,30 +105,16 @@
         {
             return None;
         }
-        let (frames, queued) = mpsc::channel(MAX_QUEUED_FRAMES);
-        let connection_id = None;
-        queues.insert(
-            to.clone(),
-            Queue {
-                frames,
-                connection_id,
-            },
-        );
+        let (queue, queued) = Queue::new(None);
+        queues.insert(to.clone(), queue);
         Some(queued)
     }
 
     /// Creates the queue for frames sent back on an incoming link. It replaces the peer's
     /// previous queue.
     pub fn open_incoming(&self, from: &EntryName, id: u64) -> mpsc::Receiver<Frame> {
-        let (frames, queued) = mpsc::channel(MAX_QUEUED_FRAMES);
-        let connection_id = Some(id);
-        self.lock().insert(
-            from.clone(),
-            Queue {
-                frames,
-                connection_id,
-            },
-        );
+        let (queue, queued) = Queue::new(Some(id));
+        self.lock().insert(from.clone(), queue);
         queued
     }
 
--- a/src/link/receiver.rs
+++ b/src/link/receiver.rs
@@ -212,7 +212,9 @@
         };
         // Closes the connection that was replaced or evicted.
         drop(admitted);
-        peer.writer.send(&[crate::codec::encode(&verdict)]).await?;
+        peer.writer
+            .send(&[crate::codec::encode(&verdict).into()])
+            .await?;
         match verdict {
             Verdict::Admitted => {
                 self.stats.increment(LinkEvent::Admitted);
--- a/src/link/sender.rs
+++ b/src/link/sender.rs
@@ -149,7 +149,7 @@
         let mut writer = FrameWriter::new(stream, key.clone(), context);
         let class = self.conf.class;
         let introduction = crate::codec::encode(&Introduction { class });
-        writer.send(&[introduction]).await?;
+        writer.send(&[introduction.into()]).await?;
         match crate::codec::decode::<Verdict>(&reader.next().await?)? {
             Verdict::Admitted => Ok((writer, reader)),
             Verdict::Full => Err(LinkError::Refused),
--- a/src/platform/control_calls.rs
+++ b/src/platform/control_calls.rs
@@ -131,21 +131,7 @@
 fn held_bytes(call: &Call) -> usize {
     match call {
         Call::Configure(configuration) => CONFIGURATION_FORMS * configuration.document.len(),
-        Call::StartWave(wave) => wave
-            .machines
-            .iter()
-            .map(|m| size_of::<String>() + m.len())
-            .sum(),
-        Call::Since { call, .. } | Call::Authorized { call, .. } => held_bytes(call),
-        // Their size is within that of an ordinary request, or bounded when they are decoded.
-        Call::Report(_)
-        | Call::Submit { .. }
-        | Call::Look { .. }
-        | Call::Cancel { .. }
-        | Call::Leave { .. }
-        | Call::ReadConfiguration
-        | Call::LookAtWave { .. }
-        | Call::ConfigureParts(_) => 0,
+        call => call.memory_bytes(),
     }
 }
 
--- a/src/platform/reports.rs
+++ b/src/platform/reports.rs
@@ -78,7 +78,7 @@
         phase,
         sequence: wire.seq,
     };
-    let text_bytes = text_bytes(&report);
+    let text_bytes = report.text_bytes();
     if text_bytes > MAX_TEXT_BYTES {
         return Err(format!(
             "names and labels have {text_bytes} bytes: {MAX_TEXT_BYTES} are the most"
@@ -87,17 +87,6 @@
     Ok((wire.born, report))
 }
 
-fn text_bytes(report: &Report) -> usize {
-    let names = [
-        report.worker.as_str(),
-        report.machine.as_deref().unwrap_or_default(),
-        report.pool.as_str(),
-        report.zone.as_str(),
-    ];
-    let labels = report.labels.iter().map(String::as_str);
-    names.into_iter().chain(labels).map(str::len).sum()
-}
-
 /// Returns the start time of a worker's process that a departure says, if it says one.
 pub(super) fn read_leave(body: &[u8]) -> Option<u64> {
     serde_json::from_slice::<WireLeave>(body)
--- a/src/platform/serve.rs
+++ b/src/platform/serve.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::mpsc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::StatusCode;
 use tokio::runtime::LocalOptions;
@@ -32,6 +32,8 @@
 /// Maximum size of a request body at a control instance. A report has at most 4 MiB, a
 /// configuration less.
 const MAX_CONTROL_BODY_BYTES: usize = 4 << 20;
+/// Memory for calls that peers forwarded and that wait for the event loop.
+const FORWARDED_CALL_BYTES: usize = 16 << 20;
 /// Port of the metrics endpoint. It has to match the deploy file.
 const METRICS_PORT: u16 = 9_464;
 /// Path beside the metrics at which a control instance tells where the voters are.
@@ -312,8 +314,24 @@
     };
     let address = settings.bind_address((settings.ip, settings.link_port).into());
     let listener = listen("port_range", address)?;
+    let forwarded = Intake::new(FORWARDED_CALL_BYTES).open(Instant::now(), "links", None);
     let links = Links::start(conf, listener, move |from, message| {
-        signals.send(Signal::Peer(from, message)).is_ok()
+        let PeerMessage::Call { id, call } = message else {
+            return signals.send(Signal::Peer(from, message)).is_ok();
+        };
+        let mut hold = forwarded.hold();
+        if !hold.resize(call.memory_bytes()) {
+            // The peer sends it again, and ends it as unknown after its caller's time.
+            tracing::warn!(%from, id, "links: a call is dropped, too many wait for the loop");
+            return true;
+        }
+        let call = Signal::Call {
+            from,
+            id,
+            call,
+            hold,
+        };
+        signals.send(call).is_ok()
     })?;
     Ok(PeerLinks(links))
 }
