--- a/tests/control/calls.rs
+++ b/tests/control/calls.rs
@@ -6,7 +6,7 @@
     Answer, CONFIGURATION_LIMIT_BYTES, Call, Configuration, ConfigurationFault, ConfigurationPart,
     ConfigurationParts, Refusal,
 };
-use rosemarygauge::jobs::{JobState, Step};
+use rosemarygauge::jobs::{JobId, JobState, Step};
 use rosemarygauge::model::EntryName;
 
 use crate::world::{World, configuration, job, name, queue, step};
@@ -296,3 +296,37 @@
     world.run_ms(2_000);
     assert_eq!(world.look(1, "quick", 2), Some(JobState::Completed));
 }
+
+/// Guards against jobs that are each within the limits and together exceed the memory. One that
+/// is refused never runs, an ordinary one is accepted beside the large ones, and the end of jobs
+/// makes room.
+#[test]
+fn jobs_beyond_the_memory_for_jobs_are_refused() {
+    const LIMIT_BYTES: usize = 8 << 20;
+    let mut world = World::with_job_limit(46, 4, 4, LIMIT_BYTES);
+    let large = || job(vec![step(4_000)]);
+    let calls: Vec<_> = (1..=5)
+        .map(|id| world.submit(1, "quick", id, large()))
+        .collect();
+    world.run_ms(500);
+    let is_refused = |call: &u64| {
+        matches!(
+            world.answers.get(call),
+            Some(Answer::Refused(Refusal::Busy { .. }))
+        )
+    };
+    let refused: Vec<_> = calls.iter().map(is_refused).collect();
+    assert_eq!(refused, [false, false, false, true, true]);
+    assert_eq!(world.decisions.get("job-without-memory"), Some(&2));
+    let ordinary = world.submit(2, "quick", 9, job(vec![step(4)]));
+    world.run_ms(500);
+    assert_eq!(world.answers.get(&ordinary), Some(&Answer::Done));
+    for id in 1..=3 {
+        world.cancel(1, "quick", id);
+    }
+    world.run_ms(3_000);
+    let again = world.submit(1, "quick", 4, large());
+    world.run_ms(500);
+    assert_eq!(world.answers.get(&again), Some(&Answer::Done));
+    assert!(world.runs.iter().all(|run| run.task.job != JobId::from(5)));
+}
--- a/tests/control/snapshots.rs
+++ b/tests/control/snapshots.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use rosemarygauge::control::{Change, State};
+use rosemarygauge::control::{Change, JobMemory, State};
 use rosemarygauge::jobs::{JobId, JobSpec};
 
 use crate::pool::apply;
@@ -57,3 +57,35 @@
     let read = State::decode(&state.encode()).map_err(|err| err.to_string());
     assert_eq!(read.map(|read| read.active_count()), Ok(JOBS as usize));
 }
+
+/// Guards against an estimate of the memory of jobs that drifts: instances that restart from a
+/// snapshot would accept more or fewer jobs than others.
+#[test]
+fn the_memory_of_jobs_is_the_same_after_a_snapshot() {
+    let mut state = State::default();
+    apply(&mut state, Change::Configure(Arc::new(configuration(1))));
+    let spec = Arc::new(job(vec![step(24), step(3)]));
+    for id in 0..8 {
+        let change = Change::Accept {
+            job: JobId::from(id),
+            queue: "quick".into(),
+            spec: Arc::clone(&spec),
+        };
+        apply(&mut state, change);
+    }
+    let same = |state: &State| {
+        let read = State::decode(&state.encode()).unwrap();
+        assert_eq!(read.job_memory(), state.job_memory());
+        state.job_memory().bytes()
+    };
+    let accepted = same(&state);
+    assert_eq!(accepted, 8 * JobMemory::of_active(&spec));
+    for id in 0..8 {
+        let job = JobId::from(id);
+        apply(&mut state, Change::Cancel { job });
+    }
+    assert_eq!(same(&state), 8 * spec.memory_bytes());
+    let before_unix_ms = u64::MAX;
+    apply(&mut state, Change::Forget { before_unix_ms });
+    assert_eq!(same(&state), 0);
+}
--- a/tests/control/world.rs
+++ b/tests/control/world.rs
@@ -104,6 +104,8 @@
     policy: Policy,
     /// Orders that the keeper of machines accepts in a second.
     machine_orders_per_s: f64,
+    /// Memory that jobs may take at each instance, in bytes.
+    job_limit_bytes: usize,
 }
 
 /// The keeper of machines as an end of a cut.
@@ -177,6 +179,13 @@
         world.set_up(east, west)
     }
 
+    /// The same, but that jobs may take only so much memory.
+    pub fn with_job_limit(seed: u64, east: u16, west: u16, job_limit_bytes: usize) -> Self {
+        let mut world = Self::bare(seed);
+        world.job_limit_bytes = job_limit_bytes;
+        world.set_up(east, west)
+    }
+
     /// The same, but that the keeper of machines takes one order a second until
     /// [`Self::accept_machine_orders`].
     pub fn with_held_up_moves(seed: u64, east: u16, west: u16) -> Self {
@@ -248,6 +257,7 @@
             advisor: Advisor::default(),
             policy: Policy::default(),
             machine_orders_per_s: 600.0,
+            job_limit_bytes: usize::MAX,
         }
     }
 
--- a/tests/control/world/instances.rs
+++ b/tests/control/world/instances.rs
@@ -52,7 +52,8 @@
             seed: self.rng.random(),
         };
         let unix_ms = 1_700_000_000_000 + self.now_ms;
-        let node = Node::new(settings, disk.clone(), unix_ms, self.now_ms);
+        let node = Node::new(settings, disk.clone(), unix_ms, self.now_ms)
+            .with_job_limit(self.job_limit_bytes);
         *self.starts.entry(me.clone()).or_default() += 1;
         self.renew_processor(me);
         let control = Control {
--- a/tests/platform/formats.rs
+++ b/tests/platform/formats.rs
@@ -28,6 +28,25 @@
     assert_eq!(read.machine.as_deref(), Some("m-1"));
 }
 
+/// Guards against items of a list that take far more memory decoded than sent.
+#[test]
+fn lists_longer_than_any_valid_one_are_rejected() {
+    let job = |steps: usize| json!({"phases": vec![json!({}); steps]}).to_string();
+    assert_eq!(
+        read_job(job(10_000).as_bytes()).unwrap().steps.len(),
+        10_000
+    );
+    assert!(read_job(job(10_001).as_bytes()).is_err());
+    let mut value = report();
+    value["labels"] = json!(vec![""; 1_024]);
+    assert!(read_report("i-1", value.to_string().as_bytes()).is_ok());
+    value["labels"] = json!(vec![""; 1_025]);
+    assert!(read_report("i-1", value.to_string().as_bytes()).is_err());
+    value["labels"] = json!(["x".repeat(64 << 10)]);
+    let why = read_report("i-1", value.to_string().as_bytes()).unwrap_err();
+    assert!(why.contains("65536 are the most"), "{why}");
+}
+
 /// A report with a missing field, a field of another type, an unknown state or invalid bytes
 /// does not describe a usable worker.
 #[test]
