Never evict a client whose request is served, and free the permit of a late connection

Both were found by reading. A client could be evicted between the end of its body and the start of its service: its connection was then cut off 100 ms later, perhaps with a job accepted and no answer. The two now exclude each other under one lock, and a request that comes to an evicted client is refused. A connection that got its place late kept one of the 32 permits of those without a place for as long as it was open.

--- a/examples/workspace_size.rs
+++ b/examples/workspace_size.rs
@@ -30,7 +30,7 @@
         version: 1,
         queues: Vec::new(),
         pools: BTreeMap::new(),
-        document: Vec::new(),
+        document: Default::default(),
         access: Some(Access::new(workspaces.collect(), BTreeSet::new())),
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -16,12 +16,12 @@
 use prometheus::{IntCounter, IntCounterVec, Opts};
 use rustix::net::sockopt::set_socket_recv_buffer_size;
 use tokio::net::TcpStream;
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::timeout;
 
 use super::Limits;
 use super::client_stream::ClientStream;
-use super::receive::{no_room, receive};
+use super::receive::{BodyFault, no_room, receive};
 use super::reply::Reply;
 use crate::intake::{Client, Hold, Intake, Shortage};
 use crate::places::Places;
@@ -194,11 +194,12 @@
                     }
                     None => {
                         if let Ok(permit) = Arc::clone(&refusals).try_acquire_owned() {
-                            let late = late_connection(stream, Arc::clone(&service), stop.clone());
-                            open.spawn(async move {
-                                late.await;
-                                drop(permit);
-                            });
+                            open.spawn(late_connection(
+                                stream,
+                                permit,
+                                Arc::clone(&service),
+                                stop.clone(),
+                            ));
                         } else {
                             service.count_refused_connection();
                         }
@@ -236,8 +237,13 @@
 }
 
 /// Serves a connection for which there was no place once a stalled client has made room, or
-/// tells its caller that there is none.
-async fn late_connection(stream: TcpStream, service: Arc<Service>, stop: watch::Receiver<bool>) {
+/// tells its caller that there is none. It has a permit until it has a place.
+async fn late_connection(
+    stream: TcpStream,
+    permit: OwnedSemaphorePermit,
+    service: Arc<Service>,
+    stop: watch::Receiver<bool>,
+) {
     let shortage = Shortage::Places(service.name);
     let place = match service.intake.evict(Instant::now(), shortage) {
         true => timeout(REFUSAL, service.places.take()).await.ok(),
@@ -246,6 +252,7 @@
     let is_refused = place.is_none();
     let client = service.intake.open(Instant::now(), service.name, place);
     if !is_refused {
+        drop(permit);
         return connection(stream, client, service, stop).await;
     }
     client.discard();
@@ -327,11 +334,15 @@
         return no_room("connection");
     }
     let mut hold = client.hold();
-    match receive(body, &service.limits, &mut hold).await {
+    let received = receive(body, &service.limits, &mut hold).await;
+    let received = received.and_then(|body| match client.begin_serving() {
+        true => Ok(body),
+        false => Err(BodyFault::Evicted),
+    });
+    match received {
         Ok(body) => {
-            client.set_served(Instant::now(), true);
             let reply = (service.handler)(Incoming { head, body, hold }).await;
-            client.set_served(Instant::now(), false);
+            client.end_serving(Instant::now());
             reply
         }
         Err(fault) => {
--- a/src/intake/client.rs
+++ b/src/intake/client.rs
@@ -15,7 +15,6 @@
     listener: &'static str,
     place: Option<Place>,
     state: Mutex<State>,
-    is_evicted: AtomicBool,
     evicted: Notify,
     discards: AtomicBool,
 }
@@ -24,6 +23,7 @@
 struct State {
     /// Whether the process works on its request, and not it on the next one.
     is_served: bool,
+    is_evicted: bool,
     /// When it last sent or took a byte.
     progress: Instant,
     held_bytes: usize,
@@ -44,10 +44,10 @@
             place,
             state: Mutex::new(State {
                 is_served: false,
+                is_evicted: false,
                 progress: now,
                 held_bytes: 0,
             }),
-            is_evicted: AtomicBool::new(false),
             evicted: Notify::new(),
             discards: AtomicBool::new(false),
         }
@@ -77,10 +77,19 @@
         self.state().progress = now;
     }
 
-    /// Records whether the process works on its request. It is not evicted meanwhile.
-    pub fn set_served(&self, now: Instant, is_served: bool) {
+    /// Records that the process begins to work on its request. It is not evicted until
+    /// [`Self::end_serving`]. Returns `false` if it is evicted already.
+    #[must_use]
+    pub fn begin_serving(&self) -> bool {
         let mut state = self.state();
-        state.is_served = is_served;
+        state.is_served = !state.is_evicted;
+        state.is_served
+    }
+
+    /// Records that its request is done.
+    pub fn end_serving(&self, now: Instant) {
+        let mut state = self.state();
+        state.is_served = false;
         state.progress = now;
     }
 
@@ -99,14 +108,26 @@
         let evicted = self.evicted.notified();
         let mut evicted = std::pin::pin!(evicted);
         evicted.as_mut().enable();
-        if !self.is_evicted.load(Ordering::Relaxed) {
+        if !self.is_evicted() {
             evicted.await;
         }
     }
 
-    pub(super) fn evict(&self) {
-        self.is_evicted.store(true, Ordering::Relaxed);
-        self.evicted.notify_waiters();
+    /// Evicts it, unless its request is served by now. Returns whether it is evicted.
+    pub(super) fn evict(&self) -> bool {
+        let is_evicted = {
+            let mut state = self.state();
+            state.is_evicted |= !state.is_served;
+            state.is_evicted
+        };
+        if is_evicted {
+            self.evicted.notify_waiters();
+        }
+        is_evicted
+    }
+
+    fn is_evicted(&self) -> bool {
+        self.state().is_evicted
     }
 
     /// Returns since when it has kept the process waiting; `None` if it does not, or if its end
@@ -117,8 +138,7 @@
             Shortage::Places(listener) => self.listener == listener && self.place.is_some(),
             Shortage::Memory => state.held_bytes > 0,
         };
-        let is_evicted = self.is_evicted.load(Ordering::Relaxed);
-        (helps && !state.is_served && !is_evicted).then_some(state.progress)
+        (helps && !state.is_served && !state.is_evicted).then_some(state.progress)
     }
 
     /// Changes what its requests hold from `old` to `new` bytes. Returns `false`, and changes
--- a/src/intake/intake.rs
+++ b/src/intake/intake.rs
@@ -74,6 +74,9 @@
         let Some((since, client)) = stalled.min_by_key(|(since, _)| *since) else {
             return false;
         };
+        if !client.evict() {
+            return false;
+        }
         tracing::info!(
             listener = client.listener(),
             ?shortage,
@@ -81,11 +84,10 @@
             stalled_ms = now.saturating_duration_since(since).as_millis() as u64,
             "intake: a stalled client is evicted"
         );
-        client.evict();
         true
     }
 
-    /// Waits until memory or a place may have become free since this was called.
+    /// Returns what is notified when memory or a place may have become free.
     pub(crate) fn freed(&self) -> &Notify {
         &self.freed
     }
--- a/tests/intake.rs
+++ b/tests/intake.rs
@@ -72,7 +72,7 @@
     let _holds: Vec<_> = clients[..3].iter().map(|c| holding(c, 1_000)).collect();
     assert!(!intake.evict(began, Shortage::Memory), "none has stalled");
     let later = began + STALL;
-    clients[0].set_served(began, true);
+    assert!(clients[0].begin_serving());
     clients[1].record_progress(later);
     assert!(intake.evict(later, Shortage::Memory));
     assert!(
@@ -81,6 +81,10 @@
     );
     let evicted: Vec<_> = clients.iter().map(|c| is_evicted(c)).collect();
     assert_eq!(evicted, [false, false, true, false]);
+    assert!(
+        !clients[2].begin_serving(),
+        "it was served after its eviction"
+    );
 
     assert!(!intake.evict(later, Shortage::Places("health")));
     assert!(intake.evict(later, Shortage::Places(LISTENER)));
