Never refuse a job for memory that it takes itself on its way through the log

Found by reading: a caller who got no answer in time sends its job again, and the second copy of the call was refused with 503 if the first, proposed and not applied yet, took the last room. That refusal says that the job never runs, and it does. The leader now knows the jobs that it has proposed and counts each once; another copy of its call is proposed as well and answered by what is stored.

The test passes on this code; it was not run on the code before.

--- a/src/control/node/applied.rs
+++ b/src/control/node/applied.rs
@@ -186,10 +186,9 @@
                 caller,
                 job,
                 workspace,
-                memory_bytes,
             } => {
                 if let Some(lead) = &mut self.leader_state {
-                    lead.proposed_job_bytes -= memory_bytes;
+                    lead.proposed_jobs.remove(&job);
                 }
                 // A job that was proposed before may have taken the id.
                 let stored = self.state.job(job);
--- a/src/control/node/calls.rs
+++ b/src/control/node/calls.rs
@@ -188,19 +188,22 @@
             caller,
             job,
             workspace: submitter,
-            memory_bytes,
         };
         if let Some(lead) = &mut self.leader_state {
-            lead.proposed_job_bytes += memory_bytes;
+            lead.proposed_jobs.insert(job, memory_bytes);
         }
         self.propose(change, Some(waiter));
     }
 
     /// Returns whether the memory for jobs has room for one more. Jobs far above the ordinary
-    /// size get only a part of it, so that they do not keep the others out.
+    /// size get only a part of it, so that they do not keep the others out. A job that is
+    /// proposed already may run, so another copy of its call is not refused.
     fn has_room_for(&mut self, job: JobId, memory_bytes: usize) -> bool {
-        let lead = self.leader_state.as_ref();
-        let proposed_bytes = lead.map_or(0, |lead| lead.proposed_job_bytes);
+        let proposed = self.leader_state.as_ref().map(|lead| &lead.proposed_jobs);
+        if proposed.is_some_and(|jobs| jobs.contains_key(&job)) {
+            return true;
+        }
+        let proposed_bytes = proposed.map_or(0, |jobs| jobs.values().sum());
         let held_bytes = self.state.job_memory().bytes() + proposed_bytes;
         let limit_bytes = match memory_bytes > ORDINARY_JOB_BYTES {
             true => self.job_limit_bytes / 4 * 3,
--- a/src/control/node/leader_state.rs
+++ b/src/control/node/leader_state.rs
@@ -43,8 +43,6 @@
         job: JobId,
         /// The workspace of the caller, if its queue is not open to anyone.
         workspace: Option<WorkspaceName>,
-        /// Memory that the job will take, in bytes.
-        memory_bytes: usize,
     },
     /// Order the start of the placed task.
     Place(Placement),
@@ -75,8 +73,8 @@
     pub(super) term: u64,
     pub(super) fleet: Fleet,
     pub(super) pending: Pending<Waiter>,
-    /// Memory that the jobs will take that are proposed and not applied, in bytes.
-    pub(super) proposed_job_bytes: usize,
+    /// Jobs that are proposed and not applied, with the memory that each will take, in bytes.
+    pub(super) proposed_jobs: BTreeMap<JobId, usize>,
     pub(super) held_calls: HeldCalls,
     pub(super) scheduler: Scheduler,
     pub(super) forecast: Forecast,
@@ -181,7 +179,7 @@
             term,
             fleet: Fleet::new(now_ms, limits, &self.state, &scheduler.sizes),
             pending: Pending::new(self.settings.me.clone(), start),
-            proposed_job_bytes: 0,
+            proposed_jobs: BTreeMap::new(),
             held_calls: HeldCalls::default(),
             scheduler,
             forecast: Forecast::default(),
--- a/tests/control/calls.rs
+++ b/tests/control/calls.rs
@@ -330,3 +330,20 @@
     assert_eq!(world.answers.get(&again), Some(&Answer::Done));
     assert!(world.runs.iter().all(|run| run.task.job != JobId::from(5)));
 }
+
+/// Guards against a refusal of a job that runs: a caller who got no answer in time sends it again
+/// while the first copy is on its way through the log and takes the last room.
+#[test]
+fn a_job_on_its_way_through_the_log_is_not_refused_for_its_own_memory() {
+    let mut world = World::with_job_limit(47, 4, 4, 4 << 20);
+    world.sync_ms = 80;
+    let calls = [1, 1].map(|at| {
+        let call = world.submit(at, "quick", 1, job(vec![step(4_000)]));
+        world.run_ms(50);
+        call
+    });
+    world.run_ms(3_000);
+    for call in calls {
+        assert_eq!(world.answers.get(&call), Some(&Answer::Done));
+    }
+}
