Review: a job runs after its cancelling was acknowledged

Rule UNASKED: a job that was handed in at a frozen edge machine and cancelled at another one (410) is accepted when the first one wakes, and starts 3.5 to 8.2 s after the cancelling.

--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -28,9 +28,9 @@
         "9" => long_tasks(rec.clone(), &args[2], trouble),
         "10" => crash_loop(rec.clone(), &args[2], trouble),
         "12" => overdue_occurrences(rec.clone(), &args[2], trouble),
-        "13" => loss_at_first_start(rec.clone(), &args[2], trouble),
+        "first-start" => loss_at_first_start(rec.clone(), &args[2], trouble),
         "11" => large_checkpoints(rec.clone(), &args[2], trouble),
-        "cancel" => late_after_cancel(rec.clone(), &args[2], trouble),
+        "13" => late_after_cancel(rec.clone(), &args[2], trouble),
         _ => None,
     };
     let (text, code) = match broken {
