--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -114,8 +114,8 @@
     job: String,
     from_ms: u64,
     to_ms: u64,
-    /// Most cores, in thousandths, that all runs held meanwhile.
-    used_milli: u64,
+    /// The cores, in thousandths, that all runs held meanwhile: since when, and how many.
+    used: Vec<(u64, u64)>,
 }
 
 /// The intervals in which a job that is known to be accepted had nothing running. `accepted`
@@ -136,14 +136,12 @@
         }
         used.push((*at, now));
     }
-    let most = |from: u64, to: u64| {
+    let held = |from: u64, to: u64| {
         let before = used.iter().rev().find(|u| u.0 <= from).map_or(0, |u| u.1);
-        used.iter()
-            .filter(|u| u.0 > from && u.0 < to)
-            .map(|u| u.1)
-            .max()
-            .unwrap_or(0)
-            .max(before)
+        let later = used.iter().filter(|u| u.0 > from && u.0 < to);
+        std::iter::once((from, before))
+            .chain(later.copied())
+            .collect::<Vec<_>>()
     };
     let mut all = vec![];
     for (id, at) in accepted {
@@ -157,7 +155,7 @@
                             job: id.clone(),
                             from_ms,
                             to_ms: *t,
-                            used_milli: most(from_ms, *t),
+                            used: held(from_ms, *t),
                         });
                     }
                     running += 1;
@@ -178,7 +176,7 @@
                 job: id.clone(),
                 from_ms,
                 to_ms: until_ms,
-                used_milli: most(from_ms, until_ms),
+                used: held(from_ms, until_ms),
             });
         }
     }
@@ -206,15 +204,27 @@
     let mut longest = 0;
     for gap in &all {
         let from_ms = gap.from_ms.max(calm_from_ms);
-        let lasted_ms = gap.to_ms.saturating_sub(from_ms);
-        longest = longest.max(lasted_ms);
         let capacity = least(from_ms, gap.to_ms);
-        if lasted_ms > LOST_MS && 2 * gap.used_milli < capacity {
+        // The longest stretch of it in which under half of the capacity was in use.
+        let mut lasted_ms = 0;
+        let mut since: Option<u64> = None;
+        for (n, (at, used)) in gap.used.iter().enumerate() {
+            let until = gap.used.get(n + 1).map_or(gap.to_ms, |next| next.0);
+            match 2 * used < capacity {
+                true => {
+                    let began = *since.get_or_insert(*at);
+                    lasted_ms = lasted_ms.max(until.saturating_sub(began.max(from_ms)));
+                }
+                false => since = None,
+            }
+        }
+        longest = longest.max(lasted_ms);
+        if lasted_ms > LOST_MS {
             broken += 1;
             if broken <= 12 {
                 rec.say(&format!(
-                    "LOST: job {} has nothing running for {lasted_ms} ms, from {from_ms}; at most {} of {capacity} thousandths of a core in use",
-                    gap.job, gap.used_milli
+                    "LOST: job {} has nothing running for {lasted_ms} ms between {from_ms} and {}, with under half of {capacity} thousandths of a core in use",
+                    gap.job, gap.to_ms
                 ));
             }
         }
@@ -250,7 +260,7 @@
     let last_ms = rec.ms();
     let began = Instant::now();
     let mut small = 0u64;
-    while began.elapsed() < Duration::from_secs(60) {
+    while began.elapsed() < Duration::from_secs(75) {
         small += 1;
         let id = format!("{:016x}", 0x1000_0000_0000_0000 + small);
         if submit(
