Create no more occurrences of a recurring job than there is memory for

Callers saw: one hourly job of 2,000 tasks whose first time is a year ago is accepted, and some 45 s later all control instances are killed for their memory, again and again, so that nobody is served.

Cause: the leader proposed every occurrence whose time had come, however many were unfinished, and the account of the jobs' memory counted one occurrence a job. So neither the job was refused nor were its occurrences held back.

Of the six tests here five failed on that code (the sixth guards that occurrences overlap while there is memory): 4,600,000 bytes where 4 MiB are the limit; 12,760 counted of 27,160.

Why it works: an occurrence counts from its creation until it is removed, in the state, so the account is the same on each instance and after a restart. A further occurrence is created only if it fits beside those of its job (10,000 tasks, as one job may have) and into half of the memory for jobs. One occurrence of each job is paid for with its acceptance, so every job goes on. A job with lasting tasks keeps all its occurrences open and is counted with them.

--- a/src/control/messages/decision.rs
+++ b/src/control/messages/decision.rs
@@ -54,6 +54,10 @@
     /// A job was refused because the memory for jobs is used up.
     #[display("job-without-memory")]
     JobWithoutMemory,
+    /// The next occurrence of a recurring job was due and had to wait for the job's earlier ones,
+    /// or for memory.
+    #[display("occurrence-held-back")]
+    OccurrenceHeldBack,
     /// The disk had no room.
     #[display("disk-full")]
     DiskFull,
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -13,6 +13,7 @@
 mod log;
 mod machines;
 mod members;
+mod occurrences;
 mod orders;
 mod pass;
 mod peers;
--- a/src/control/node/leader_state.rs
+++ b/src/control/node/leader_state.rs
@@ -100,6 +100,8 @@
     pub(super) recurring: BTreeSet<JobId>,
     /// Occurrences whose creation is proposed and not applied yet.
     pub(super) proposed_occurrences: BTreeSet<(JobId, u32)>,
+    /// Recurring jobs that are behind their due times because an occurrence was held back.
+    pub(super) held_back: BTreeSet<JobId>,
     /// Workers for which a [`Change::Lapse`] or [`Change::Gone`] is proposed and not
     /// applied yet.
     pub(super) workers_ending: BTreeSet<InstanceName>,
@@ -198,6 +200,7 @@
             machines: MachineList::new(now_ms),
             recurring: BTreeSet::new(),
             proposed_occurrences: BTreeSet::new(),
+            held_back: BTreeSet::new(),
             workers_ending: BTreeSet::new(),
             silent_workers: BTreeSet::new(),
             silence_checked_ms: now_ms,
--- a/src/control/node/pass.rs
+++ b/src/control/node/pass.rs
@@ -135,26 +135,6 @@
             self.out.push(Effect::Count(Decision::StepHeld));
         }
     }
-
-    /// Proposes the creation of occurrences that are due.
-    pub(super) fn create_due_occurrences(&mut self, now_ms: u64) {
-        let unix_ms = self.clock.unix_ms(now_ms);
-        let Some(lead) = &mut self.leader_state else {
-            return;
-        };
-        for job in lead.recurring.iter().filter_map(|id| self.state.job(*id)) {
-            if let Some((occurrence, due_unix_ms)) = job.next_due()
-                && unix_ms >= due_unix_ms
-                && lead.proposed_occurrences.insert((job.id, occurrence))
-            {
-                let change = Change::Due {
-                    job: job.id,
-                    occurrence,
-                };
-                lead.pending.add(change, None);
-            }
-        }
-    }
 }
 
 impl LeaderState {
@@ -163,12 +143,16 @@
     /// tracks whether a further occurrence is due.
     fn update_after_change(&mut self, now_ms: u64, state: &State, id: JobId) {
         let Some(job) = state.job(id) else {
+            self.held_back.remove(&id);
             self.recurring.remove(&id);
             return;
         };
         match job.next_due() {
             Some(_) => self.recurring.insert(id),
-            None => self.recurring.remove(&id),
+            None => {
+                self.held_back.remove(&id);
+                self.recurring.remove(&id)
+            }
         };
         let ended = job.verdict.is_some();
         for (task, run) in job.runs() {
--- a/src/control/replication/state.rs
+++ b/src/control/replication/state.rs
@@ -404,10 +404,15 @@
         change: impl FnOnce(&mut Job) -> T,
     ) -> Option<T> {
         let job = self.jobs.get_mut(&id)?;
+        let open_before = job.open_occurrences();
         let outcome = change(job);
         job.settle(at_unix_ms);
+        if self.active.contains(&id) {
+            let open = job.open_occurrences();
+            self.memory.resize(&job.spec, open_before, open);
+        }
         if job.verdict.is_some() && job.has_no_runs() && self.active.remove(&id) {
-            self.memory.end(&job.spec);
+            self.memory.end(job);
         }
         Some(outcome)
     }
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -110,6 +110,11 @@
         self.occurrences.iter().map(|(number, o)| (*number, o))
     }
 
+    /// The number of occurrences that are due and not removed as done.
+    pub fn open_occurrences(&self) -> usize {
+        self.occurrences.len()
+    }
+
     /// Returns an occurrence, if it is due and not removed as done.
     pub fn occurrence(&self, occurrence: u32) -> Option<&Occurrence> {
         self.occurrences.get(&occurrence)
--- a/src/jobs/spec.rs
+++ b/src/jobs/spec.rs
@@ -9,8 +9,8 @@
 /// log holds, so that no job is accepted that the log drops.
 const MAX_SPEC_BYTES: usize = 256 << 10;
 
-/// Largest number of tasks of one occurrence. One command of the log has to hold them;
-/// it is several hundred times the number of today's largest job.
+/// Largest number of tasks of the occurrences of a job that are open at once, and so of one
+/// occurrence. One command of the log has to hold the tasks of an occurrence.
 pub const MAX_TASKS: usize = 10_000;
 
 /// A job as its caller submits it.
@@ -46,7 +46,9 @@
                 limit_bytes: MAX_SPEC_BYTES,
             });
         }
-        let tasks = self.tasks();
+        let tasks = self
+            .tasks()
+            .saturating_mul(self.reserved_occurrences().max(1));
         if tasks > MAX_TASKS {
             return Err(SpecFault::ManyTasks {
                 tasks,
@@ -85,6 +87,15 @@
         self.recurrence.map_or(1, |r| r.times)
     }
 
+    /// The number of occurrences that are open at once in any case: all of a job with lasting
+    /// tasks, which never end, otherwise one.
+    pub fn reserved_occurrences(&self) -> usize {
+        match self.lasts() {
+            true => self.occurrences() as usize,
+            false => self.occurrences().min(1) as usize,
+        }
+    }
+
     /// Whether a step of it runs until the job is cancelled.
     pub fn lasts(&self) -> bool {
         self.steps.iter().any(|s| s.lasting)
--- a/src/jobs/spec_fault.rs
+++ b/src/jobs/spec_fault.rs
@@ -37,9 +37,9 @@
         limit_bytes: usize,
     },
     /// The job has too many tasks.
-    #[display("the job has {tasks} tasks: {limit} are the most")]
+    #[display("the job has {tasks} tasks at once: {limit} are the most")]
     ManyTasks {
-        /// The number of tasks of one occurrence.
+        /// The number of tasks of one occurrence, or of all if its tasks never end.
         tasks: usize,
         /// The limit.
         limit: usize,
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -33,6 +33,7 @@
 mod pool;
 mod random;
 mod reconfigured;
+mod recurring;
 mod relay;
 mod restarts;
 mod scheduler;
