Start no job whose cancelling was acknowledged before it arrived

Callers saw: a job runs 3.5 to 8.2 s after its cancelling was answered 410. Its submission stood still in a paused entry instance meanwhile.

Cause: the leader answered the cancelling of an id that it did not store at once and kept nothing of it, so whatever brought the job later had it accepted: a paused instance, the log, a message that was late, or a configuration that it waited for. The entry instance handed on a request whose caller had left.

Three of the tests in `cancelled` were run on that code and failed (accepted; completed after its cancelling; accepted behind a configuration), as did `departed` with real processes.

Why it works: the cancelling of an unknown job goes through the log and is answered once it is durable. The number of ids is bounded, and beyond it a cancelling is refused, not acknowledged. Whether a job is stored still depends on the log alone, so earlier builds, which ignore the change, keep the same jobs. An entry instance lets the connection look for its end before it hands a job on, and sends no job again for a caller that has left.

--- a/src/control/forwarding/gateway.rs
+++ b/src/control/forwarding/gateway.rs
@@ -145,6 +145,12 @@
         actions.into_iter().map(effect_from).collect()
     }
 
+    /// Gives up calls whose callers have left, as far as nobody else relies on them.
+    pub fn abandon(&mut self, left: &[u64]) -> Vec<GatewayEffect> {
+        let actions = left.iter().filter_map(|id| self.relay.abandon(*id));
+        actions.map(effect_from).collect()
+    }
+
     /// Handles a message from a control instance.
     pub fn handle_message(
         &mut self,
--- a/src/control/forwarding/relay.rs
+++ b/src/control/forwarding/relay.rs
@@ -160,6 +160,23 @@
         self.send(now_ms, id).into_iter().collect()
     }
 
+    /// Gives up a call whose caller has left, so that it is not sent again. Only a call that
+    /// reads or that submits a job is given up: nobody would learn that the job is accepted.
+    pub fn abandon(&mut self, id: u64) -> Option<RelayAction> {
+        let open = self.open_calls.get(&id)?;
+        if !open.call.is_read() && !open.call.is_submission() {
+            return None;
+        }
+        tracing::info!(
+            id,
+            unanswered = open.unanswered,
+            "call: given up, its caller has left"
+        );
+        self.open_calls.remove(&id);
+        let answer = Answer::Unknown;
+        Some(RelayAction::Answer { id, answer })
+    }
+
     /// Handles an answer from a control instance.
     pub fn handle_answer(&mut self, now_ms: u64, id: u64, answer: Answer) -> Vec<RelayAction> {
         let Some(open) = self.open_calls.get_mut(&id) else {
--- a/src/control/messages/answer.rs
+++ b/src/control/messages/answer.rs
@@ -60,7 +60,8 @@
     /// The queue requires a key, and the caller has sent none that is in force.
     #[display("{_0}: send a key of a workspace, as Authorization: Bearer KEY")]
     Unauthorized(CredentialsFault),
-    /// A job with this id exists and belongs to another workspace.
-    #[display("the job's id is taken: choose another")]
+    /// A job with this id exists and belongs to another workspace, or one was cancelled before it
+    /// arrived.
+    #[display("the job's id is taken, or a job with it was cancelled: choose another")]
     TakenId,
 }
--- a/src/control/messages/call.rs
+++ b/src/control/messages/call.rs
@@ -132,6 +132,15 @@
         }
     }
 
+    /// Returns whether the call submits a job.
+    pub fn is_submission(&self) -> bool {
+        match self {
+            Self::Submit { .. } => true,
+            Self::Authorized { call, .. } | Self::Since { call, .. } => call.is_submission(),
+            _ => false,
+        }
+    }
+
     /// Returns the call in the form in which it is sent to a peer. A configuration with
     /// workspaces is sent encoded, as [`Configuration`] alone has no place for them.
     pub fn for_peer(self) -> Self {
--- a/src/control/messages/decision.rs
+++ b/src/control/messages/decision.rs
@@ -54,6 +54,12 @@
     /// A job was refused because the memory for jobs is used up.
     #[display("job-without-memory")]
     JobWithoutMemory,
+    /// A job was refused because it was cancelled before it arrived.
+    #[display("job-cancelled-before")]
+    JobCancelledBefore,
+    /// The cancellation of an unknown job was refused because too many are kept.
+    #[display("cancel-without-memory")]
+    CancelWithoutMemory,
     /// The next occurrence of a recurring job was due and had to wait for the job's earlier ones,
     /// or for memory.
     #[display("occurrence-held-back")]
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -67,8 +67,8 @@
 };
 pub use preemption::{PreemptionInput, Preemptor, Victim};
 pub use replication::{
-    Arrivals, Change, Command, Estimates, History, JobMemory, JobSize, Load, Phase, Report,
-    RunsByWorker, State, Wave, Worker, WorkerIndex, WorkspaceUsage,
+    Arrivals, CancelledIds, Change, Command, Estimates, History, JobMemory, JobSize, Load, Phase,
+    Report, RunsByWorker, State, Wave, Worker, WorkerIndex, WorkspaceUsage,
 };
 pub use runtime::{
     CallBridge, ConnectionBudget, ConnectionPermits, Driver, EventKind, ExternalSystems, Grant,
--- a/src/control/node/applied.rs
+++ b/src/control/node/applied.rs
@@ -5,7 +5,7 @@
 use super::Node;
 use super::calls::acceptance;
 use super::leader_state::{Waiter, counts_toward_sizes};
-use crate::control::{Access, Answer, Change, Command, Workspace};
+use crate::control::{Access, Answer, Change, Command, Refusal, Workspace};
 use crate::jobs::JobId;
 
 impl Node {
@@ -137,8 +137,10 @@
                     lead.scheduler.record_arrival(&self.state, job);
                 }
             }
+            Change::Cancel { job } => {
+                lead.proposed_cancels.remove(job);
+            }
             Change::ConfigurePart(_)
-            | Change::Cancel { .. }
             | Change::Place { .. }
             | Change::Wave(_)
             | Change::UpkeepAsked { .. }
@@ -203,6 +205,13 @@
                 }
                 self.answer(&caller, answer);
             }
+            Waiter::Cancel { caller, job } => {
+                let answer = match self.state.job(job) {
+                    Some(_) => Answer::Done,
+                    None => Answer::Refused(Refusal::NotKnown),
+                };
+                self.answer(&caller, answer);
+            }
             Waiter::Place(start) => self.order_start(now_ms, &start),
             Waiter::Upkeep {
                 wave,
--- a/src/control/node/calls.rs
+++ b/src/control/node/calls.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 
 use super::held_calls::HeldCall;
-use super::leader_state::Waiter;
+use super::leader_state::{ProposedJob, Waiter};
 use super::{CallOrigin, Node};
 use crate::consensus::COMMAND_LIMIT_BYTES;
 use crate::control::messages::job_from_path;
 use crate::control::{
-    Answer, Call, Change, Configuration, ConfigurationFault, ConfigurationPart, ConfigurationParts,
-    Credentials, Decision, Effect, JobMemory, Phase, Place, Queue, Refusal, Report, ResourceTotals,
-    Wave, WorkerStart, Workspace,
+    Answer, Call, CancelledIds, Change, Configuration, ConfigurationFault, ConfigurationPart,
+    ConfigurationParts, Credentials, Decision, Effect, JobMemory, Phase, Place, Queue, Refusal,
+    Report, ResourceTotals, Wave, WorkerStart, Workspace,
 };
 use crate::jobs::{Job, JobId, JobSpec, JobState};
 use crate::model::WorkspaceName;
@@ -151,6 +151,9 @@
         if let Some(known) = self.state.job(job) {
             return self.answer(&caller, acceptance(known, submitter.as_ref()));
         }
+        if let Some(answer) = self.answer_if_cancelled(job) {
+            return self.answer(&caller, answer);
+        }
         let Some(spec) = spec else {
             let why = "the job cannot be read: send it whole, as JSON".to_owned();
             return self.answer(&caller, Answer::Refused(Refusal::Wrong(why)));
@@ -184,17 +187,37 @@
                 spec,
             },
         };
+        let proposed_by = submitter.clone();
         let waiter = Waiter::Accept {
             caller,
             job,
             workspace: submitter,
         };
         if let Some(lead) = &mut self.leader_state {
-            lead.proposed_jobs.insert(job, memory_bytes);
+            let proposed = lead.proposed_jobs.entry(job);
+            proposed.or_insert(ProposedJob {
+                memory_bytes,
+                workspace: proposed_by,
+            });
         }
         self.propose(change, Some(waiter));
     }
 
+    /// Returns the answer to a caller who submits a job that was cancelled before, which is not
+    /// accepted any more; `None` if it was not.
+    fn answer_if_cancelled(&mut self, job: JobId) -> Option<Answer> {
+        let lead = self.leader_state.as_ref();
+        if lead.is_some_and(|lead| lead.proposed_cancels.contains(&job)) {
+            return Some(Answer::Unknown);
+        }
+        if !self.state.cancelled_ids().contains(job) {
+            return None;
+        }
+        tracing::info!(%job, "job: refused, it was cancelled before it arrived");
+        self.out.push(Effect::Count(Decision::JobCancelledBefore));
+        Some(Answer::Refused(Refusal::TakenId))
+    }
+
     /// Returns whether the memory for jobs has room for one more. Jobs far above the ordinary
     /// size get only a part of it, so that they do not keep the others out. A job that is
     /// proposed already may run, so another copy of its call is not refused.
@@ -203,7 +226,9 @@
         if proposed.is_some_and(|jobs| jobs.contains_key(&job)) {
             return true;
         }
-        let proposed_bytes = proposed.map_or(0, |jobs| jobs.values().sum());
+        let proposed_bytes = proposed.map_or(0, |jobs| {
+            jobs.values().map(|job| job.memory_bytes).sum::<usize>()
+        });
         let held_bytes = self.state.job_memory().bytes() + proposed_bytes;
         let limit_bytes = match memory_bytes > ORDINARY_JOB_BYTES {
             true => self.job_limit_bytes / 4 * 3,
@@ -251,18 +276,56 @@
             Err(refusal) => return self.answer(&caller, Answer::Refused(refusal)),
         };
         let workspace = workspace.map(|workspace| workspace.name);
-        let known = self.state.job(job);
-        let known = known.filter(|job| may_see(job, workspace.as_ref()));
-        match known.map(|job| job.state()) {
-            None => self.answer(&caller, Answer::Refused(Refusal::NotKnown)),
-            Some(JobState::Cancelled | JobState::Completed | JobState::Failed) => {
-                self.answer(&caller, Answer::Done);
-            }
-            Some(JobState::Queued | JobState::Running) => {
-                tracing::info!(%job, "job: cancelled by its caller");
-                self.propose(Change::Cancel { job }, Some(Waiter::Call(caller)));
+        if let Some(known) = self.state.job(job) {
+            let answer = match (may_see(known, workspace.as_ref()), known.state()) {
+                (false, _) => Answer::Refused(Refusal::NotKnown),
+                (true, JobState::Cancelled | JobState::Completed | JobState::Failed) => {
+                    Answer::Done
+                }
+                (true, JobState::Queued | JobState::Running) => {
+                    tracing::info!(%job, "job: cancelled by its caller");
+                    let waiter = Waiter::Cancel { caller, job };
+                    return self.propose(Change::Cancel { job }, Some(waiter));
+                }
+            };
+            return self.answer(&caller, answer);
+        }
+        self.cancel_unknown(caller, workspace.as_ref(), job);
+    }
+
+    /// Cancels a job that is not accepted. Its submission may be on its way through the log, or
+    /// still to arrive: so its caller is answered once the cancellation is durable.
+    fn cancel_unknown(
+        &mut self,
+        caller: CallOrigin,
+        workspace: Option<&WorkspaceName>,
+        job: JobId,
+    ) {
+        let not_known = Answer::Refused(Refusal::NotKnown);
+        let Some(lead) = &mut self.leader_state else {
+            return;
+        };
+        let proposed = lead.proposed_jobs.get(&job);
+        if proposed.is_some_and(|job| !is_visible(job.workspace.as_ref(), workspace))
+            || self.state.cancelled_ids().contains(job)
+        {
+            return self.answer(&caller, not_known);
+        }
+        if proposed.is_none() {
+            let kept = self.state.cancelled_ids().len() + lead.proposed_cancels.len();
+            if kept >= CancelledIds::MAX {
+                tracing::warn!(%job, kept, "job: its cancelling is refused, too many are kept");
+                self.out.push(Effect::Count(Decision::CancelWithoutMemory));
+                let refusal = Refusal::Busy {
+                    retry_after_ms: NO_ROOM_RETRY_MS,
+                };
+                return self.answer(&caller, Answer::Refused(refusal));
             }
+            lead.proposed_cancels.insert(job);
         }
+        tracing::info!(%job, proposed = proposed.is_some(), "job: cancelled before it is accepted");
+        let waiter = Waiter::Cancel { caller, job };
+        self.propose(Change::Cancel { job }, Some(waiter));
     }
 
     fn accept_report(
@@ -378,7 +441,11 @@
 /// Returns whether a caller of a workspace may see and cancel a job. A job that was accepted
 /// while its queue was open to anyone belongs to no workspace and is seen by all.
 fn may_see(job: &Job, workspace: Option<&WorkspaceName>) -> bool {
-    match (&job.workspace, workspace) {
+    is_visible(job.workspace.as_ref(), workspace)
+}
+
+fn is_visible(owner: Option<&WorkspaceName>, workspace: Option<&WorkspaceName>) -> bool {
+    match (owner, workspace) {
         (Some(owner), Some(workspace)) => owner == workspace,
         (None, _) | (_, None) => true,
     }
--- a/src/control/node/leader_state.rs
+++ b/src/control/node/leader_state.rs
@@ -44,6 +44,13 @@
         /// The workspace of the caller, if its queue is not open to anyone.
         workspace: Option<WorkspaceName>,
     },
+    /// Answer the call that cancelled a job.
+    Cancel {
+        /// The call.
+        caller: CallOrigin,
+        /// The job.
+        job: JobId,
+    },
     /// Order the start of the placed task.
     Place(Placement),
     /// Order the upkeep of a machine.
@@ -67,14 +74,25 @@
     },
 }
 
+/// A job on its way through the log.
+#[derive(Debug)]
+pub(super) struct ProposedJob {
+    /// Memory that it will take, in bytes.
+    pub(super) memory_bytes: usize,
+    /// The workspace that submitted it; `None` if its queue is open to anyone.
+    pub(super) workspace: Option<WorkspaceName>,
+}
+
 /// What a leader knows beyond the replicated state, and its outstanding requests.
 #[derive(Debug)]
 pub(super) struct LeaderState {
     pub(super) term: u64,
     pub(super) fleet: Fleet,
     pub(super) pending: Pending<Waiter>,
-    /// Jobs that are proposed and not applied, with the memory that each will take, in bytes.
-    pub(super) proposed_jobs: BTreeMap<JobId, usize>,
+    /// Jobs that are proposed and not applied.
+    pub(super) proposed_jobs: BTreeMap<JobId, ProposedJob>,
+    /// Ids of unknown jobs whose cancellation is proposed and not applied.
+    pub(super) proposed_cancels: BTreeSet<JobId>,
     pub(super) held_calls: HeldCalls,
     pub(super) scheduler: Scheduler,
     pub(super) forecast: Forecast,
@@ -182,6 +200,7 @@
             fleet: Fleet::new(now_ms, limits, &self.state, &scheduler.sizes),
             pending: Pending::new(self.settings.me.clone(), start),
             proposed_jobs: BTreeMap::new(),
+            proposed_cancels: BTreeSet::new(),
             held_calls: HeldCalls::default(),
             scheduler,
             forecast: Forecast::default(),
@@ -256,7 +275,8 @@
             let caller = match waiter {
                 Waiter::Call(caller)
                 | Waiter::Configure(caller)
-                | Waiter::Accept { caller, .. } => caller,
+                | Waiter::Accept { caller, .. }
+                | Waiter::Cancel { caller, .. } => caller,
                 Waiter::Place(_) | Waiter::Upkeep { .. } | Waiter::Ended { .. } => continue,
             };
             let answer = match caller {
--- a/src/control/node/occurrences.rs
+++ b/src/control/node/occurrences.rs
@@ -30,7 +30,7 @@
             return;
         };
         let limit_bytes = self.job_limit_bytes / ACCEPTED_PART;
-        let proposed_jobs = lead.proposed_jobs.values().copied();
+        let proposed_jobs = lead.proposed_jobs.values().map(|job| job.memory_bytes);
         let proposed = lead.proposed_occurrences.iter();
         let proposed = proposed.filter_map(|(id, _)| self.state.job(*id));
         let proposed_occurrences = proposed.map(JobMemory::of_next_occurrence).sum::<usize>();
--- a/src/control/replication/change.rs
+++ b/src/control/replication/change.rs
@@ -41,7 +41,8 @@
         /// Its specification.
         spec: Arc<JobSpec>,
     },
-    /// Cancels a job at the request of its caller.
+    /// Cancels a job at the request of its caller. If there is no such job, its id is kept, so
+    /// that a leader accepts none under it; earlier builds keep nothing.
     Cancel {
         /// The job.
         job: JobId,
@@ -120,7 +121,7 @@
         /// The machine.
         machine: String,
     },
-    /// Forgets jobs that ended before a time.
+    /// Forgets jobs that ended, and ids that were cancelled, before a time.
     Forget {
         /// The time, in milliseconds since 1970.
         before_unix_ms: u64,
--- a/src/control/replication/mod.rs
+++ b/src/control/replication/mod.rs
@@ -6,6 +6,7 @@
 //! commands to it; all decisions read it.
 
 mod arrivals;
+mod cancelled_ids;
 mod change;
 mod estimates;
 mod history;
@@ -21,6 +22,7 @@
 mod workspace_usage;
 
 pub use arrivals::{Arrivals, JobSize};
+pub use cancelled_ids::CancelledIds;
 pub use change::{Change, Command};
 pub use estimates::Estimates;
 pub use history::History;
--- a/src/control/replication/state.rs
+++ b/src/control/replication/state.rs
@@ -8,8 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::control::{
-    Change, Command, Configuration, ConfigurationParts, History, JobMemory, Queue, Report,
-    RunsByWorker, Wave, Worker, WorkerIndex, WorkspaceUsage,
+    CancelledIds, Change, Command, Configuration, ConfigurationParts, History, JobMemory, Queue,
+    Report, RunsByWorker, Wave, Worker, WorkerIndex, WorkspaceUsage,
 };
 use crate::jobs::{Job, JobId, JobSpec, JobState, RunResult, TaskId};
 use crate::model::{InstanceName, PoolName, WorkspaceName};
@@ -34,6 +34,8 @@
     machines: WorkerIndex<String>,
     #[serde(skip)]
     usage: WorkspaceUsage,
+    #[serde(skip)]
+    cancelled_ids: CancelledIds,
     waves: BTreeMap<u64, Wave>,
     parts: ConfigurationParts,
     history: History,
@@ -149,6 +151,11 @@
         &self.waves
     }
 
+    /// Returns the ids of jobs that were cancelled before they were accepted.
+    pub fn cancelled_ids(&self) -> &CancelledIds {
+        &self.cancelled_ids
+    }
+
     /// Returns the statistics of past jobs and runs.
     pub fn history(&self) -> &History {
         &self.history
@@ -177,9 +184,12 @@
                 spec,
             } => self.accept(at_unix_ms, *job, Some(workspace), queue, spec),
             Change::Cancel { job } => {
-                self.update_job(at_unix_ms, *job, |job| {
+                let known = self.update_job(at_unix_ms, *job, |job| {
                     job.verdict.get_or_insert(JobState::Cancelled);
                 });
+                if known.is_none() {
+                    self.cancelled_ids.add(*job, at_unix_ms);
+                }
             }
             Change::Due { job, occurrence } => {
                 self.update_job(at_unix_ms, *job, |job| job.create_occurrence(*occurrence));
@@ -274,6 +284,7 @@
                     }
                     is_kept
                 });
+                self.cancelled_ids.forget(*before_unix_ms);
                 let configuration = self.configuration.as_deref();
                 self.history
                     .retain(|job| active.contains(&job), configuration);
--- a/src/control/replication/state/snapshot.rs
+++ b/src/control/replication/state/snapshot.rs
@@ -6,12 +6,15 @@
 
 use super::State;
 use crate::codec::CodecError;
-use crate::control::{Access, Configuration, JobMemory, RunsByWorker, WorkspaceUsage};
+use crate::control::{
+    Access, CancelledIds, Configuration, JobMemory, RunsByWorker, WorkspaceUsage,
+};
 use crate::jobs::JobId;
 use crate::model::WorkspaceName;
 
 /// The part of a snapshot about workspaces. It follows the layout of earlier builds, which
-/// have none, and is left out if there is nothing in it.
+/// have none, and is left out if there is nothing in it and nothing behind it. The cancelled ids
+/// follow it, if there are any; builds that do not know them ignore what follows.
 #[derive(Default, PartialEq, Serialize, Deserialize)]
 struct WorkspaceState {
     access: Option<Access>,
@@ -42,9 +45,13 @@
                 .filter_map(|(id, job)| Some((*id, job.workspace.clone()?)))
                 .collect(),
         };
-        if workspaces != WorkspaceState::default() {
+        let keeps_ids = !self.cancelled_ids.is_empty();
+        if keeps_ids || workspaces != WorkspaceState::default() {
             bytes.extend(crate::codec::encode(&workspaces));
         }
+        if keeps_ids {
+            bytes.extend(crate::codec::encode(&self.cancelled_ids));
+        }
         bytes
     }
 
@@ -55,7 +62,11 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, CodecError> {
         let (mut state, rest) = crate::codec::decode_state::<Self>(bytes)?;
         if !rest.is_empty() {
-            let (workspaces, _) = crate::codec::decode_state::<WorkspaceState>(rest)?;
+            let (workspaces, rest) = crate::codec::decode_state::<WorkspaceState>(rest)?;
+            if !rest.is_empty() {
+                let (cancelled_ids, _) = crate::codec::decode_state::<CancelledIds>(rest)?;
+                state.cancelled_ids = cancelled_ids;
+            }
             if let Some(configuration) = &mut state.configuration {
                 Arc::make_mut(configuration).access = workspaces.access;
             }
--- a/src/control/runtime/call_bridge.rs
+++ b/src/control/runtime/call_bridge.rs
@@ -45,6 +45,8 @@
 struct OpenCalls {
     next_id: u64,
     answers: HashMap<u64, OpenCall>,
+    /// Open calls whose callers have left since [`CallBridge::take_left`].
+    left: Vec<u64>,
 }
 
 #[derive(Debug)]
@@ -63,6 +65,7 @@
         let open = OpenCalls {
             next_id: first_id,
             answers: HashMap::new(),
+            left: Vec::new(),
         };
         let bridge = Self {
             calls: tx,
@@ -94,8 +97,11 @@
         if self.calls.send(incoming).is_err() {
             return (Answer::Unknown, None);
         }
+        let caller = Caller { bridge: self, id };
         // The loop ends without an answer only when the process ends.
-        let (answer, hold) = match rx.await {
+        let answered = rx.await;
+        caller.stay();
+        let (answer, hold) = match answered {
             Ok((answer, hold)) => (answer, Some(hold)),
             Err(_) => (Answer::Unknown, None),
         };
@@ -114,6 +120,12 @@
         }
     }
 
+    /// Takes the open calls whose callers have left, which drops the futures of
+    /// [`Self::call`].
+    pub fn take_left(&self) -> Vec<u64> {
+        std::mem::take(&mut lock(&self.open).left)
+    }
+
     /// Answers all open calls with [`Answer::Unknown`] because the instance stops.
     ///
     /// Otherwise the connections of callers without an answer would break at the end of a
@@ -165,6 +177,27 @@
     }
 }
 
+/// The caller of an open call. Dropped before the answer, it is recorded as having left.
+struct Caller<'a> {
+    bridge: &'a CallBridge,
+    id: u64,
+}
+
+impl Caller<'_> {
+    fn stay(self) {
+        std::mem::forget(self);
+    }
+}
+
+impl Drop for Caller<'_> {
+    fn drop(&mut self) {
+        let mut open = lock(&self.bridge.open);
+        if open.answers.contains_key(&self.id) {
+            open.left.push(self.id);
+        }
+    }
+}
+
 /// Locks a mutex, also after a panic: each change of the maps is a single operation, so a
 /// panic elsewhere leaves them consistent.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/src/control/runtime/driver.rs
+++ b/src/control/runtime/driver.rs
@@ -348,7 +348,8 @@
                 _ = tick.tick() => gateway.tick(boottime_ms()),
                 else => return,
             };
-            for effect in effects {
+            let abandoned = gateway.abandon(&self.bridge.take_left());
+            for effect in effects.into_iter().chain(abandoned) {
                 match effect {
                     GatewayEffect::Answer { id, answer } => self.bridge.answer(id, answer),
                     GatewayEffect::Send { to, message } => self.links.send(&to, &message),
--- a/src/platform/entry_calls.rs
+++ b/src/platform/entry_calls.rs
@@ -2,6 +2,7 @@
 use std::time::Instant;
 
 use http::header::AUTHORIZATION;
+use http::request::Parts;
 use http::{Method, StatusCode};
 use secrecy::SecretString;
 use serde_json::json;
@@ -25,6 +26,8 @@
 /// Forms in which a job is held until it is answered: as decoded, and as encoded for its link,
 /// which is smaller.
 const FORMS: usize = 2;
+/// Turns in which a connection reads the end of a body and then that of its stream.
+const TURNS_TO_EOF: usize = 2;
 /// Part of the caller's timeout that is reserved for the transfer of the answer.
 const ANSWER_RESERVE_MS: u64 = 150;
 
@@ -86,6 +89,17 @@
             },
         };
         let began = Instant::now();
+        if method == Method::POST {
+            // The process may have been paused with the request unread. The connection then
+            // finds out here that its caller has left, and drops this future.
+            let unsent = Unsent {
+                head: &incoming.head,
+            };
+            for _ in 0..TURNS_TO_EOF {
+                tokio::task::yield_now().await;
+            }
+            unsent.send();
+        }
         incoming.body.clear();
         let Incoming { head, hold, .. } = incoming;
         let (answer, _hold) = self.bridge.call(call, patience_ms, hold).await;
@@ -102,6 +116,27 @@
     }
 }
 
+/// A submission that is not handed on yet. It is logged if its caller leaves before.
+struct Unsent<'a> {
+    head: &'a Parts,
+}
+
+impl Unsent<'_> {
+    fn send(self) {
+        std::mem::forget(self);
+    }
+}
+
+impl Drop for Unsent<'_> {
+    fn drop(&mut self) {
+        tracing::info!(
+            request = text_header(self.head, REQUEST_HEADER),
+            path = self.head.uri.path(),
+            "call: its caller left before it was sent"
+        );
+    }
+}
+
 /// Decodes and checks a job, so that none is sent on that the leader refuses for its size.
 fn read_spec(body: &[u8]) -> Result<JobSpec, String> {
     let spec = read_job(body).map_err(|err| err.to_string());
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -10,6 +10,7 @@
 mod arbitration;
 mod backlog;
 mod calls;
+mod cancelled;
 mod capacity;
 mod carriers;
 mod driver;
--- a/tests/control/relay.rs
+++ b/tests/control/relay.rs
@@ -1,7 +1,7 @@
 //! Forwarding of calls to the leader, and the readiness of an entry instance.
 
 use rosemarygauge::control::{
-    Answer, Call, Gateway, GatewayEffect, PeerMessage, Refusal, Relay, RelayAction,
+    Answer, Call, Credentials, Gateway, GatewayEffect, PeerMessage, Refusal, Relay, RelayAction,
 };
 
 use crate::world::{World, name};
@@ -52,6 +52,35 @@
     assert!(asked.len() >= 3, "{asked:?}");
 }
 
+/// Guards against a job that is submitted again and again for a caller that has left, and against
+/// a cancellation that is dropped with its caller.
+#[test]
+fn a_submission_is_not_sent_again_once_its_caller_has_left() {
+    let place = World::place("quick", 1);
+    let submission = Call::Submit {
+        place: place.clone(),
+        spec: None,
+    };
+    let authorized = Call::Authorized {
+        credentials: Credentials::Missing,
+        call: Box::new(submission.clone()),
+    };
+    for (call, is_given_up) in [
+        (submission, true),
+        (authorized, true),
+        (Call::Cancel { place }, false),
+    ] {
+        let mut relay = relay();
+        relay.set_leader(0, Some(name(1)));
+        relay.add_call(0, 1, call, 9_000);
+        let answer = Answer::Unknown;
+        let given_up = is_given_up.then_some(RelayAction::Answer { id: 1, answer });
+        assert_eq!(relay.abandon(1), given_up);
+        let again = (0..3_000).step_by(50).flat_map(|ms| relay.tick(ms));
+        assert_eq!(again.count() == 0, is_given_up);
+    }
+}
+
 /// A call that was sent may have an effect, so its caller is not told that it has none.
 #[test]
 fn only_a_call_that_never_left_is_refused() {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,6 +7,7 @@
 
 mod connections;
 mod crowd;
+mod departed;
 mod deployment;
 mod formats;
 mod keys;
