Tell a failing task from a failing worker, and delay its restarts

Callers saw: as long as one lasting job of five tasks exists that fail at each start, all other jobs of its pool have nothing running for 3 to 4 s at a time, with most machines idle.

Cause: each failure counted in full against its worker, and three closed it for 4 s, whosever fault they were. A lasting task was started again at once on the next worker, so one job closed all.

Why it works: a failure counts less against a worker the more other workers have failed the same step, and in full once runs of it complete or outlive it elsewhere; and a worker is closed only if it fails three times as often as a quarter of its pool, so many bad jobs close no pool. Restarts of a task that fails within 2 s of each start are delayed, up to 4 s, with jitter, until a run works for longer.

The test of the cooldown in `leases` is as strict as before: the share of a failure and the failures of other workers are arguments now, and it passes those under which every failure counts in full.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -77,6 +77,7 @@
 pub use upkeep::{Upkeep, UpkeepInput, UpkeepStep};
 pub use voters::{Borne, Location, Member, Spread, Tolerance, VoterPlan, next_voter_change};
 pub use workers::{
-    Carrier, Carriers, Fleet, LeaseLimits, Progress, Reports, RunLoad, RunPhase, RunView, Runs,
-    SizeShares, Sizes, Throttle, WorkerLink, WorkerStart, is_stalled,
+    Carrier, Carriers, FailedRun, Fleet, LeaseLimits, OUTLIVING_MARGIN_MS, Progress, Reports,
+    Restarts, RunLoad, RunPhase, RunView, Runs, SizeShares, Sizes, TaskFaults, Throttle,
+    WorkerLink, WorkerStart, is_stalled,
 };
--- a/src/control/node/leader_state.rs
+++ b/src/control/node/leader_state.rs
@@ -435,6 +435,9 @@
         lead.scheduler
             .sizes
             .retain(|job| state.job(job).is_some_and(|job| job.verdict.is_none()));
+        lead.scheduler.faults.retain(now_ms, |job| {
+            state.job(job).is_some_and(|job| job.verdict.is_none())
+        });
         lead.scheduler
             .shares
             .retain(|job| state.job(job).is_some_and(|job| job.verdict.is_none()));
--- a/src/control/placement/hold.rs
+++ b/src/control/placement/hold.rs
@@ -20,6 +20,8 @@
         /// Time since the worker's last answer, if there was one.
         silent_ms: Option<u64>,
     },
+    /// All its tasks have failed soon after their starts and are started again later.
+    Delayed,
     /// The quota of the job's workspace has no room.
     Quota,
     /// No worker of the pool that takes work has room for a task.
@@ -80,6 +82,10 @@
             let (first, last) = (pending.task(0), pending.task(u16::MAX));
             return Hold::Proposed(self.proposed.range(first..=last).count());
         }
+        let mut waiting = pending.waiting.iter().map(|index| pending.task(*index));
+        if waiting.all(|task| !self.faults.may_start(now_ms, task)) {
+            return Hold::Delayed;
+        }
         let workspace = pending.job.workspace.as_ref();
         if workspace.is_some_and(|workspace| self.at_quota.contains(workspace)) {
             return Hold::Quota;
@@ -98,7 +104,7 @@
         state: &'a State,
         step: TaskId,
     ) -> Option<PendingStep<'a>> {
-        PendingStep::of_step(state, step, &self.proposed)
+        PendingStep::of_step(state, step, &self.proposed, |_| true)
     }
 }
 
--- a/src/control/placement/pending_step.rs
+++ b/src/control/placement/pending_step.rs
@@ -19,11 +19,12 @@
 
 impl<'a> PendingStep<'a> {
     /// Returns the step of a backlog entry, if the state still has it, without the tasks
-    /// whose starts are proposed already.
+    /// whose starts are proposed already and those that `may_start` excludes.
     pub(super) fn find(
         state: &'a State,
         entry: Entry,
         proposed: &BTreeMap<TaskId, Placement>,
+        may_start: impl Fn(TaskId) -> bool,
     ) -> Option<Self> {
         let step = TaskId {
             job: entry.job,
@@ -31,7 +32,7 @@
             step: entry.step,
             index: 0,
         };
-        let mut pending = Self::of_step(state, step, proposed)?;
+        let mut pending = Self::of_step(state, step, proposed, may_start)?;
         pending.runs_by_zone = pending.count_runs_by_zone(state);
         Some(pending)
     }
@@ -41,6 +42,7 @@
         state: &'a State,
         step: TaskId,
         proposed: &BTreeMap<TaskId, Placement>,
+        may_start: impl Fn(TaskId) -> bool,
     ) -> Option<Self> {
         let job = state.job(step.job)?;
         let mut pending = Self {
@@ -51,7 +53,7 @@
             waiting: Vec::new(),
             runs_by_zone: BTreeMap::new(),
         };
-        pending.waiting = pending.waiting_tasks(proposed);
+        pending.waiting = pending.waiting_tasks(proposed, may_start);
         Some(pending)
     }
 
@@ -64,12 +66,19 @@
         }
     }
 
-    fn waiting_tasks(&self, proposed: &BTreeMap<TaskId, Placement>) -> Vec<u16> {
+    fn waiting_tasks(
+        &self,
+        proposed: &BTreeMap<TaskId, Placement>,
+        may_start: impl Fn(TaskId) -> bool,
+    ) -> Vec<u16> {
         let tasks = self.occurrence.step(self.step).iter().enumerate();
         let waiting: Vec<u16> = tasks
             .filter(|(_, task)| task.is_waiting())
             .map(|(index, _)| index as u16)
-            .filter(|index| !proposed.contains_key(&self.task(*index)))
+            .filter(|index| {
+                let task = self.task(*index);
+                !proposed.contains_key(&task) && may_start(task)
+            })
             .collect();
         let step = &self.job.spec.steps[self.step];
         // A gang starts as a whole or not at all.
--- a/src/control/placement/scheduler.rs
+++ b/src/control/placement/scheduler.rs
@@ -22,7 +22,9 @@
 use super::quota_room::QuotaRoom;
 use super::scheduler_input::SchedulerInput;
 use super::tickets::Tickets;
-use crate::control::{PlacementPolicy, Queue, RunLoad, SizeShares, Sizes, State, WorkspaceShares};
+use crate::control::{
+    PlacementPolicy, Queue, RunLoad, SizeShares, Sizes, State, TaskFaults, WorkspaceShares,
+};
 use crate::jobs::{Job, JobId, TaskId};
 use crate::model::{InstanceName, PoolName, WorkspaceName};
 
@@ -45,6 +47,8 @@
     pub(in crate::control) sizes: Sizes,
     /// The jobs that are beyond the shares of their workspaces.
     pub(in crate::control) shares: WorkspaceShares,
+    /// Tasks that failed or stalled, and whose starts are delayed.
+    pub(in crate::control) faults: TaskFaults,
     /// Steps without valid advice and the workers to ask about, in backlog order.
     missing_advice: Vec<(TaskId, Vec<InstanceName>)>,
     /// The steps that wait to be placed.
@@ -196,9 +200,11 @@
                 pass.record_miss(world.policy);
                 continue;
             }
-            let pending = PendingStep::find(world.state, entry, &self.proposed);
+            let faults = &self.faults;
+            let may_start = |task| faults.may_start(now_ms, task);
+            let pending = PendingStep::find(world.state, entry, &self.proposed, may_start);
             let Some(pending) = pending.filter(|pending| !pending.waiting.is_empty()) else {
-                // All its starts are proposed already, so this is no lack of room.
+                // All its starts are proposed already or delayed, so this is no lack of room.
                 continue;
             };
             let (job, step) = (pending.job, pending.step);
@@ -377,8 +383,17 @@
                 zone,
                 rack: rack.as_deref(),
             };
+            // A gang is placed whole, and a single worker is better than none.
+            let may_avoid = !step.gang && pool.all().len() > 1;
+            let avoid = preferences
+                .avoid
+                .filter(|_| may_avoid && self.faults.is_fresh(now_ms, task));
+            let may_take = |c: &Candidate| may_take(c) && avoid != Some(c.name);
             let Some(best) = pool.best(step, preferences, policy, may_take) else {
-                break;
+                match avoid {
+                    Some(_) => continue,
+                    None => break,
+                }
             };
             let worker = pool.reserve(best, step).clone();
             let attempt = state.map_or(0, |t| t.attempt) + 1;
--- a/src/control/workers/worker_link.rs
+++ b/src/control/workers/worker_link.rs
@@ -81,6 +81,8 @@
 const LISTED_ENDS_MAX: usize = 500;
 /// Half-life of the recent failures of a worker.
 const FAILURES_HALF_LIFE_MS: f64 = 6_000.0;
+/// How many times as many failures as others of its pool a worker has if it is at fault.
+const UNUSUAL_FAILURES_FACTOR: f64 = 3.0;
 
 impl WorkerLink {
     /// Creates an unconfirmed link; the worker may have runs of earlier leaders, which it began
@@ -492,15 +494,24 @@
         self.ineffective_starts = 0;
     }
 
-    /// Records that a run failed on the worker.
+    /// Records that a run failed on the worker; `share` is the part of the failure that counts
+    /// against the worker. Returns whether it has failed often enough for a cooldown.
     ///
     /// A worker on which every run fails at once always has the most free room and attracts
     /// all work, so that jobs use up their attempts within a second. Therefore a few
     /// failures start a cooldown.
-    pub fn run_failed(&mut self, now_ms: u64, policy: &RunsPolicy) {
+    #[must_use]
+    pub fn run_failed(&mut self, now_ms: u64, share: f64, policy: &RunsPolicy) -> bool {
         self.decay_failures(now_ms);
-        self.failures += 1.0;
-        if policy.failures_max > 0.0 && self.failures >= policy.failures_max {
+        self.failures += share;
+        policy.failures_max > 0.0 && self.failures >= policy.failures_max
+    }
+
+    /// Starts a cooldown after failures, unless the worker has failed hardly more often than
+    /// others of its pool: then it is not at fault. `usual` is the number of recent failures of
+    /// those.
+    pub fn rest_after_failures(&mut self, now_ms: u64, usual: f64, policy: &RunsPolicy) {
+        if self.failures >= UNUSUAL_FAILURES_FACTOR * usual {
             self.start_cooldown(now_ms, policy.failures_rest_ms);
         }
     }
@@ -511,14 +522,28 @@
         self.failures *= 0.5;
     }
 
+    /// Returns the number of recent failures, decayed until now.
+    pub fn failures_at(&self, now_ms: u64) -> f64 {
+        self.failures * remaining_failures(now_ms.saturating_sub(self.failures_at_ms))
+    }
+
+    /// Returns whether the worker is in a cooldown.
+    pub fn is_resting(&self, now_ms: u64) -> bool {
+        now_ms < self.cooldown_until_ms
+    }
+
     /// Returns the number of recent failures as of the last run that ended.
     pub fn failures(&self) -> f64 {
         self.failures
     }
 
     fn decay_failures(&mut self, now_ms: u64) {
-        let passed_ms = now_ms.saturating_sub(self.failures_at_ms) as f64;
-        self.failures *= 0.5_f64.powf(passed_ms / FAILURES_HALF_LIFE_MS);
+        self.failures = self.failures_at(now_ms);
         self.failures_at_ms = now_ms;
     }
 }
+
+/// Returns the part of recent failures that remains after a time.
+fn remaining_failures(passed_ms: u64) -> f64 {
+    0.5_f64.powf(passed_ms as f64 / FAILURES_HALF_LIFE_MS)
+}
--- a/tests/control/leases.rs
+++ b/tests/control/leases.rs
@@ -67,21 +67,29 @@
     assert_eq!(link.grant(1_010), Some(510 + LEASE_MS));
 }
 
+/// Records a failure that counts in full, on a worker whose peers have none.
+fn fail(link: &mut WorkerLink, now_ms: u64) {
+    let policy = RunsPolicy::default();
+    if link.run_failed(now_ms, 1.0, &policy) {
+        link.rest_after_failures(now_ms, 0.0, &policy);
+    }
+}
+
 /// A worker whose runs fail repeatedly gets a cooldown; a worker with occasional failures
 /// does not.
 #[test]
 fn failures_in_a_row_give_a_worker_a_rest() {
     let mut link = WorkerLink::new(0, LEASES);
     link.listed(10, 10, 10, &[], &[]);
-    link.run_failed(100, &RunsPolicy::default());
-    link.run_failed(200, &RunsPolicy::default());
+    fail(&mut link, 100);
+    fail(&mut link, 200);
     assert!(link.takes_work(300));
-    link.run_failed(300, &RunsPolicy::default());
+    fail(&mut link, 300);
     assert!(!link.takes_work(400));
     let mut mixed = WorkerLink::new(0, LEASES);
     mixed.listed(10, 10, 10, &[], &[]);
     for at in 1..20 {
-        mixed.run_failed(at * 50, &RunsPolicy::default());
+        fail(&mut mixed, at * 50);
         mixed.run_done(at * 50 + 10);
         mixed.run_done(at * 50 + 20);
     }
--- a/tests/control/worker.rs
+++ b/tests/control/worker.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use rosemarygauge::control::{Ended, OrderKind, OrderOutcome, Phase, Rejection, Report, Running};
-use rosemarygauge::jobs::{Resources, RunResult, TaskId};
+use rosemarygauge::jobs::{JobId, Resources, RunResult, TaskId};
 
 use crate::world::TIMING;
 
@@ -55,7 +55,11 @@
     pub started_again_ms: u64,
     /// Whether it says when it started.
     pub tells_start: bool,
-    pub lasting_jobs: std::collections::BTreeSet<rosemarygauge::jobs::JobId>,
+    pub lasting_jobs: std::collections::BTreeSet<JobId>,
+    /// Jobs whose tasks fail, with the time from the start of each run until it does.
+    pub failing_jobs: BTreeMap<JobId, u64>,
+    /// Jobs whose tasks take another time than others.
+    pub job_run_ms: BTreeMap<JobId, u64>,
     /// Number of times its lease has expired.
     lapses: u64,
     lapsed: bool,
@@ -93,6 +97,8 @@
             started_again_ms: 0,
             tells_start: false,
             lasting_jobs: std::collections::BTreeSet::new(),
+            failing_jobs: BTreeMap::new(),
+            job_run_ms: BTreeMap::new(),
             lapses: 0,
             lapsed: false,
             done: BTreeMap::new(),
@@ -181,6 +187,8 @@
             run_ms: self.run_ms,
             tells_start: self.tells_start,
             lasting_jobs: std::mem::take(&mut self.lasting_jobs),
+            failing_jobs: std::mem::take(&mut self.failing_jobs),
+            job_run_ms: std::mem::take(&mut self.job_run_ms),
             noted: std::mem::take(&mut self.noted),
             ..fresh
         };
@@ -238,19 +246,21 @@
                 self.highest.insert(*task, *attempt);
                 let lasts = self.lasting_jobs.contains(&task.job);
                 let still = self.stalls || lasts;
-                let run_ms = if self.fails_all { 5 } else { self.run_ms };
+                let fails_after_ms = match self.fails_all {
+                    true => Some(5),
+                    false => self.failing_jobs.get(&task.job).copied(),
+                };
                 let going = Going {
                     attempt: *attempt,
                     since_ms: now_ms,
-                    ends_ms: if still && !self.fails_all {
-                        u64::MAX
-                    } else {
-                        now_ms + run_ms
+                    ends_ms: match fails_after_ms {
+                        Some(after_ms) => now_ms + after_ms,
+                        None if still => u64::MAX,
+                        None => now_ms + self.takes_ms(task.job),
                     },
-                    ending: if self.fails_all {
-                        RunResult::Failed
-                    } else {
-                        RunResult::Done
+                    ending: match fails_after_ms {
+                        Some(_) => RunResult::Failed,
+                        None => RunResult::Done,
                     },
                     stopping: false,
                 };
@@ -300,6 +310,11 @@
         }
     }
 
+    /// How long a task of a job takes here.
+    fn takes_ms(&self, job: JobId) -> u64 {
+        self.job_run_ms.get(&job).copied().unwrap_or(self.run_ms)
+    }
+
     fn running(&self, now_ms: u64) -> Vec<Running> {
         let going = self.going.iter();
         going
@@ -309,7 +324,7 @@
                 let percent = match (lasts, self.stalls) {
                     (true, _) => (passed_ms / 5).min(100),
                     (false, true) => 7,
-                    (false, false) => (passed_ms * 100 / self.run_ms).min(99),
+                    (false, false) => (passed_ms * 100 / self.takes_ms(task.job)).min(99),
                 };
                 Running {
                     task: *task,
