Judge a stalled run by the pace of a sound one

Callers saw: tasks of 300 s are stopped some seconds after each start and never end, and other jobs have nothing running for up to 5.6 s beside idle machines.

Cause: a run counted as stalled once its whole percent had not changed for 1.6 s, and one of 300 s advances by a percent in 3 s. Each stop closed the worker for 3 s.

All four tests here failed on that code.

Why it works: a run may miss four percents of its own pace, or of the estimate before it has one, or of its age under a new leader. A stop counts against the worker only if other workers have not stalled with the same step, and closes a third of a pool at most.

--- a/src/control/node/renewals.rs
+++ b/src/control/node/renewals.rs
@@ -29,6 +29,10 @@
 const MIN_RENEWAL_GAP_MS: u64 = 15;
 /// Cooldown of a worker on which a run stalled.
 const STALLED_RUN_COOLDOWN_MS: u64 = 3_000;
+/// Share of a fault from which a stalled run counts against its worker.
+const BLAMED_SHARE: f64 = 0.5;
+/// Part of a pool's workers that stalled runs close at once at most: a third.
+const CLOSED_PART: usize = 3;
 /// Runs of a step that a failed run is compared with at most.
 const RUNS_MAX: usize = 64;
 /// Workers of a pool that a worker is compared with at most.
@@ -311,15 +315,17 @@
         }
     }
 
-    /// Stops stalled runs so that they start elsewhere, and puts the worker on a cooldown.
+    /// Stops stalled runs so that they start elsewhere, and puts the worker on a cooldown if it
+    /// may be at fault.
     fn stop_stalled_runs(&mut self, now_ms: u64, worker: &InstanceName) {
+        let unix_ms = self.clock.unix_ms(now_ms);
         let Some(lead) = &mut self.leader_state else {
             return;
         };
         let Some(link) = lead.fleet.link_mut(worker) else {
             return;
         };
-        let mut stalled = 0;
+        let mut blamed = false;
         for ((task, attempt), view) in link.runs.iter_mut() {
             let Some(job) = self.state.job(task.job) else {
                 continue;
@@ -329,17 +335,25 @@
             if !running || step.best_effort || step.gang || (step.lasting && view.percent >= 100) {
                 continue;
             }
+            if let Some((placed_unix_ms, _)) = view.expected.filter(|_| view.is_inherited) {
+                view.note_inherited(unix_ms.saturating_sub(placed_unix_ms));
+            }
             if is_stalled(now_ms, view, &self.settings.policy.runs) {
+                let share = lead.scheduler.faults.run_stalled(now_ms, *task, worker);
                 tracing::info!(
                     %task, attempt, %worker, percent = view.percent,
+                    percent_ms = view.percent_ms(), earlier = view.stalls, share,
                     "task: the run stalled and is started again"
                 );
                 self.out.push(Effect::Count(Decision::RunStalled));
                 request_stop(now_ms, Some(view));
-                stalled += 1;
+                blamed |= share >= BLAMED_SHARE;
             }
         }
-        if stalled > 0 {
+        if blamed
+            && may_close(now_ms, worker, &lead.fleet, &self.state)
+            && let Some(link) = lead.fleet.link_mut(worker)
+        {
             link.start_cooldown(now_ms, STALLED_RUN_COOLDOWN_MS);
         }
     }
@@ -453,3 +467,13 @@
     failures.sort_by(f64::total_cmp);
     failures.get(failures.len() / 4).copied().unwrap_or(0.0)
 }
+
+/// Returns whether a worker may be closed beside those of its pool that are closed already.
+fn may_close(now_ms: u64, worker: &InstanceName, fleet: &Fleet, state: &State) -> bool {
+    let (mut all, mut resting) = (1, 1);
+    for link in peers(worker, fleet, state) {
+        all += 1;
+        resting += usize::from(link.is_resting(now_ms));
+    }
+    all == 1 || resting * CLOSED_PART <= all
+}
--- a/src/control/node/starts.rs
+++ b/src/control/node/starts.rs
@@ -47,6 +47,7 @@
         if let Some(link) = lead.fleet.link_mut(&start.worker) {
             let load = lead.scheduler.load_of(&self.state, start.task);
             let mut view = RunView::new(RunPhase::Starting { unanswered: 0 }, load);
+            view.stalls = lead.scheduler.faults.stalls(start.task);
             if let Some(job) = job {
                 let step = usize::from(start.task.step);
                 let takes_ms = self.state.history().estimates().run_times_ms(job);
--- a/src/control/workers/run_view.rs
+++ b/src/control/workers/run_view.rs
@@ -19,6 +19,14 @@
     pub share_percent: u8,
     /// Changes of its progress; `None` before it was first listed.
     pub progress: Option<Progress>,
+    /// Time and percentage of the first listing; `None` before.
+    pub(super) first_listed: Option<(u64, u8)>,
+    /// Whether an earlier leader placed the run.
+    pub(in crate::control) is_inherited: bool,
+    /// Age of the run at the first listing, if an earlier leader placed it, in milliseconds.
+    pub(super) inherited_age_ms: Option<u64>,
+    /// How many earlier runs of the task were stopped as stalled.
+    pub stalls: u32,
     /// Load that the run puts on the worker.
     pub load: RunLoad,
     /// Time of placement in milliseconds since 1970 and expected run time in milliseconds;
@@ -83,6 +91,10 @@
             listed_ms: None,
             share_percent: 100,
             progress: None,
+            first_listed: None,
+            is_inherited: phase == RunPhase::Inherited,
+            inherited_age_ms: None,
+            stalls: 0,
         }
     }
 
@@ -99,6 +111,29 @@
             progress.changed_ms = now_ms;
         }
         self.percent = percent;
+        self.first_listed.get_or_insert((now_ms, percent));
+    }
+
+    /// Records when the run was placed, as its age now, if an earlier leader did that. Its pace
+    /// is known from that before it makes progress under this leader.
+    pub fn note_inherited(&mut self, age_ms: u64) {
+        self.inherited_age_ms.get_or_insert(age_ms);
+    }
+
+    /// Returns how long a sound run of this length takes for a percent, in milliseconds: as the
+    /// run itself took so far, otherwise as is expected.
+    pub fn percent_ms(&self) -> u64 {
+        let own = self.progress.zip(self.first_listed);
+        let own = own.and_then(|(progress, (first_ms, first_percent))| {
+            let gained = u64::from(self.percent.saturating_sub(first_percent));
+            (progress.changed_ms - first_ms).checked_div(gained)
+        });
+        let expected_ms = self.expected.map_or(0, |(_, takes_ms)| takes_ms / 100);
+        own.unwrap_or_else(|| {
+            let first_percent = self.first_listed.map_or(0, |(_, percent)| percent);
+            let inherited_ms = self.inherited_age_ms.unwrap_or(0);
+            expected_ms.max(inherited_ms / u64::from(first_percent.max(1)))
+        })
     }
 
     /// Returns whether the run is to be stopped or was stopped.
--- a/src/control/workers/worker_link.rs
+++ b/src/control/workers/worker_link.rs
@@ -178,6 +178,7 @@
             *view = RunView {
                 expected: view.expected,
                 saves: view.saves,
+                stalls: view.stalls,
                 ..RunView::new(phase, view.load)
             };
         }
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -27,6 +27,7 @@
 mod late_starts;
 mod late_work;
 mod leases;
+mod long_tasks;
 mod loop_meter;
 mod members;
 mod overload;
