Delay the restarts of lasting tasks that complete at each start

A lasting task is started again however it ends, so one that completes at once was started without a pause, like one that fails. It is delayed like one that fails, and counts against no worker.

--- a/src/control/node/renewals.rs
+++ b/src/control/node/renewals.rs
@@ -244,7 +244,7 @@
             match end.ending {
                 RunResult::Done => {
                     link.run_done(now_ms);
-                    lead.scheduler.faults.run_done(end.task);
+                    self.run_done(now_ms, worker, &end);
                 }
                 RunResult::Failed => self.run_failed(now_ms, worker, &end),
                 RunResult::Stopped | RunResult::Lapsed | RunResult::Broken | RunResult::Alone => {}
@@ -270,6 +270,24 @@
         self.propose(change, Some(waiter));
     }
 
+    /// Records that a run completed. A lasting task is started again however it ends.
+    fn run_done(&mut self, now_ms: u64, worker: &InstanceName, end: &Ended) {
+        let unix_ms = self.clock.unix_ms(now_ms);
+        let Some(lead) = &mut self.leader_state else {
+            return;
+        };
+        let Some(job) = self.state.job(end.task.job) else {
+            return;
+        };
+        if !job.spec.steps[usize::from(end.task.step)].lasting {
+            return lead.scheduler.faults.run_done(end.task);
+        }
+        let worked_ms = unix_ms.saturating_sub(placed_unix_ms(job, worker, end, unix_ms));
+        let jitter = self.rng.random();
+        let faults = &mut lead.scheduler.faults;
+        faults.lasting_run_done(now_ms, end.task, worked_ms, jitter);
+    }
+
     /// Counts a failure against its worker as far as the worker may be at fault, and delays the
     /// next start of the task.
     fn run_failed(&mut self, now_ms: u64, worker: &InstanceName, end: &Ended) {
@@ -278,13 +296,10 @@
         let Some(lead) = &mut self.leader_state else {
             return;
         };
-        let job = self.state.job(end.task.job);
-        let task = job.and_then(|job| job.task(end.task));
-        let (Some(job), Some(task)) = (job, task) else {
+        let Some(job) = self.state.job(end.task.job) else {
             return;
         };
-        let run = task.runs.iter().find(|run| run.is(end.attempt, worker));
-        let placed_unix_ms = run.map_or(unix_ms, |run| run.placed_unix_ms);
+        let placed_unix_ms = placed_unix_ms(job, worker, end, unix_ms);
         let before_unix_ms = placed_unix_ms.saturating_sub(OUTLIVING_MARGIN_MS);
         let failed = FailedRun {
             worked_ms: unix_ms.saturating_sub(placed_unix_ms),
@@ -435,6 +450,14 @@
     }
 }
 
+/// Returns when a run that ended was placed, in milliseconds of Unix time; now if that is not
+/// known.
+fn placed_unix_ms(job: &Job, worker: &InstanceName, end: &Ended, unix_ms: u64) -> u64 {
+    let task = job.task(end.task);
+    let run = task.and_then(|task| task.runs.iter().find(|run| run.is(end.attempt, worker)));
+    run.map_or(unix_ms, |run| run.placed_unix_ms)
+}
+
 /// Counts the runs of a task's step on other workers that were placed before a time, in
 /// milliseconds of Unix time, among the first [`RUNS_MAX`].
 fn outliving_runs(job: &Job, task: TaskId, worker: &InstanceName, before_unix_ms: u64) -> usize {
--- a/src/control/workers/task_faults.rs
+++ b/src/control/workers/task_faults.rs
@@ -115,11 +115,24 @@
         failed: FailedRun,
         jitter: f64,
     ) -> f64 {
-        let FailedRun {
-            worked_ms,
-            outliving,
-            restarts,
-        } = failed;
+        self.delay_restart(now_ms, task, failed.worked_ms, failed.restarts, jitter);
+        self.record_step(now_ms, task, worker, failed.outliving)
+    }
+
+    /// Records that a run of a lasting task ended by itself, and delays its next start like that
+    /// of one that failed.
+    pub fn lasting_run_done(&mut self, now_ms: u64, task: TaskId, worked_ms: u64, jitter: f64) {
+        self.delay_restart(now_ms, task, worked_ms, Restarts::Lasting, jitter);
+    }
+
+    fn delay_restart(
+        &mut self,
+        now_ms: u64,
+        task: TaskId,
+        worked_ms: u64,
+        restarts: Restarts,
+        jitter: f64,
+    ) {
         let record = self.tasks.entry(task).or_default();
         if worked_ms >= SOUND_RUN_MS {
             record.failed_starts = 0;
@@ -128,7 +141,6 @@
         let delay_ms = longest_delay_ms(record.failed_starts, restarts) as f64;
         record.restart_ms = now_ms + (delay_ms * (0.5 + 0.5 * jitter)) as u64;
         record.changed_ms = now_ms;
-        self.record_step(now_ms, task, worker, outliving)
     }
 
     /// Records that a run is stopped as stalled. Returns the share that counts against the
--- a/tests/control/failing_tasks.rs
+++ b/tests/control/failing_tasks.rs
@@ -173,3 +173,18 @@
     let delays_ms = [(); 7].map(|()| delay_ms(50, Restarts::Limited, 1.0));
     assert_eq!(delays_ms, [0, 0, 500, 1_000, 2_000, 2_000, 2_000]);
 }
+
+/// Guards against a lasting task that completes at each start and is started again without a
+/// pause.
+#[test]
+fn a_lasting_task_that_completes_at_each_start_is_delayed() {
+    let mut faults = TaskFaults::default();
+    let mut delay_ms = |worked_ms: u64| {
+        faults.lasting_run_done(0, task(1, 0), worked_ms, 1.0);
+        (0..20_000)
+            .find(|ms| faults.may_start(*ms, task(1, 0)))
+            .unwrap()
+    };
+    assert_eq!([50; 4].map(&mut delay_ms), [0, 500, 1_000, 2_000]);
+    assert_eq!([2_000, 50].map(&mut delay_ms), [0, 500]);
+}
