--- a/src/control/workers/run_view.rs
+++ b/src/control/workers/run_view.rs
@@ -123,9 +123,10 @@
     /// Returns how long a sound run of this length takes for a percent at most, in milliseconds:
     /// as the run itself took so far, otherwise as is expected.
     pub fn percent_ms(&self) -> u64 {
-        let (first_ms, first_percent) = self.first_listed.unwrap_or_default();
-        let changed_ms = self.progress.map_or(first_ms, |p| p.changed_ms);
-        let since_first_ms = changed_ms.saturating_sub(first_ms);
+        let listed = self.progress.zip(self.first_listed);
+        let (since_first_ms, first_percent) = listed.map_or((0, 0), |(progress, first)| {
+            (progress.changed_ms.saturating_sub(first.0), first.1)
+        });
         // The first percent was listed at any time in its course, and so was the last one.
         let whole = u64::from(self.percent.saturating_sub(first_percent)).saturating_sub(1);
         since_first_ms.checked_div(whole).unwrap_or_else(|| {
