Forget callers that have left once their calls are answered

The ids of callers that leave before their answers are kept until the entry instance's loop takes them. A control instance never does, so there each such caller, for example a worker that gives up a report, left 8 bytes for good. The id goes with its call now, in every process.

--- a/src/control/runtime/call_bridge.rs
+++ b/src/control/runtime/call_bridge.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
@@ -46,7 +46,14 @@
     next_id: u64,
     answers: HashMap<u64, OpenCall>,
     /// Open calls whose callers have left since [`CallBridge::take_left`].
-    left: Vec<u64>,
+    left: HashSet<u64>,
+}
+
+impl OpenCalls {
+    fn remove(&mut self, id: u64) -> Option<OpenCall> {
+        self.left.remove(&id);
+        self.answers.remove(&id)
+    }
 }
 
 #[derive(Debug)]
@@ -65,7 +72,7 @@
         let open = OpenCalls {
             next_id: first_id,
             answers: HashMap::new(),
-            left: Vec::new(),
+            left: HashSet::new(),
         };
         let bridge = Self {
             calls: tx,
@@ -112,7 +119,7 @@
 
     /// Answers a call. Its caller may have left already.
     pub fn answer(&self, id: u64, answer: Answer) {
-        let open = lock(&self.open).answers.remove(&id);
+        let open = lock(&self.open).remove(id);
         if let Some(OpenCall { caller, hold }) = open
             && caller.send((answer, hold)).is_err()
         {
@@ -123,7 +130,8 @@
     /// Takes the open calls whose callers have left, which drops the futures of
     /// [`Self::call`].
     pub fn take_left(&self) -> Vec<u64> {
-        std::mem::take(&mut lock(&self.open).left)
+        let left = std::mem::take(&mut lock(&self.open).left);
+        left.into_iter().collect()
     }
 
     /// Answers all open calls with [`Answer::Unknown`] because the instance stops.
@@ -193,7 +201,7 @@
     fn drop(&mut self) {
         let mut open = lock(&self.bridge.open);
         if open.answers.contains_key(&self.id) {
-            open.left.push(self.id);
+            open.left.insert(self.id);
         }
     }
 }
--- a/tests/control/driver.rs
+++ b/tests/control/driver.rs
@@ -2,14 +2,15 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rosemarygauge::consensus::Recovered;
 use rosemarygauge::control::{
-    Call, CallBridge, Driver, ExternalSystems, Links, LocalFuture, Machine, MachineOrder,
+    Answer, Call, CallBridge, Driver, ExternalSystems, Links, LocalFuture, Machine, MachineOrder,
     MachineOutcome, Node, NodeSettings, Order, OrderOutcome, PeerMessage, Policy, Signal,
     WallClock, boottime_ms,
 };
+use rosemarygauge::intake::Intake;
 use rosemarygauge::jobs::TaskId;
 use rosemarygauge::model::{EntryName, InstanceName};
 use tokio::sync::mpsc::unbounded_channel;
@@ -177,3 +178,31 @@
     let before = sent.iter().take_while(|is_answer| **is_answer).count();
     assert!(before <= 2, "{before} calls are answered before");
 }
+
+/// Guards against callers that leave and are remembered for good: a control instance never asks
+/// for them.
+#[test]
+fn a_caller_that_has_left_is_remembered_until_its_call_is_answered() {
+    let (bridge, mut calls) = CallBridge::new(0);
+    let client = Intake::new(1 << 20).open(Instant::now(), "test", None);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .build()
+        .unwrap();
+    let mut leave = || {
+        runtime.block_on(async {
+            let call = bridge.call(Call::ReadConfiguration, 100, client.hold());
+            tokio::select! {
+                biased;
+                _ = call => panic!("nobody answers"),
+                () = std::future::ready(()) => {}
+            }
+        });
+        calls.try_recv().unwrap().id
+    };
+    let (answered, open) = (leave(), leave());
+    bridge.answer(answered, Answer::Done);
+    assert_eq!(bridge.take_left(), [open]);
+    assert!(bridge.take_left().is_empty());
+    bridge.answer(open, Answer::Done);
+    assert_eq!(bridge.waiting(), 0);
+}
